--- a/src/main/java/heronridge/BenchLink.java
+++ b/src/main/java/crankspar/BenchLink.java
@@ -1,4 +1,4 @@
-package heronridge;
+package crankspar;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
--- a/src/main/java/heronridge/Router.java
+++ b/src/main/java/crankspar/Router.java
@@ -1,4 +1,4 @@
-package heronridge;
+package crankspar;
 
 import java.util.List;
 
--- a/src/test/java/heronridge/BalanceTest.java
+++ b/src/test/java/crankspar/BalanceTest.java
@@ -1,11 +1,11 @@
-package heronridge;
-
-import static heronridge.Fake.ANY;
-import static heronridge.Fake.BROWSE;
-import static heronridge.Fake.FRESH;
-import static heronridge.Fake.OWN;
-import static heronridge.Fake.WRITE;
-import static heronridge.Fake.member;
+package crankspar;
+
+import static crankspar.Fake.ANY;
+import static crankspar.Fake.BROWSE;
+import static crankspar.Fake.FRESH;
+import static crankspar.Fake.OWN;
+import static crankspar.Fake.WRITE;
+import static crankspar.Fake.member;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -13,10 +13,10 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import heronridge.Router.Health;
-import heronridge.Router.ListKind;
-import heronridge.Router.Role;
-import heronridge.Router.Status;
+import crankspar.Router.Health;
+import crankspar.Router.ListKind;
+import crankspar.Router.Role;
+import crankspar.Router.Status;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/heronridge/BenchLinkTest.java
+++ b/src/test/java/crankspar/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package heronridge;
+package crankspar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/heronridge/EmbedExampleTest.java
+++ b/src/test/java/crankspar/EmbedExampleTest.java
@@ -1,4 +1,4 @@
-package heronridge;
+package crankspar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -31,7 +31,7 @@
     }
 
     @Test void theReadmeSaysTheSame() throws Exception {
-        String test = Files.readString(Path.of("src/test/java/heronridge/EmbedExampleTest.java"));
+        String test = Files.readString(Path.of("src/test/java/crankspar/EmbedExampleTest.java"));
         String part = test.substring(test.indexOf("// example\n") + 11, test.indexOf("        // end\n"));
         List<String> lines = part.lines().map(String::strip).filter(l -> !l.startsWith("String member")).toList();
         String readme = Files.readString(Path.of("README.md"));
--- a/src/test/java/heronridge/ModuleTextTest.java
+++ b/src/test/java/crankspar/ModuleTextTest.java
@@ -1,4 +1,4 @@
-package heronridge;
+package crankspar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,7 +11,7 @@
 
 /** The module stays short enough to be read in one's first days. */
 class ModuleTextTest {
-    private static final Path MODULE = Path.of("src/main/java/heronridge/Balance.java");
+    private static final Path MODULE = Path.of("src/main/java/crankspar/Balance.java");
 
     @Test void atMost850LinesThatAreNotBlank() throws IOException {
         long lines = Files.readAllLines(MODULE).stream().filter(l -> !l.isBlank()).count();
--- a/src/test/java/heronridge/PropertyTest.java
+++ b/src/test/java/crankspar/PropertyTest.java
@@ -1,14 +1,14 @@
-package heronridge;
+package crankspar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import heronridge.Router.Health;
-import heronridge.Router.ListKind;
-import heronridge.Router.Outcome;
-import heronridge.Router.Repeat;
-import heronridge.Router.Role;
-import heronridge.Router.Status;
+import crankspar.Router.Health;
+import crankspar.Router.ListKind;
+import crankspar.Router.Outcome;
+import crankspar.Router.Repeat;
+import crankspar.Router.Role;
+import crankspar.Router.Status;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
