--- a/src/main/java/crankspar/BenchLink.java
+++ b/src/main/java/crankspar/BenchLink.java
@@ -1,35 +1,30 @@
 package crankspar;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.core.StreamReadFeature;
-import com.fasterxml.jackson.core.StreamWriteFeature;
+import crankspar.config.Json;
+import crankspar.config.SettingsReader;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BiFunction;
 
 /** The adapter: translates the simulator's wire to {@link Router} and back. It decides nothing. */
-final class BenchLink {
+public final class BenchLink {
     /** Input that does not follow the wire page; the message says what and where. */
-    static final class Malformed extends RuntimeException {
+    public static final class Malformed extends RuntimeException {
         Malformed(String message) { super(message); }
     }
 
     private static final String[] STATUS_CODES = {"10", "20", "30", "40", "50", "60", "70", "80", "90"};
-    private static final JsonFactory JSON = JsonFactory.builder()
-            .disable(StreamReadFeature.AUTO_CLOSE_SOURCE).disable(StreamWriteFeature.AUTO_CLOSE_TARGET).build();
-
     private final BiFunction<Router.Settings, Router.Actions, Router> maker;
     private final Map<Long, Instance> instances = new TreeMap<>();
     private final Map<Integer, List<Router.Member>> lists = new HashMap<>();
@@ -38,9 +33,9 @@
     private long line;
     private String event = "batch";
 
-    BenchLink(BiFunction<Router.Settings, Router.Actions, Router> maker) { this.maker = maker; }
+    public BenchLink(BiFunction<Router.Settings, Router.Actions, Router> maker) { this.maker = maker; }
 
-    void run(BufferedReader in, OutputStream stream) throws IOException {
+    public void run(BufferedReader in, OutputStream stream) throws IOException {
         var bytes = new ByteArrayOutputStream(1 << 16);
         for (String text = in.readLine(); text != null; text = in.readLine()) {
             line++;
@@ -63,7 +58,7 @@
         Number moment = null;
         Number turn = null;
         List<?> events = null;
-        try (JsonParser p = JSON.createParser(text)) {
+        try (JsonParser p = Json.FACTORY.createParser(text)) {
             if (p.nextToken() != JsonToken.START_OBJECT) {
                 throw new Malformed("an object was expected");
             }
@@ -71,9 +66,9 @@
                 String key = p.currentName();
                 p.nextToken();
                 switch (key) {
-                    case "Moment" -> moment = as(Number.class, value(p), key);
-                    case "turn" -> turn = as(Number.class, value(p), key);
-                    case "input" -> events = as(List.class, value(p), key);
+                    case "Moment" -> moment = as(Number.class, Json.value(p), key);
+                    case "turn" -> turn = as(Number.class, Json.value(p), key);
+                    case "input" -> events = as(List.class, Json.value(p), key);
                     default -> p.skipChildren();
                 }
             }
@@ -85,7 +80,7 @@
             throw new Malformed("missing field " + (moment == null ? "Moment" : turn == null ? "turn" : "input"));
         }
         now = moment.doubleValue();
-        out = JSON.createGenerator(bytes);
+        out = Json.FACTORY.createGenerator(bytes);
         out.writeStartObject();
         out.writeNumberField("turn", turn.longValue());
         out.writeArrayFieldStart("cmds");
@@ -109,7 +104,7 @@
             long seed = f.whole(2, "Nonce64");
             var actions = new Out(id);
             try {
-                var instance = new Instance(id, settings(f.map(3, "Env"), seed), actions, maker);
+                var instance = new Instance(id, SettingsReader.read(f.map(3, "Env"), seed), actions, maker);
                 instances.put(id, instance);
                 instance.router.onStart(now);
             } catch (Malformed e) {
@@ -232,97 +227,11 @@
         return members;
     }
 
-    private static Router.Settings settings(Map<?, ?> env, long seed) {
-        var e = new Keys(env);
-        Keys domain = e.part("Domain");
-        Keys rules = e.part("Guarantees");
-        Keys limits = e.part("Limits");
-        Keys prices = e.part("Prices");
-        List<?> levels = domain.list("ReadLevel");
-        List<?> bounds = domain.list("ClassBound");
-        var classes = new ArrayList<Router.RequestClass>();
-        for (Object one : e.list("Classes")) {
-            var c = new Keys(as(Map.class, one, "Classes"));
-            int i = classes.size();
-            classes.add(new Router.RequestClass(c.text("Name"), c.number("Target"), c.number("GiveUp"),
-                    c.number("Gain"), c.number("LateValue", 0),
-                    c.word("Idempotency", Map.of("pure", Router.Repeat.SAFE, "token", Router.Repeat.KEYED,
-                            "side_effect", Router.Repeat.UNSAFE)),
-                    "all".equals(c.map.get("DedupScope")) ? Router.DedupScope.ALL : Router.DedupScope.GROUP,
-                    c.number("KeyTtl", 0),
-                    word("ReadLevel", i < levels.size() ? levels.get(i) : null,
-                            Map.of("write", Router.Freshness.WRITE, "fresh", Router.Freshness.FRESH,
-                                    "session", Router.Freshness.SESSION, "bounded", Router.Freshness.BOUNDED,
-                                    "any", Router.Freshness.ANY)),
-                    i < bounds.size() ? as(Number.class, bounds.get(i), "ClassBound").doubleValue() : 0));
-        }
-        var zones = new ArrayList<String>();
-        e.list("Zones").forEach(z -> zones.add(as(String.class, z, "Zones")));
-        return new Router.Settings(seed, e.text("Locality"), zones, (int) e.number("MyNumber", 0),
-                (int) e.number("Siblings"), e.number("Round"),
-                e.word("Discovery", Map.of("on_request", true, "pushed", false)), classes,
-                domain.word("Behind", Map.of("off", Router.Behind.ANSWERS, "refuse", Router.Behind.REFUSES,
-                        "wait", Router.Behind.WAITS)),
-                domain.number("Patience", 0),
-                domain.word("RoleInList", Map.of("late", Router.RoleInList.LATE, "start",
-                        Router.RoleInList.AT_START, "off", Router.RoleInList.NEVER)),
-                domain.word("SessionMarks", Map.of("carried", Router.SessionMarks.CARRIED, "remembered",
-                        Router.SessionMarks.REMEMBERED)),
-                domain.flag("TellsPosition", false), domain.flag("CommitWaits", false), domain.number("CountedFrom"),
-                e.part("Report").word("How", Map.of("inline", Router.Reports.IN_ANSWERS, "on_probe",
-                        Router.Reports.IN_PROBES, "off", Router.Reports.NONE)),
-                new Router.Guarantees(rules.number("AnswerSlack", 0), rules.number("AskEvery", 0),
-                        rules.number("ColdFrom"), rules.number("RampTime"), rules.number("DrainGrace"),
-                        rules.number("FallMultiple"), rules.number("Fall"), rules.flag("SoftRemoval", false)),
-                new Router.Limits((int) limits.number("MostTries"), limits.flag("MayDuplicate", false),
-                        limits.flag("Cancelling", false), limits.flag("Probes", false),
-                        limits.flag("RetryAfter", false), limits.number("MaxRetryAfter", 0),
-                        limits.number("DialTimeout", 0), limits.number("ConnIdle", 0),
-                        (int) limits.number("MaxOpen", Integer.MAX_VALUE)),
-                new Router.Prices(prices.number("CrossZone", 0), prices.number("Waste", 0),
-                        prices.number("Probe", 0), prices.number("LateFail", 0)));
-    }
-
     private static void fault(Out actions, RuntimeException e) {
         var at = e.getStackTrace();
         actions.put("Fault", e + (at.length > 0 ? " at " + at[0] : ""));
     }
 
-    /** One value of any shape; numbers become Long or Double. */
-    private static Object value(JsonParser p) throws IOException {
-        switch (p.currentToken()) {
-            case VALUE_STRING:
-                return p.getText();
-            case VALUE_NUMBER_INT:
-                return p.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-                        ? (Object) p.getBigIntegerValue().longValue() : (Object) p.getLongValue();
-            case VALUE_NUMBER_FLOAT:
-                return p.getDoubleValue();
-            case VALUE_TRUE, VALUE_FALSE:
-                return p.getBooleanValue();
-            case VALUE_NULL:
-                return null;
-            case START_ARRAY: {
-                var list = new ArrayList<Object>(10);
-                while (p.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(value(p));
-                }
-                return list;
-            }
-            case START_OBJECT: {
-                var map = new LinkedHashMap<String, Object>();
-                while (p.nextToken() == JsonToken.FIELD_NAME) {
-                    String key = p.currentName();
-                    p.nextToken();
-                    map.put(key, value(p));
-                }
-                return map;
-            }
-            default:
-                throw new Malformed("unexpected " + p.currentToken());
-        }
-    }
-
     private static <T> T as(Class<T> type, Object value, String field) {
         if (!type.isInstance(value)) {
             throw new Malformed((value == null ? "missing field " : "wrong type of field ") + field);
@@ -330,14 +239,6 @@
         return type.cast(value);
     }
 
-    private static <T> T word(String key, Object value, Map<String, T> words) {
-        T found = words.get(as(String.class, value, key));
-        if (found == null) {
-            throw new Malformed("setting " + key + " has the unknown value " + value);
-        }
-        return found;
-    }
-
     private static final class Instance {
         final Router router;
         final Out actions;
@@ -367,19 +268,6 @@
         Map<?, ?> optMap(int i) { return at(i) instanceof Map<?, ?> m ? m : Map.of(); }
     }
 
-    /** The values of a settings object, by name. */
-    private record Keys(Map<?, ?> map) {
-        Keys part(String key) { return new Keys(as(Map.class, map.get(key), key)); }
-        List<?> list(String key) { return as(List.class, map.get(key), key); }
-        String text(String key) { return as(String.class, map.get(key), key); }
-        double number(String key) { return as(Number.class, map.get(key), key).doubleValue(); }
-        double number(String key, double absent) { return map.get(key) == null ? absent : number(key); }
-        boolean flag(String key, boolean absent) {
-            return map.get(key) == null ? absent : as(Boolean.class, map.get(key), key);
-        }
-        <T> T word(String key, Map<String, T> words) { return BenchLink.word(key, map.get(key), words); }
-    }
-
     /** Writes an instance's actions into the reply. */
     private final class Out implements Router.Actions {
         private final long id;
--- /dev/null
+++ b/src/main/java/crankspar/config/Config.java
@@ -0,0 +1,93 @@
+package crankspar.config;
+
+import crankspar.Router;
+import crankspar.discovery.MemberList;
+import crankspar.net.Addresses;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** What one pooler is told by the platform. */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+                     MemberList known, Router.Settings settings) {
+    /** A configuration that cannot be used; the message names the key. */
+    public static final class Bad extends Exception {
+        public Bad(String key, String why) { super(key + ": " + why); }
+    }
+
+    /** From the variables of the environment, which name the file and overrule what it says. */
+    public static Config read(Map<String, String> env) throws Bad {
+        String file = env.get("BALANCER_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new Bad("BALANCER_CONFIG", "not set");
+        }
+        Map<?, ?> object;
+        try {
+            object = Json.object(Files.readString(Path.of(file)));
+        } catch (IOException | RuntimeException e) {
+            throw new Bad("BALANCER_CONFIG", "cannot be read: " + brief(e));
+        }
+        long seed = seed(object.get("seed"));
+        Router.Settings settings;
+        try {
+            settings = SettingsReader.read(part(object, "settings"), seed);
+        } catch (IllegalArgumentException e) {
+            throw new Bad("settings", brief(e));
+        }
+        MemberList known;
+        try {
+            known = object.get("known") == null ? new MemberList(0, true, java.util.List.of(), Map.of())
+                    : MemberList.read(part(object, "known"));
+        } catch (IllegalArgumentException e) {
+            throw new Bad("known", brief(e));
+        }
+        Object limits = object.get("limits");
+        int sockets = limits instanceof Map<?, ?> m && m.get("sockets") instanceof Number n ? n.intValue() : 1024;
+        if (sockets < 64) {
+            throw new Bad("limits.sockets", "fewer than 64: " + sockets);
+        }
+        return new Config(text(env.get("BALANCER_NAME"), object, "name"),
+                address(env.get("BALANCER_LISTEN"), object, "listen"),
+                address(env.get("BALANCER_DISCOVERY"), object, "discovery"), seed, sockets, known, settings);
+    }
+
+    private static String brief(Exception e) {
+        String message = String.valueOf(e.getMessage());
+        return (e instanceof IllegalArgumentException ? "" : e.getClass().getSimpleName() + " ")
+                + message.lines().findFirst().orElse("");
+    }
+
+    private static Map<?, ?> part(Map<?, ?> object, String key) throws Bad {
+        if (object.get(key) instanceof Map<?, ?> map) {
+            return map;
+        }
+        throw new Bad(key, "no object");
+    }
+
+    private static long seed(Object value) throws Bad {
+        try {
+            return value == null ? 0 : value instanceof Number n ? n.longValue()
+                    : Long.parseUnsignedLong(String.valueOf(value), 16);
+        } catch (NumberFormatException e) {
+            throw new Bad("seed", "not hexadecimal: " + value);
+        }
+    }
+
+    private static String text(String first, Map<?, ?> object, String key) throws Bad {
+        Object value = first != null ? first : object.get(key);
+        if (value instanceof String s && !s.isEmpty()) {
+            return s;
+        }
+        throw new Bad(key, "not set");
+    }
+
+    private static InetSocketAddress address(String first, Map<?, ?> object, String key) throws Bad {
+        try {
+            return Addresses.parse(text(first, object, key));
+        } catch (IllegalArgumentException e) {
+            throw new Bad(key, brief(e));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -0,0 +1,339 @@
+package crankspar.core;
+
+import crankspar.Router;
+import crankspar.Router.ListKind;
+import crankspar.Router.Member;
+import crankspar.Router.Outcome;
+import crankspar.Router.Role;
+import crankspar.Router.Status;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * Keeps what is owed: requests, their attempts and their deadlines. It feeds the decision module with what
+ * happens and carries out what the module wants through small ports. It knows no wire: a front's queries and
+ * answers pass through unread. Nothing here routes, retries or judges a member.
+ *
+ * @param <Q> a front's queries
+ * @param <A> its answers
+ */
+public final class Pooler<Q, A> implements Router.Actions {
+    /** Time as Unix ms that never goes back, and timers on the thread that owns all state. */
+    public interface Time {
+        double now();
+        void after(double ms, Runnable what);
+    }
+
+    /** An attempt that is out. */
+    public interface Call {
+        /** Gives it up by ending its connection; tells how far it had come. No end is told after this. */
+        Reach abandon();
+    }
+
+    /** Where attempts go. An end may be told before {@code send} has returned. */
+    public interface Backends<Q, A> {
+        /** Sends once, whole, or not at all; {@code left} ms will be waited. */
+        Call send(String member, Q query, double left, Consumer<AttemptEnd<A>> end);
+        Call probe(String member, Consumer<AttemptEnd<A>> end);
+    }
+
+    /** The list of members: ends of a watch come back through {@link #watchLost}. */
+    public interface Discovery {
+        void watch(boolean on);
+    }
+
+    /** What a front has taken. The mark is the position (Unix ms) that a session's read must see, or NaN. */
+    public record Ask<Q>(int requestClass, double ttl, String session, double mark, int group, Q query) { }
+
+    private static final Logger LOG = Logger.getLogger(Pooler.class.getName());
+    /** Share of the rule's slack after a deadline at which the core answers by itself: a last guard. */
+    private static final double LAST = 0.5;
+
+    private final class Owed {
+        final Ask<Q> ask;
+        final Consumer<FinalAnswer<A>> reply;
+        final double taken;
+        final double deadline;
+        int sent;
+        boolean mayHaveRun, over;
+        Attempt out;
+
+        Owed(Ask<Q> ask, Consumer<FinalAnswer<A>> reply, double now) {
+            this.ask = ask;
+            this.reply = reply;
+            taken = now;
+            deadline = now + ask.ttl();
+        }
+    }
+
+    private final class Attempt {
+        final String request;
+        final Owed owed;
+        final int number;
+        final String member;
+        final double sent = now();
+        Call call;
+        boolean ended;
+
+        Attempt(String request, Owed owed, String member) {
+            this.request = request;
+            this.owed = owed;
+            this.member = member;
+            number = owed.sent++;
+        }
+    }
+
+    private final Router.Settings settings;
+    private final Time time;
+    private final Backends<Q, A> backends;
+    private final Discovery discovery;
+    private final Counters counters;
+    private final Router module;
+    private final Map<String, Owed> owed = new HashMap<>();
+    private final ArrayDeque<Runnable> events = new ArrayDeque<>();
+    private boolean busy;
+    private long ids;
+    private int owing;
+    private Runnable whenQuiet = () -> { };
+
+    public Pooler(Router.Settings settings, Time time, Backends<Q, A> backends, Discovery discovery,
+                  Counters counters, BiFunction<Router.Settings, Router.Actions, Router> maker) {
+        this.settings = settings;
+        this.time = time;
+        this.backends = backends;
+        this.discovery = discovery;
+        this.counters = counters;
+        module = maker.apply(settings, this);
+    }
+
+    // ---- What happens. Every event passes through the queue: the module is never called inside its own call.
+    public void start(List<Member> known) {
+        event(() -> {
+            module.onStart(now());
+            module.onMembers(now(), ListKind.OLD_COPY, known);
+        });
+    }
+
+    public void members(ListKind kind, List<Member> members) {
+        event(() -> module.onMembers(now(), kind, members));
+    }
+
+    public void watchLost() { event(() -> module.onWatchLost(now())); }
+
+    /** Takes a request; its reply is called exactly once unless {@link #gone} comes first. */
+    public String take(Ask<Q> ask, Consumer<FinalAnswer<A>> reply) {
+        String id = Long.toString(++ids, 36);
+        counters.add("taken");
+        double now = now();
+        var o = new Owed(ask, reply, now);
+        owed.put(id, o);
+        owing++;
+        // A mark told in the same millisecond may lie ahead of this clock: it is a mark all the same.
+        double age = Double.isNaN(ask.mark()) ? -1 : Math.max(0.001, now - ask.mark());
+        event(() -> module.onRequest(now, new Router.Request(id, ask.requestClass(), ask.ttl(), ask.session(),
+                age, ask.group())));
+        time.after(ask.ttl() + settings.rules().answerSlack() * LAST, () -> {
+            if (!o.over) {
+                counters.add("overdue");
+                event(() -> module.onGone(now(), id));
+                answer(id, o, new FinalAnswer.Failed<>(o.mayHaveRun || o.out != null, "deadline"));
+            }
+        });
+        return id;
+    }
+
+    /** The client has left: nothing is owed any more. */
+    public void gone(String id) {
+        Owed o = owed.get(id);
+        if (o != null && !o.over) {
+            counters.add("gone");
+            event(() -> module.onGone(now(), id));
+            conclude(id, o);
+            if (o.out != null) {
+                cancel(id, o.out.number);
+            }
+            quiet();
+        }
+    }
+
+    public int owing() { return owing; }
+
+    /** Calls back once nothing is owed: at once, or when the last answer is out. */
+    public void whenQuiet(Runnable what) {
+        whenQuiet = what;
+        quiet();
+    }
+
+    private void quiet() {
+        if (owing == 0) {
+            whenQuiet.run();
+        }
+    }
+
+    private void event(Runnable what) {
+        events.add(what);
+        if (busy) {
+            return;
+        }
+        busy = true;
+        try {
+            for (Runnable next = events.poll(); next != null; next = events.poll()) {
+                try {
+                    next.run();
+                } catch (RuntimeException e) {
+                    // Guards against one bad event taking the daemon along: the last guard still answers.
+                    counters.add("module_errors");
+                    LOG.log(Level.SEVERE, "decision failed", e);
+                }
+            }
+        } finally {
+            busy = false;
+        }
+    }
+
+    private double now() { return time.now(); }
+
+    // ---- What the module wants.
+    @Override public void send(String request, String member, double timeout) {
+        Owed o = owed.get(request);
+        if (o == null) {
+            return;
+        }
+        var a = new Attempt(request, o, member);
+        double left = Math.min(timeout > 0 ? timeout : Double.MAX_VALUE, o.deadline - now());
+        if (o.over || left <= 0 || o.out != null || a.number >= settings.limits().mostTries()) {
+            end(a, Status.MOOT, AttemptEnd.Note.NONE);
+            return;
+        }
+        o.out = a;
+        counters.add("sent");
+        a.call = backends.send(member, o.ask.query(), left, end -> ended(a, end));
+        if (a.ended) {
+            return;
+        }
+        time.after(left, () -> {
+            if (!a.ended) {
+                Reach reach = a.call.abandon();
+                o.mayHaveRun |= reach.mayHaveRun();
+                end(a, reach.mayHaveRun() ? Status.TIMEOUT : Status.MOOT, AttemptEnd.Note.NONE);
+            }
+        });
+    }
+
+    private void ended(Attempt a, AttemptEnd<A> end) {
+        if (a.ended) {
+            return;
+        }
+        if (end instanceof AttemptEnd.Served<A> s) {
+            if (!a.owed.over) {
+                answer(a.request, a.owed, new FinalAnswer.Served<>(s.answer(), s.note()));
+            }
+            end(a, Status.OK, s.note());
+        } else if (end instanceof AttemptEnd.Missed<A> m) {
+            end(a, Status.MISS, m.note());
+        } else if (end instanceof AttemptEnd.TurnedAway<A> t) {
+            end(a, Status.FULL, t.note());
+        } else if (end instanceof AttemptEnd.Erred<A> e) {
+            a.owed.mayHaveRun = true;
+            end(a, Status.ERROR, e.note());
+        } else if (end instanceof AttemptEnd.Broken<A> b) {
+            a.owed.mayHaveRun |= b.reach().mayHaveRun();
+            LOG.fine(() -> "attempt at " + a.member + " broke, " + b.reach() + ": " + b.why());
+            end(a, b.reach().mayHaveRun() ? Status.RESET : Status.CONNECT_FAILED, AttemptEnd.Note.NONE);
+        }
+    }
+
+    private void end(Attempt a, Status status, AttemptEnd.Note note) {
+        a.ended = true;
+        if (a.owed.out == a) {
+            a.owed.out = null;
+        }
+        counters.add("sent_" + status.name().toLowerCase(java.util.Locale.ROOT));
+        event(() -> {
+            double now = now();
+            module.onOutcome(now, new Outcome(a.request, a.number, a.member, status, now - a.sent, a.owed.over,
+                    note.role(), note.position()));
+            if (a.owed.over && a.owed.out == null) {
+                owed.remove(a.request);
+            }
+        });
+    }
+
+    @Override public void refuse(String request, double retryIn) {
+        Owed o = owed.get(request);
+        if (o != null && !o.over) {
+            answer(request, o, new FinalAnswer.Refused<>(retryIn));
+        }
+    }
+
+    @Override public void fail(String request) {
+        Owed o = owed.get(request);
+        if (o != null && !o.over) {
+            answer(request, o, new FinalAnswer.Failed<>(o.mayHaveRun || o.out != null, "given up"));
+        }
+    }
+
+    private void answer(String id, Owed o, FinalAnswer<A> answer) {
+        conclude(id, o);
+        counters.add("answered_" + answer.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT));
+        o.reply.accept(answer);
+        quiet();
+    }
+
+    private void conclude(String id, Owed o) {
+        o.over = true;
+        owing--;
+        if (o.out == null) {
+            owed.remove(id);
+        }
+    }
+
+    @Override public void cancel(String request, int number) {
+        Owed o = owed.get(request);
+        if (o != null && o.out != null && o.out.number == number) {
+            Attempt a = o.out;
+            if (a.call != null) {
+                o.mayHaveRun |= a.call.abandon().mayHaveRun();
+            }
+            end(a, Status.CANCELLED, AttemptEnd.Note.NONE);
+        }
+    }
+
+    @Override public void setTimer(double delay, long cookie) {
+        time.after(delay, () -> event(() -> module.onTimer(now(), cookie)));
+    }
+
+    @Override public void probe(String member) {
+        counters.add("probes");
+        double sent = now();
+        boolean[] over = new boolean[1];
+        Call call = backends.probe(member, end -> {
+            if (!over[0]) {
+                over[0] = true;
+                boolean ok = end instanceof AttemptEnd.Served<A>;
+                AttemptEnd.Note note = end instanceof AttemptEnd.Served<A> s ? s.note() : AttemptEnd.Note.NONE;
+                event(() -> module.onProbe(now(), new Router.ProbeResult(member, ok, now() - sent,
+                        ok ? note.role() : Role.UNKNOWN, note.position())));
+            }
+        });
+        time.after(settings.limits().dialTimeout(), () -> {
+            if (!over[0]) {
+                over[0] = true;
+                call.abandon();
+                event(() -> module.onProbe(now(), new Router.ProbeResult(member, false, now() - sent,
+                        Role.UNKNOWN, Double.NaN)));
+            }
+        });
+    }
+
+    @Override public void watch(boolean on) { discovery.watch(on); }
+
+    @Override public void log(String text) { LOG.info(text); }
+}
--- /dev/null
+++ b/src/main/java/crankspar/discovery/Watch.java
@@ -0,0 +1,156 @@
+package crankspar.discovery;
+
+import crankspar.config.Json;
+import crankspar.core.Counters;
+import crankspar.core.Pooler;
+import crankspar.http.HttpHead;
+import crankspar.http.HttpParser;
+import crankspar.http.HttpText;
+import crankspar.net.Loop;
+import crankspar.net.Machine;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.logging.Logger;
+
+/**
+ * Discovery: one watch at a time, opened when the module asks for it. When it ends, for whatever reason, that
+ * is told; whether and when to ask again is the module's to say.
+ */
+public final class Watch implements Pooler.Discovery {
+    private static final Logger LOG = Logger.getLogger(Watch.class.getName());
+    /**
+     * A live watch brings at least an empty line every 2 s. What discovery has to tell counts as told 6 s
+     * later even if it never arrived, so a silent one is given up well before that.
+     */
+    private static final double SILENT = 3500;
+    private static final int LINE_MOST = 1 << 20;
+
+    private final Loop loop;
+    private final InetSocketAddress address;
+    private final Counters counters;
+    private final Consumer<MemberList> lists;
+    private final Runnable lost;
+    private long revision;
+    private Session session;
+
+    public Watch(Loop loop, InetSocketAddress address, long revision, Counters counters,
+                 Consumer<MemberList> lists, Runnable lost) {
+        this.loop = loop;
+        this.address = address;
+        this.revision = revision;
+        this.counters = counters;
+        this.lists = lists;
+        this.lost = lost;
+    }
+
+    @Override public void watch(boolean on) {
+        if (session != null) {
+            session.drop();
+            session = null;
+        }
+        if (on) {
+            counters.add("discovery_watches");
+            session = new Session();
+            session.stream = loop.connect(address, session);
+            session.mind();
+        }
+    }
+
+    private final class Session implements Machine, HttpParser.Handler {
+        private final HttpParser parser = new HttpParser(false, Long.MAX_VALUE, this);
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private Machine.Out stream;
+        private double heard = loop.now();
+        private boolean over;
+
+        private void mind() {
+            if (over) {
+                return;
+            }
+            double quiet = loop.now() - heard;
+            if (quiet > SILENT) {
+                fail("silent for " + Math.round(quiet) + " ms");
+            } else {
+                loop.after(SILENT - quiet + 1, this::mind);
+            }
+        }
+
+        private void drop() {
+            over = true;
+            stream.close();
+        }
+
+        private void fail(String why) {
+            if (!over) {
+                drop();
+                session = session == this ? null : session;
+                counters.add("discovery_lost");
+                LOG.info("watch lost: " + why);
+                lost.run();
+            }
+        }
+
+        @Override public void opened(Out out) {
+            out.write(HttpText.request("GET", "/api/targets?stream=1&index=" + revision,
+                    Map.of("Host", address.getHostString() + ":" + address.getPort()), new byte[0]));
+        }
+
+        @Override public void received(ByteBuffer in) {
+            heard = loop.now();
+            try {
+                parser.feed(in);
+            } catch (HttpParser.Malformed e) {
+                in.position(in.limit());
+                fail("malformed: " + e.getMessage());
+            }
+        }
+
+        @Override public void ended(String why) { fail(why); }
+
+        @Override public void head(HttpHead head) {
+            if (head instanceof HttpHead.Response r && r.status() != 200) {
+                fail("status " + r.status());
+            }
+        }
+
+        @Override public void body(byte[] part) {
+            for (byte b : part) {
+                if (over) {
+                    return;
+                }
+                if (b != '\n') {
+                    line.write(b);
+                } else if (line.size() > 0) {
+                    String text = line.toString(StandardCharsets.UTF_8).strip();
+                    line.reset();
+                    if (!text.isEmpty()) {
+                        list(text);
+                    }
+                }
+            }
+            if (line.size() > LINE_MOST) {
+                fail("a line of more than " + LINE_MOST + " bytes");
+            }
+        }
+
+        private void list(String text) {
+            try {
+                MemberList list = MemberList.read(Json.object(text));
+                revision = list.revision();
+                counters.add("discovery_lists");
+                lists.accept(list);
+            } catch (IOException | IllegalArgumentException e) {
+                counters.add("discovery_malformed");
+                revision = 0;                 // what was missed is not known: the next watch brings the whole list
+                fail("malformed list: " + e.getMessage());
+            }
+        }
+
+        @Override public void end() { fail("the answer ended"); }
+    }
+}
--- /dev/null
+++ b/src/main/java/crankspar/net/Carrier.java
@@ -0,0 +1,25 @@
+package crankspar.net;
+
+import crankspar.core.AttemptEnd;
+import crankspar.core.Reach;
+import java.util.function.Consumer;
+
+/**
+ * A machine for one connection to a server, which carries one request at a time. Its end is told exactly
+ * once; a connection that breaks while it carries nothing just ends.
+ */
+public interface Carrier<Q, A> extends Machine {
+    /** What the pool wants to hear: that requests may be carried, and that the connection is gone. */
+    interface Keeper {
+        void ready();
+        void gone(String why);
+    }
+
+    void keeper(Keeper keeper);
+    /** Writes the request; called only when ready and idle. */
+    void carry(Q query, double left, Consumer<AttemptEnd<A>> end);
+    /** How far the request at hand has come. */
+    Reach reach();
+    /** Whether the request before was answered whole, and the next may follow on this connection. */
+    boolean reusable();
+}
--- /dev/null
+++ b/src/main/java/crankspar/net/Machine.java
@@ -0,0 +1,33 @@
+package crankspar.net;
+
+import java.nio.ByteBuffer;
+
+/** A protocol's state for one connection: it is fed bytes and knows no socket but through {@link Out}. */
+public interface Machine {
+    /** What a machine may do with its connection. */
+    interface Out {
+        /** Queues bytes; {@code written} runs once the last of them has left. */
+        void write(byte[] bytes, int length, Runnable written);
+        default void write(byte[] bytes) { write(bytes, bytes.length, null); }
+        /** Whether everything queued so far has left. */
+        boolean flushed();
+        /** Ends what is sent once all that is queued has left, and still reads for a moment. */
+        void finish();
+        /** Ends the connection at once; the machine hears no more. */
+        void close();
+        /** Stops reading from the peer while its input waits here, and goes on again. */
+        void pause(boolean on);
+    }
+
+    Machine DEAF = new Machine() {
+        @Override public void opened(Out out) { }
+        @Override public void received(ByteBuffer in) { in.position(in.limit()); }
+        @Override public void ended(String why) { }
+    };
+
+    void opened(Out out);
+    /** Takes all the bytes. */
+    void received(ByteBuffer in);
+    /** The peer or the network ended it, or it never came up: told once, never after an own close. */
+    void ended(String why);
+}
--- /dev/null
+++ b/src/main/java/crankspar/net/Pool.java
@@ -0,0 +1,206 @@
+package crankspar.net;
+
+import crankspar.core.AttemptEnd;
+import crankspar.core.Counters;
+import crankspar.core.Pooler;
+import crankspar.core.Reach;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Connections to the servers, kept between requests. It sends where it is told, once: a request that meets a
+ * connection which will not come up, or one that ends, gets that as its outcome.
+ */
+public final class Pool<Q, A> implements Pooler.Backends<Q, A> {
+    /** Idle connections are closed after this share of the time at which the server may do so. */
+    private static final double IDLE_SHARE = 0.5;
+    private static final double SWEEP = 1000;
+
+    private final Loop loop;
+    private final Counters counters;
+    private final Supplier<Carrier<Q, A>> dialect;
+    private final Q probe;
+    private final double dialTimeout;
+    private final double idle;
+    private final int most;
+    private final Map<String, Member> members = new HashMap<>();
+    private int open;
+
+    private final class Member {
+        InetSocketAddress address;
+        final ArrayDeque<Link> idle = new ArrayDeque<>();
+    }
+
+    /** One connection with what it carries. */
+    private final class Link implements Carrier.Keeper, Pooler.Call {
+        final Member member;
+        final Carrier<Q, A> carrier = dialect.get();
+        Stream stream;
+        boolean up, closed;
+        double idleSince;
+        Runnable first;
+        Consumer<AttemptEnd<A>> end;
+
+        Link(Member member) { this.member = member; }
+
+        void dial() {
+            open++;
+            counters.add("server_connections_opened");
+            carrier.keeper(this);
+            stream = loop.connect(member.address, carrier);
+            loop.after(dialTimeout, () -> {
+                if (!up) {
+                    lose("no connection in time");
+                }
+            });
+        }
+
+        void carry(Q query, double left, Consumer<AttemptEnd<A>> whenOver) {
+            end = whenOver;
+            if (up) {
+                carrier.carry(query, left, this::over);
+            } else {
+                double dialled = loop.now();
+                first = () -> carrier.carry(query, left - (loop.now() - dialled), this::over);
+            }
+        }
+
+        private void over(AttemptEnd<A> how) {
+            Consumer<AttemptEnd<A>> told = end;
+            end = null;
+            if (!closed && carrier.reusable()) {
+                rest();                       // first: what the end leads to may want this very connection
+            }
+            if (told != null) {
+                told.accept(how);
+            }
+        }
+
+        @Override public void ready() {
+            up = true;
+            if (first != null) {
+                first.run();
+                first = null;
+            } else {
+                rest();
+            }
+        }
+
+        private void rest() {
+            idleSince = loop.now();
+            member.idle.push(this);
+        }
+
+        @Override public void gone(String why) { lose(why); }
+
+        /** Ends the connection; what it carried gets its outcome by how far it had come. */
+        private void lose(String why) {
+            if (!closed) {
+                Reach reach = up ? carrier.reach() : Reach.NOT_CONNECTED;
+                drop();
+                over(new AttemptEnd.Broken<>(reach, why));
+            }
+        }
+
+        private void drop() {
+            closed = true;
+            open--;
+            member.idle.remove(this);
+            stream.close();
+        }
+
+        @Override public Reach abandon() {
+            Reach reach = up ? carrier.reach() : Reach.NOT_CONNECTED;
+            end = null;
+            if (!closed) {
+                drop();
+            }
+            return reach;
+        }
+    }
+
+    public Pool(Loop loop, Counters counters, Supplier<Carrier<Q, A>> dialect, Q probe, double dialTimeout,
+                double connIdle, int most) {
+        this.loop = loop;
+        this.counters = counters;
+        this.dialect = dialect;
+        this.probe = probe;
+        this.dialTimeout = dialTimeout;
+        this.idle = connIdle * IDLE_SHARE;
+        this.most = most;
+        loop.after(SWEEP, this::sweep);
+    }
+
+    /** Where a member listens; a new address makes its old connections useless. */
+    public void locate(String id, InetSocketAddress address) {
+        Member m = members.computeIfAbsent(id, k -> new Member());
+        if (!address.equals(m.address)) {
+            new ArrayDeque<>(m.idle).forEach(Link::drop);
+            m.address = address;
+        }
+    }
+
+    /** A member that is gone keeps no idle connections. */
+    public void forget(String id) {
+        Member m = members.get(id);
+        if (m != null) {
+            new ArrayDeque<>(m.idle).forEach(Link::drop);
+        }
+    }
+
+    @Override public Pooler.Call send(String member, Q query, double left, Consumer<AttemptEnd<A>> end) {
+        Member m = members.get(member);
+        if (m == null) {
+            return refuse(end, "no address is known");
+        }
+        Link link = m.idle.poll();
+        if (link == null) {
+            if (open >= most && !closeOldest()) {
+                return refuse(end, "no socket is left");
+            }
+            link = new Link(m);
+            link.carry(query, left, end);
+            link.dial();
+        } else {
+            link.carry(query, left, end);
+        }
+        return link;
+    }
+
+    private Pooler.Call refuse(Consumer<AttemptEnd<A>> end, String why) {
+        end.accept(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, why));
+        return () -> Reach.NOT_CONNECTED;
+    }
+
+    @Override public Pooler.Call probe(String member, Consumer<AttemptEnd<A>> end) {
+        return send(member, probe, dialTimeout, end);
+    }
+
+    /** Frees a socket for a member that needs one: the longest idle goes first. */
+    private boolean closeOldest() {
+        Link oldest = null;
+        for (Member m : members.values()) {
+            Link last = m.idle.peekLast();
+            if (last != null && (oldest == null || last.idleSince < oldest.idleSince)) {
+                oldest = last;
+            }
+        }
+        if (oldest != null) {
+            oldest.drop();
+        }
+        return oldest != null;
+    }
+
+    private void sweep() {
+        for (Member m : members.values()) {
+            while (!m.idle.isEmpty() && loop.now() - m.idle.peekLast().idleSince > idle) {
+                m.idle.peekLast().drop();
+            }
+        }
+        loop.after(SWEEP, this::sweep);
+    }
+}
--- /dev/null
+++ b/src/main/java/crankspar/net/Stream.java
@@ -0,0 +1,184 @@
+package crankspar.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** The thin driver of one connection: reads into its machine and writes what that yields. */
+public final class Stream implements Machine.Out {
+    private static final Logger LOG = Logger.getLogger(Stream.class.getName());
+    private static final int READ = 8 * 1024;
+    /** More than this queued for a peer that does not read ends its connection. */
+    private static final int QUEUE_MOST = 512 * 1024;
+    /** How long a finished connection is still read, so that no reset overtakes the last answer (ms). */
+    private static final double LINGER = 300;
+
+    private record Chunk(ByteBuffer bytes, Runnable written) { }
+
+    private final Loop loop;
+    private final AsynchronousSocketChannel channel;
+    private final Machine machine;
+    private final ArrayDeque<Chunk> queue = new ArrayDeque<>();
+    private ByteBuffer in;
+    private int queued;
+    private boolean open = true, reading, writing, paused, finishing, finished;
+
+    Stream(Loop loop, AsynchronousSocketChannel channel, Machine machine) {
+        this.loop = loop;
+        this.channel = channel;
+        this.machine = machine;
+    }
+
+    void begin() {
+        if (open) {
+            in = ByteBuffer.allocate(READ);
+            guard(() -> machine.opened(this));
+            read();
+        }
+    }
+
+    /** An exception ends this connection only; its machine still hears of it, and its request gets its outcome. */
+    private void guard(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.WARNING, "a connection's machine failed", e);
+            end("internal error: " + e);
+        }
+    }
+
+    private void read() {
+        if (!open || reading || paused) {
+            return;
+        }
+        reading = true;
+        in.clear();
+        channel.read(in, null, new CompletionHandler<Integer, Void>() {
+            @Override public void completed(Integer count, Void nothing) {
+                reading = false;
+                if (!open) {
+                    return;
+                }
+                if (count < 0) {
+                    end("closed by the peer");
+                    return;
+                }
+                in.flip();
+                if (!finished) {
+                    guard(() -> machine.received(in));
+                }
+                // Handlers may run inline: going round by the queue keeps a fast peer from nesting reads.
+                loop.run(Stream.this::read);
+            }
+
+            @Override public void failed(Throwable why, Void nothing) {
+                reading = false;
+                end("read: " + why.getMessage());
+            }
+        });
+    }
+
+    @Override public void write(byte[] bytes, int length, Runnable written) {
+        if (!open || finishing) {
+            return;
+        }
+        queued += length;
+        if (queued > QUEUE_MOST) {
+            loop.run(() -> end("the peer does not read"));
+            return;
+        }
+        queue.add(new Chunk(ByteBuffer.wrap(bytes, 0, length), written));
+        flush();
+    }
+
+    private void flush() {
+        if (!open || writing) {
+            return;
+        }
+        if (queue.isEmpty()) {
+            if (finishing && !finished) {
+                finishNow();
+            }
+            return;
+        }
+        writing = true;
+        Chunk chunk = queue.peek();
+        channel.write(chunk.bytes(), null, new CompletionHandler<Integer, Void>() {
+            @Override public void completed(Integer count, Void nothing) {
+                writing = false;
+                if (!open) {
+                    return;
+                }
+                queued -= count;
+                if (!chunk.bytes().hasRemaining()) {
+                    queue.poll();
+                    if (chunk.written() != null) {
+                        guard(chunk.written());
+                    }
+                }
+                flush();
+            }
+
+            @Override public void failed(Throwable why, Void nothing) {
+                writing = false;
+                end("write: " + why.getMessage());
+            }
+        });
+    }
+
+    @Override public boolean flushed() { return queue.isEmpty(); }
+
+    @Override public void finish() {
+        finishing = true;
+        flush();
+    }
+
+    private void finishNow() {
+        finished = true;
+        try {
+            channel.shutdownOutput();
+        } catch (IOException e) {
+            end("finish: " + e.getMessage());
+            return;
+        }
+        paused = false;
+        read();
+        loop.after(LINGER, () -> end("finished"));
+    }
+
+    @Override public void pause(boolean on) {
+        paused = on;
+        if (!on && in != null) {
+            loop.run(this::read);
+        }
+    }
+
+    @Override public void close() {
+        if (open) {
+            open = false;
+            queue.clear();
+            if (channel != null) {
+                try {
+                    channel.close();
+                } catch (IOException e) {
+                    LOG.fine("close: " + e);
+                }
+            }
+        }
+    }
+
+    void end(String why) {
+        if (open) {
+            close();
+            try {
+                machine.ended(why);
+            } catch (RuntimeException e) {
+                LOG.log(Level.WARNING, "a connection's machine failed at its end", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/crankspar/pg/ClientSession.java
@@ -0,0 +1,182 @@
+package crankspar.pg;
+
+import crankspar.core.Counters;
+import crankspar.core.FinalAnswer;
+import crankspar.net.Machine;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+
+/**
+ * A client's connection: it takes one query at a time, in order, and answers each. What the answer is comes
+ * from the {@link Desk}; this machine only knows how it is said.
+ */
+final class ClientSession implements Machine {
+    /** Where queries go. */
+    interface Desk {
+        /** Takes a statement; the id names it until its answer comes. An error is for this client. */
+        String take(Statement statement, ClientSession session) throws Statement.Malformed;
+        void gone(String id);
+        void closed(ClientSession session);
+        boolean draining();
+        Counters counters();
+    }
+
+    /** Queries that one client may have waiting; more than that is no client of ours. */
+    private static final int WAITING_MOST = 64;
+
+    private final PgDecoder decoder = new PgDecoder(true);
+    private final Desk desk;
+    private final ArrayDeque<PgMessage> waiting = new ArrayDeque<>();
+    private Out out;
+    private boolean welcomed, skipping, busy, taking, over;
+    private String id;
+
+    ClientSession(Desk desk) { this.desk = desk; }
+
+    @Override public void opened(Out out) { this.out = out; }
+
+    @Override public void received(ByteBuffer in) {
+        decoder.feed(in);
+        try {
+            for (PgMessage m = decoder.next(); m != null && !over; m = decoder.next()) {
+                if (waiting.size() >= WAITING_MOST) {
+                    fatal("54000", "too many statements at once");
+                    return;
+                }
+                waiting.add(m);
+            }
+        } catch (PgDecoder.Malformed e) {
+            fatal("08P01", e.getMessage());
+            return;
+        }
+        goOn();
+    }
+
+    private void goOn() {
+        if (taking) {
+            return;
+        }
+        taking = true;
+        while (!busy && !over && !waiting.isEmpty()) {
+            on(waiting.poll());
+        }
+        taking = false;
+        if (desk.draining()) {
+            closeIfIdle();
+        }
+    }
+
+    private void on(PgMessage m) {
+        if (m instanceof PgMessage.Startup) {
+            welcomed = true;
+            out.write(new PgEncoder().add(new PgMessage.AuthenticationOk())
+                    .add(new PgMessage.ParameterStatus("server_version", "14.0 (crankspar)"))
+                    .add(new PgMessage.ParameterStatus("client_encoding", "UTF8"))
+                    .add(new PgMessage.ParameterStatus("standard_conforming_strings", "on"))
+                    .add(new PgMessage.BackendKeyData(0, 0))
+                    .add(new PgMessage.ReadyForQuery()).bytes());
+        } else if (m instanceof PgMessage.EncryptionRequest) {
+            out.write(new byte[] {'N'});
+        } else if (m instanceof PgMessage.Query q && welcomed) {
+            skipping = false;
+            query(q.sql());
+        } else if (m instanceof PgMessage.Sync && welcomed) {
+            skipping = false;
+            out.write(new PgEncoder().add(new PgMessage.ReadyForQuery()).bytes());
+        } else if (m instanceof PgMessage.Other o && welcomed) {
+            unknown(o.type());
+        } else {
+            over = true;                      // Terminate, CancelRequest, or anything before a startup
+            out.close();
+            desk.closed(this);
+        }
+    }
+
+    /** The extended protocol is not spoken here: one error, and silence until the client syncs. */
+    private void unknown(char type) {
+        desk.counters().add("client_unknown_messages");
+        if (!skipping) {
+            skipping = true;
+            out.write(new PgEncoder().add(PgMessage.Report.error("ERROR", "0A000",
+                    "message type " + type + " is not supported: simple queries only")).bytes());
+        }
+    }
+
+    private void query(String sql) {
+        String bare = sql.strip();
+        String word = bare.split("[\\s;]", 2)[0].toUpperCase(java.util.Locale.ROOT);
+        if (bare.isEmpty() || bare.equals(";")) {
+            out.write(new PgEncoder().add(new PgMessage.EmptyQueryResponse())
+                    .add(new PgMessage.ReadyForQuery()).bytes());
+        } else if (word.equals("SET") || word.equals("RESET") || word.equals("DISCARD")) {
+            out.write(new PgEncoder().add(new PgMessage.CommandComplete(word))
+                    .add(new PgMessage.ReadyForQuery()).bytes());
+        } else if (bare.equalsIgnoreCase("SHOW counters")) {
+            var e = new PgEncoder().add(PgEncoder.textColumns("name", "value"));
+            desk.counters().all().forEach((k, v) -> e.add(new PgMessage.DataRow(java.util.List.of(k.getBytes(
+                    java.nio.charset.StandardCharsets.UTF_8), Long.toString(v).getBytes(
+                    java.nio.charset.StandardCharsets.US_ASCII)))));
+            out.write(e.add(new PgMessage.CommandComplete("SHOW")).add(new PgMessage.ReadyForQuery()).bytes());
+        } else {
+            try {
+                Statement statement = Statement.parse(sql);
+                busy = true;
+                String taken = desk.take(statement, this);
+                id = busy ? taken : null;     // the answer may have come already
+            } catch (Statement.Malformed e) {
+                busy = false;
+                desk.counters().add("client_malformed");
+                out.write(new PgEncoder().add(PgMessage.Report.error("ERROR", "08P01", e.getMessage()))
+                        .add(new PgMessage.ReadyForQuery()).bytes());
+            }
+        }
+    }
+
+    /** The final answer to the query at hand; the next one in line is taken after it. */
+    void answer(FinalAnswer<PgAnswer> answer) {
+        busy = false;
+        id = null;
+        if (over) {
+            return;
+        }
+        var e = new PgEncoder();
+        if (answer instanceof FinalAnswer.Served<PgAnswer> s) {
+            e.add(s.answer().columns()).add(s.answer().row()).add(s.answer().complete());
+        } else if (answer instanceof FinalAnswer.Refused<PgAnswer> r) {
+            PgMessage.Report refusal = PgMessage.Report.error("ERROR", "53300", "refused: trying again is harmless");
+            e.add(r.retryIn() > 0 ? refusal.with('D', Long.toString(Math.round(r.retryIn()))) : refusal);
+        } else if (answer instanceof FinalAnswer.Failed<PgAnswer> f) {
+            e.add(PgMessage.Report.error("ERROR", f.mayHaveRun() ? "08007" : "58000", "failed: " + f.why()));
+        }
+        out.write(e.add(new PgMessage.ReadyForQuery()).bytes());
+        goOn();
+    }
+
+    private void fatal(String code, String message) {
+        desk.counters().add("client_malformed");
+        out.write(new PgEncoder().add(PgMessage.Report.error("FATAL", code, message)).bytes());
+        out.finish();
+        leave();
+    }
+
+    /** Between requests a connection may be closed: the client sends what crosses this once more elsewhere. */
+    void closeIfIdle() {
+        if (!busy && !over && out != null) {
+            over = true;
+            out.finish();
+            desk.closed(this);
+        }
+    }
+
+    @Override public void ended(String why) { leave(); }
+
+    private void leave() {
+        if (!over) {
+            over = true;
+            desk.closed(this);
+            if (id != null) {
+                desk.gone(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/crankspar/pg/PgDecoder.java
@@ -0,0 +1,182 @@
+package crankspar.pg;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Cuts a byte stream into messages, however it was fragmented. It keeps at most one message. */
+public final class PgDecoder {
+    /** Values are at most 64 KiB, twice that as hex digits; no message is longer by more than its frame. */
+    static final int FRAME_MOST = 144 * 1024;
+    private static final int STARTUP_MOST = 10_000;
+    private static final int KEEP = 4 * 1024;
+    private static final int VERSION_3 = 3 << 16;
+    private static final int CANCEL = 80877102;
+    private static final int SSL = 80877103;
+    private static final int GSS = 80877104;
+
+    /** Bytes that are no message: an error for this peer, and the end of its connection. */
+    public static final class Malformed extends Exception {
+        Malformed(String message) { super(message); }
+    }
+
+    private final boolean fromClient;
+    private boolean started;
+    private byte[] kept = new byte[512];
+    private int from, to;
+
+    public PgDecoder(boolean fromClient) {
+        this.fromClient = fromClient;
+        started = !fromClient;
+    }
+
+    public void feed(ByteBuffer in) {
+        if (from == to) {
+            from = to = 0;
+            if (kept.length > KEEP) {
+                kept = new byte[512];
+            }
+        }
+        int n = in.remaining();
+        if (to + n > kept.length) {
+            byte[] bigger = to - from + n > kept.length
+                    ? new byte[Math.max(2 * kept.length, to - from + n)] : kept;
+            System.arraycopy(kept, from, bigger, 0, to - from);
+            kept = bigger;
+            to -= from;
+            from = 0;
+        }
+        in.get(kept, to, n);
+        to += n;
+    }
+
+    /** The next whole message, or null until more bytes have come. */
+    public PgMessage next() throws Malformed {
+        int head = started ? 5 : 4;
+        if (to - from < head) {
+            return null;
+        }
+        int length = ByteBuffer.wrap(kept, from + head - 4, 4).getInt();
+        if (length < (started ? 4 : 8) || length > (started ? FRAME_MOST : STARTUP_MOST)) {
+            throw new Malformed("a message of " + length + " bytes");
+        }
+        int whole = length + head - 4;
+        if (to - from < whole) {
+            return null;
+        }
+        char type = started ? (char) (kept[from] & 0xff) : 0;
+        var body = new Body(kept, from + head, from + whole);
+        from += whole;
+        return started ? fromClient ? clients(type, body) : servers(type, body) : startup(body);
+    }
+
+    private PgMessage startup(Body b) throws Malformed {
+        int code = b.int32();
+        if (code == SSL || code == GSS) {
+            return new PgMessage.EncryptionRequest();
+        }
+        if (code == CANCEL) {
+            return new PgMessage.CancelRequest();
+        }
+        if (code >> 16 != VERSION_3 >> 16) {
+            throw new Malformed("protocol version " + (code >> 16) + "." + (code & 0xffff));
+        }
+        started = true;
+        var parameters = new LinkedHashMap<String, String>();
+        for (String name = b.text(); !name.isEmpty(); name = b.text()) {
+            parameters.put(name, b.text());
+        }
+        return new PgMessage.Startup(parameters);
+    }
+
+    private static PgMessage clients(char type, Body b) throws Malformed {
+        return switch (type) {
+            case 'Q' -> new PgMessage.Query(b.text());
+            case 'S' -> new PgMessage.Sync();
+            case 'X' -> new PgMessage.Terminate();
+            default -> new PgMessage.Other(type);
+        };
+    }
+
+    private static PgMessage servers(char type, Body b) throws Malformed {
+        return switch (type) {
+            case 'R' -> b.int32() == 0 ? new PgMessage.AuthenticationOk() : new PgMessage.Other('R');
+            case 'K' -> new PgMessage.BackendKeyData(b.int32(), b.int32());
+            case 'S' -> new PgMessage.ParameterStatus(b.text(), b.text());
+            case 'Z' -> new PgMessage.ReadyForQuery();
+            case 'T' -> {
+                byte[] body = b.rest();
+                yield new PgMessage.RowDescription(body.length < 2 ? 0 : (body[0] & 0xff) << 8 | body[1] & 0xff, body);
+            }
+            case 'D' -> {
+                int columns = b.int16();
+                var values = new ArrayList<byte[]>(Math.min(columns, 16));
+                for (int i = 0; i < columns; i++) {
+                    values.add(b.sized());
+                }
+                yield new PgMessage.DataRow(values);
+            }
+            case 'C' -> new PgMessage.CommandComplete(b.text());
+            case 'I' -> new PgMessage.EmptyQueryResponse();
+            case 'E', 'N' -> {
+                Map<Character, String> fields = new LinkedHashMap<>();
+                for (char code = b.code(); code != 0; code = b.code()) {
+                    fields.put(code, b.text());
+                }
+                yield new PgMessage.Report(type == 'N', fields);
+            }
+            default -> new PgMessage.Other(type);
+        };
+    }
+
+    /** The bytes of one message; running out of them is malformed. */
+    private static final class Body {
+        private final byte[] bytes;
+        private int at;
+        private final int end;
+
+        Body(byte[] bytes, int at, int end) {
+            this.bytes = bytes;
+            this.at = at;
+            this.end = end;
+        }
+
+        private int take(int n) throws Malformed {
+            if (n < 0 || end - at < n) {
+                throw new Malformed("a message ends too soon");
+            }
+            at += n;
+            return at - n;
+        }
+
+        int int32() throws Malformed { return ByteBuffer.wrap(bytes, take(4), 4).getInt(); }
+        int int16() throws Malformed { return ByteBuffer.wrap(bytes, take(2), 2).getShort() & 0xffff; }
+        char code() throws Malformed { return (char) (bytes[take(1)] & 0xff); }
+
+        String text() throws Malformed {
+            int start = at;
+            while (bytes[take(1)] != 0) {
+                // up to the zero
+            }
+            return new String(bytes, start, at - 1 - start, StandardCharsets.UTF_8);
+        }
+
+        byte[] sized() throws Malformed {
+            int n = int32();
+            if (n == -1) {
+                return null;
+            }
+            int start = take(n);
+            return Arrays.copyOfRange(bytes, start, start + n);
+        }
+
+        byte[] rest() {
+            int start = at;
+            at = end;
+            return Arrays.copyOfRange(bytes, start, end);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -0,0 +1,85 @@
+package crankspar.pg;
+
+import crankspar.Router;
+import crankspar.Router.Freshness;
+import crankspar.core.Counters;
+import crankspar.core.Pooler;
+import crankspar.net.Carrier;
+import crankspar.net.Loop;
+import crankspar.net.Machine;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** The platform's front: PostgreSQL clients on one side, PostgreSQL servers on the other. */
+public final class PgFront implements ClientSession.Desk {
+    private final Loop loop;
+    private final Router.Settings settings;
+    private final Counters counters;
+    private final Pooler<Statement, PgAnswer> pooler;
+    private final int most;
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Set<ClientSession> sessions = new LinkedHashSet<>();
+    private Loop.Listener listener;
+    private boolean draining;
+
+    public PgFront(Loop loop, Router.Settings settings, Counters counters, Pooler<Statement, PgAnswer> pooler,
+                   int most) {
+        this.loop = loop;
+        this.settings = settings;
+        this.counters = counters;
+        this.pooler = pooler;
+        this.most = most;
+        settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
+    }
+
+    /** The server's side of this wire, for a pool. */
+    public static Carrier<Statement, PgAnswer> dial(Counters counters) { return new ServerSession(counters); }
+    public static Statement probe() { return Statement.probe(); }
+
+    public InetSocketAddress listen(InetSocketAddress address) throws IOException {
+        listener = loop.listen(address, this::accept);
+        return listener.address();
+    }
+
+    private Machine accept() {
+        if (sessions.size() >= most) {
+            counters.add("client_connections_refused");
+            return null;
+        }
+        counters.add("client_connections");
+        var session = new ClientSession(this);
+        sessions.add(session);
+        return session;
+    }
+
+    @Override public String take(Statement s, ClientSession session) throws Statement.Malformed {
+        Integer kind = classes.get(s.text("c"));
+        if (kind == null) {
+            throw new Statement.Malformed("unknown class " + s.text("c"));
+        }
+        double group = s.number("cluster");
+        Freshness freshness = settings.classes().get(kind).freshness();
+        boolean inSession = freshness == Freshness.SESSION || freshness == Freshness.WRITE;
+        double mark = s.names().containsKey("after") ? s.number("after") : Double.NaN;
+        return pooler.take(new Pooler.Ask<>(kind, s.number("d"), inSession ? s.key() : null, mark, (int) group, s),
+                session::answer);
+    }
+
+    @Override public void gone(String id) { pooler.gone(id); }
+    @Override public boolean draining() { return draining; }
+    @Override public Counters counters() { return counters; }
+
+    @Override public void closed(ClientSession session) { sessions.remove(session); }
+
+    /** Takes no new connections, and closes each that it has between two requests. */
+    public void drain() {
+        draining = true;
+        listener.close();
+        new ArrayList<>(sessions).forEach(ClientSession::closeIfIdle);
+    }
+}
