Warm-up: the whole path runs in memory before the listener opens

At fault: Daemon listened at once, so that class loading and the first compilations fell on the first clients.

--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -38,6 +38,9 @@
     private final InetSocketAddress address;
 
     public Daemon(Config config) throws IOException, InterruptedException {
+        long began = System.nanoTime();
+        int answered = new Warmup().run(config.settings(), config.known().members());
+        LOG.info("warm after " + (System.nanoTime() - began) / 1_000_000 + " ms, " + answered + " answers");
         loop = new Loop("loop");
         var settings = config.settings();
         pool = new Pool<>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(),
--- /dev/null
+++ b/src/main/java/crankspar/cli/Warmup.java
@@ -0,0 +1,149 @@
+package crankspar.cli;
+
+import crankspar.Balance;
+import crankspar.Router;
+import crankspar.Router.Freshness;
+import crankspar.Router.Health;
+import crankspar.Router.Member;
+import crankspar.core.AttemptEnd;
+import crankspar.core.Counters;
+import crankspar.core.Pooler;
+import crankspar.core.Reach;
+import crankspar.net.Carrier;
+import crankspar.net.Machine;
+import crankspar.pg.PgAnswer;
+import crankspar.pg.PgEncoder;
+import crankspar.pg.PgFront;
+import crankspar.pg.PgMessage;
+import crankspar.pg.Statement;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+
+/**
+ * Runs the whole path in memory before the first client is let in. On one core a cold JVM takes tens of
+ * milliseconds for its first requests, which is lateness to a client; here nobody waits for it. It has a
+ * core, a module and a clock of its own, no sockets, and leaves nothing behind but loaded, compiled code.
+ */
+final class Warmup implements Pooler.Time, Pooler.Backends<Statement, PgAnswer>, Pooler.Discovery {
+    /** Enough for every method of the path to be compiled by the first compiler (measured). */
+    private static final int REQUESTS = 4000;
+    private static final double STEP = 7;
+    private static final double WORK = 40;
+    /** The same for all starts: a slow machine is let in unready rather than late (ms). */
+    private static final double MOST = 4000;
+    private static final double START = 1_700_000_000_000.0;
+
+    private record Timer(double at, long order, Runnable what) { }
+
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>(
+            java.util.Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::order));
+    private final Counters counters = new Counters();
+    private double now = START;
+    private long order;
+    private int answered;
+
+    /** Sinks what a machine writes, and says that it has left. */
+    private final class Sink implements Machine.Out {
+        private final Consumer<byte[]> to;
+
+        Sink(Consumer<byte[]> to) { this.to = to; }
+
+        @Override public void write(byte[] bytes, int length, Runnable written) {
+            if (written != null) {
+                written.run();
+            }
+            to.accept(bytes);
+        }
+        @Override public void finish() { }
+        @Override public void close() { }
+    }
+
+    /** Requests answered, for the log and the test. */
+    int run(Router.Settings settings, List<Member> known) {
+        long began = System.nanoTime();
+        var members = new ArrayList<Member>();
+        int group = known.isEmpty() ? 1 : known.get(0).group();
+        for (int i = 0; i < 6; i++) {
+            members.add(new Member("w" + i, settings.zones().get(i % settings.zones().size()), i == 0, 1,
+                    Health.RUNNING, group, "", 0));
+        }
+        var pooler = new Pooler<Statement, PgAnswer>(settings, this, this, this, counters, Balance::new);
+        var front = new PgFront(null, settings, counters, pooler, Integer.MAX_VALUE);
+        pooler.start(members);
+        Machine client = null;
+        for (int i = 0; i < REQUESTS && (System.nanoTime() - began) / 1e6 < MOST; i++) {
+            if (i % 50 == 0) {
+                client = front.session();
+                client.opened(new Sink(bytes -> answered++));
+                client.received(ByteBuffer.wrap(new PgEncoder().add(new PgMessage.Startup(
+                        Map.of("user", "client", "database", "core"))).bytes()));
+            }
+            Router.RequestClass kind = settings.classes().get(i % settings.classes().size());
+            String sql = kind.freshness() == Freshness.WRITE
+                    ? "INSERT INTO state (uid, val) VALUES ('w', '\\x00') RETURNING val"
+                    : "SELECT val FROM state WHERE uid = 'w'";
+            client.received(ByteBuffer.wrap(new PgEncoder().add(new PgMessage.Query("/* id=w" + i + ",c="
+                    + kind.name() + ",d=" + (int) kind.giveUp() + ",cluster=" + group
+                    + (kind.freshness() == Freshness.SESSION ? ",after=" + (long) (now - 50) : "") + " */ " + sql))
+                    .bytes()));
+            pass(STEP);
+        }
+        pass(10_000);
+        return answered;
+    }
+
+    private void pass(double ms) {
+        double to = now + ms;
+        while (!timers.isEmpty() && timers.peek().at() <= to) {
+            Timer t = timers.poll();
+            now = Math.max(now, t.at());
+            t.what().run();
+        }
+        now = to;
+    }
+
+    @Override public double now() { return now; }
+    @Override public void after(double ms, Runnable what) { timers.add(new Timer(now + ms, order++, what)); }
+    @Override public void watch(boolean on) { }
+
+    @Override public Pooler.Call send(String member, Statement query, double left,
+                                      Consumer<AttemptEnd<PgAnswer>> end) {
+        boolean load = query.equals(PgFront.probe());
+        Carrier<Statement, PgAnswer> carrier = PgFront.dial(counters);
+        carrier.keeper(new Carrier.Keeper() {
+            @Override public void ready() { }
+            @Override public void gone(String why) { }
+        });
+        carrier.opened(new Sink(bytes -> { }));
+        carrier.received(ByteBuffer.wrap(new PgEncoder().add(new PgMessage.AuthenticationOk())
+                .add(new PgMessage.ReadyForQuery()).bytes()));
+        carrier.carry(query, left, end);
+        boolean primary = member.equals("w0");
+        double position = Math.floor(now);
+        byte[] value = load ? ("x0=" + position / 1000 + ",x1=" + (primary ? 1 : 0)).getBytes() : new byte[64];
+        byte[] bytes = new PgEncoder().add(new PgMessage.RowDescription(1, new byte[2]))
+                .add(new PgMessage.DataRow(List.of(value)))
+                .add(new PgMessage.CommandComplete("SELECT 1"))
+                .add(new PgMessage.ParameterStatus("role", primary ? "primary" : "replica"))
+                .add(new PgMessage.ParameterStatus("applied_ms", Long.toString((long) position)))
+                .add(new PgMessage.ReadyForQuery()).bytes();
+        boolean[] off = new boolean[1];
+        after(load ? 1 : WORK, () -> {
+            if (!off[0]) {
+                carrier.received(ByteBuffer.wrap(bytes));
+            }
+        });
+        return () -> {
+            off[0] = true;
+            return Reach.WHOLLY_WRITTEN;
+        };
+    }
+
+    @Override public Pooler.Call probe(String member, Consumer<AttemptEnd<PgAnswer>> end) {
+        return send(member, PgFront.probe(), 250, end);
+    }
+}
--- a/src/main/java/crankspar/net/Machine.java
+++ b/src/main/java/crankspar/net/Machine.java
@@ -9,14 +9,10 @@
         /** Queues bytes; {@code written} runs once the last of them has left. */
         void write(byte[] bytes, int length, Runnable written);
         default void write(byte[] bytes) { write(bytes, bytes.length, null); }
-        /** Whether everything queued so far has left. */
-        boolean flushed();
         /** Ends what is sent once all that is queued has left, and still reads for a moment. */
         void finish();
         /** Ends the connection at once; the machine hears no more. */
         void close();
-        /** Stops reading from the peer while its input waits here, and goes on again. */
-        void pause(boolean on);
     }
 
     Machine DEAF = new Machine() {
--- a/src/main/java/crankspar/net/Stream.java
+++ b/src/main/java/crankspar/net/Stream.java
@@ -25,7 +25,7 @@
     private final ArrayDeque<Chunk> queue = new ArrayDeque<>();
     private ByteBuffer in;
     private int queued;
-    private boolean open = true, reading, writing, paused, finishing, finished;
+    private boolean open = true, reading, writing, finishing, finished;
 
     Stream(Loop loop, AsynchronousSocketChannel channel, Machine machine) {
         this.loop = loop;
@@ -52,7 +52,7 @@
     }
 
     private void read() {
-        if (!open || reading || paused) {
+        if (!open || reading) {
             return;
         }
         reading = true;
@@ -130,8 +130,6 @@
         });
     }
 
-    @Override public boolean flushed() { return queue.isEmpty(); }
-
     @Override public void finish() {
         finishing = true;
         flush();
@@ -145,18 +143,10 @@
             end("finish: " + e.getMessage());
             return;
         }
-        paused = false;
         read();
         loop.after(LINGER, () -> end("finished"));
     }
 
-    @Override public void pause(boolean on) {
-        paused = on;
-        if (!on && in != null) {
-            loop.run(this::read);
-        }
-    }
-
     @Override public void close() {
         if (open) {
             open = false;
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -42,11 +42,12 @@
     public static Statement probe() { return Statement.probe(); }
 
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-        listener = loop.listen(address, this::accept);
+        listener = loop.listen(address, this::session);
         return listener.address();
     }
 
-    private Machine accept() {
+    /** A machine for a client's connection, or null when there are too many. */
+    public Machine session() {
         if (sessions.size() >= most) {
             counters.add("client_connections_refused");
             return null;
--- /dev/null
+++ b/src/test/java/crankspar/cli/WarmupTest.java
@@ -0,0 +1,17 @@
+package crankspar.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import crankspar.TestSettings;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a first second of late and lost answers: the path must have run before clients come. */
+class WarmupTest {
+    @Test void theWholePathRunsInMemoryAndAnswersAll() {
+        int answers = new Warmup().run(TestSettings.platform(), List.of());
+
+        // 4,000 requests and the welcomes of 80 connections, unless the machine was too slow for them.
+        assertThat(answers).isBetween(100, 4080);
+    }
+}
