--- a/src/main/java/crankspar/Balance.java
+++ b/src/main/java/crankspar/Balance.java
@@ -375,17 +375,18 @@
     }
 
     private double need(Work w) {
-        return w.kind.freshness() == Freshness.BOUNDED ? now - w.kind.bound() : w.need;
+        return w.kind.freshness() == Freshness.BOUNDED ? Math.max(now - w.kind.bound(), w.need) : w.need;
     }
 
     private double needAtStart(Request r, RequestClass kind) {
         if (kind.freshness() == Freshness.FRESH) {
             return now;
         }
-        if (kind.freshness() != Freshness.SESSION) {
+        boolean paged = kind.freshness() == Freshness.BOUNDED && r.markAge() > 0; // a later page: never back
+        if (kind.freshness() != Freshness.SESSION && !paged) {
             return Double.NEGATIVE_INFINITY;
         }
-        if (settings.sessionMarks() == SessionMarks.CARRIED) {
+        if (paged || settings.sessionMarks() == SessionMarks.CARRIED) {
             return r.markAge() > 0 ? now - r.markAge() : Double.NEGATIVE_INFINITY;
         }
         return r.session() == null ? forgotten : marks.getOrDefault(r.session(), forgotten);
--- /dev/null
+++ b/src/main/java/crankspar/rest/RestServerSession.java
@@ -0,0 +1,234 @@
+package crankspar.rest;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import crankspar.Router.Role;
+import crankspar.config.Json;
+import crankspar.core.AttemptEnd;
+import crankspar.core.AttemptEnd.Note;
+import crankspar.core.Counters;
+import crankspar.core.Reach;
+import crankspar.http.HttpHead;
+import crankspar.http.HttpParser;
+import crankspar.http.HttpText;
+import crankspar.net.Carrier;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+
+/** The pooler's side of a connection to a server that speaks REST: one request at a time, HTTP/1.1. */
+final class RestServerSession implements Carrier<RestQuery, RestAnswer>, HttpParser.Handler {
+    static final int BODY_MOST = 256 * 1024;
+
+    private final HttpParser parser = new HttpParser(false, BODY_MOST, this);
+    private final Counters counters;
+    private final DoubleSupplier clock;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private Keeper keeper;
+    private Out out;
+    private Reach reach = Reach.NOT_CONNECTED;
+    private RestQuery query;
+    private double least;
+    private HttpHead.Response head;
+    private Consumer<AttemptEnd<RestAnswer>> end;
+    private boolean keepAlive = true;
+
+    RestServerSession(Counters counters, DoubleSupplier clock) {
+        this.counters = counters;
+        this.clock = clock;
+    }
+
+    @Override public void keeper(Keeper keeper) { this.keeper = keeper; }
+    @Override public Reach reach() { return reach; }
+    @Override public boolean reusable() { return reach == Reach.ANSWERED && keepAlive; }
+
+    @Override public void opened(Out out) {
+        this.out = out;
+        keeper.ready();
+    }
+
+    @Override public void carry(RestQuery q, double left, Consumer<AttemptEnd<RestAnswer>> whenOver) {
+        query = q;
+        end = whenOver;
+        reach = Reach.PARTLY_WRITTEN;
+        least = q.least(clock.getAsDouble());
+        var headers = new LinkedHashMap<String, String>();
+        headers.put("Host", "server");
+        headers.put("Request-Deadline-Ms", Long.toString(Math.max(1, Math.round(left))));
+        if (least > Double.NEGATIVE_INFINITY) {
+            headers.put("Least-Position", Long.toString((long) Math.ceil(least)));
+        }
+        if (q.idempotencyKey() != null) {
+            headers.put("Idempotency-Key", q.idempotencyKey());
+            headers.put("Content-Type", "application/json");
+        }
+        byte[] bytes = HttpText.request(q.write() ? "POST" : "GET", target(q), headers,
+                q.body() == null ? new byte[0] : q.body());
+        out.write(bytes, bytes.length, () -> reach = reach == Reach.PARTLY_WRITTEN ? Reach.WHOLLY_WRITTEN : reach);
+    }
+
+    private static String target(RestQuery q) {
+        if (q == RestQuery.LOAD) {
+            return "/v1/load";
+        }
+        var text = new StringBuilder("/v1/groups/").append(q.group()).append('/').append(escape(q.kind()));
+        if (!q.write()) {
+            text.append("?limit=").append(q.limit());
+            if (!q.after().isEmpty()) {
+                text.append("&after=").append(escape(q.after()));
+            }
+            if (q.key() != null) {
+                text.append("&key=").append(escape(q.key()));
+            }
+        }
+        return text.toString();
+    }
+
+    private static String escape(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+
+    @Override public void received(ByteBuffer in) {
+        try {
+            parser.feed(in);
+        } catch (HttpParser.Malformed e) {
+            in.position(in.limit());
+            counters.add("server_malformed");
+            out.close();
+            keeper.gone("malformed: " + e.getMessage());
+        }
+    }
+
+    @Override public void head(HttpHead head) {
+        this.head = (HttpHead.Response) head;
+        body.reset();
+    }
+
+    @Override public void body(byte[] part) {
+        if (body.size() + part.length <= BODY_MOST) {
+            body.writeBytes(part);
+        } else {
+            out.close();
+            counters.add("server_malformed");
+            keeper.gone("an answer of more than " + BODY_MOST + " bytes");
+        }
+    }
+
+    @Override public void end() {
+        if (head.status() / 100 == 1) {
+            return;                           // an interim answer
+        }
+        keepAlive = head.keepAlive();
+        Consumer<AttemptEnd<RestAnswer>> told = end;
+        end = null;
+        if (told == null) {
+            out.close();                      // an answer that nothing asked for
+            keeper.gone("an answer out of turn");
+            return;
+        }
+        AttemptEnd<RestAnswer> how = how();
+        reach = Reach.ANSWERED;
+        told.accept(how);
+        if (!keepAlive) {
+            out.close();
+            keeper.gone("closed by the server's wish");
+        }
+    }
+
+    /** Each status stands for one outcome of the protocol's table. */
+    private AttemptEnd<RestAnswer> how() {
+        String role = head.header("role");
+        Note note = new Note("primary".equals(role) ? Role.PRIMARY : "replica".equals(role) ? Role.REPLICA
+                : Role.UNKNOWN, number(head.header("applied-position")));
+        int status = head.status();
+        if (status == 421 || status == 412) { // no primary, or too far behind
+            return new AttemptEnd.Missed<>(note);
+        }
+        if (status == 503 || status == 429) {
+            return new AttemptEnd.TurnedAway<>(note);
+        }
+        if (status >= 500 || status < 200 || status / 100 == 3) {
+            return new AttemptEnd.Erred<>(note, "status " + status);
+        }
+        byte[] bytes = body.toByteArray();
+        String type = head.headers().getOrDefault("content-type", "application/json");
+        if (query.write() || status >= 400) {
+            return new AttemptEnd.Served<>(new RestAnswer(status, type, bytes, null, null), note);
+        }
+        if (query == RestQuery.LOAD) {
+            return load(bytes);
+        }
+        // What an answer tells of its own age is held against the need at the send: a position never goes back,
+        // so that one below it proves the data too old, and one that is missing proves nothing.
+        if (least > Double.NEGATIVE_INFINITY && !(note.position() >= least)) {
+            counters.add("server_stale");
+            return new AttemptEnd.Missed<>(note);
+        }
+        return page(status, type, bytes, note);
+    }
+
+    private AttemptEnd<RestAnswer> load(byte[] bytes) {
+        try {
+            var report = Json.object(new String(bytes, StandardCharsets.UTF_8));
+            boolean known = report.get("role") instanceof String && report.get("position") instanceof Number;
+            return new AttemptEnd.Served<>(new RestAnswer(200, "", bytes, null, null), !known ? Note.NONE
+                    : new Note("primary".equals(report.get("role")) ? Role.PRIMARY : Role.REPLICA,
+                            ((Number) report.get("position")).doubleValue()));
+        } catch (IOException e) {
+            return new AttemptEnd.Erred<>(Note.NONE, "no load report");
+        }
+    }
+
+    /** The items stay as they came: cut out, not read and written anew, so that no number changes its digits. */
+    private AttemptEnd<RestAnswer> page(int status, String type, byte[] bytes, Note note) {
+        String items = null;
+        String next = null;
+        try (JsonParser p = Json.FACTORY.createParser(bytes)) {
+            if (p.nextToken() == JsonToken.START_OBJECT) {
+                while (p.nextToken() == JsonToken.FIELD_NAME) {
+                    String name = p.currentName();
+                    JsonToken token = p.nextToken();
+                    if (name.equals("items") && token == JsonToken.START_ARRAY) {
+                        int from = (int) p.currentTokenLocation().getByteOffset();
+                        p.skipChildren();
+                        int to = (int) p.currentLocation().getByteOffset();
+                        items = new String(bytes, from, to - from, StandardCharsets.UTF_8);
+                    } else if (name.equals("next") && token == JsonToken.VALUE_STRING) {
+                        next = p.getText();
+                    } else {
+                        p.skipChildren();
+                    }
+                }
+            }
+        } catch (IOException e) {
+            items = null;
+        }
+        if (items == null) {
+            counters.add("server_malformed");
+            return new AttemptEnd.Erred<>(note, "no page");
+        }
+        return new AttemptEnd.Served<>(new RestAnswer(status, type, bytes, items, next), note);
+    }
+
+    private static double number(String text) {
+        try {
+            return text == null ? Double.NaN : Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    @Override public void ended(String why) {
+        try {
+            parser.close();                   // an answer may end with its connection
+        } catch (HttpParser.Malformed e) {
+            counters.add("server_cut_short");
+        }
+        keeper.gone(why);
+    }
+}
--- /dev/null
+++ b/src/main/java/crankspar/rest/RestSession.java
@@ -0,0 +1,147 @@
+package crankspar.rest;
+
+import crankspar.core.Counters;
+import crankspar.http.HttpHead;
+import crankspar.http.HttpParser;
+import crankspar.net.Machine;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Map;
+
+/** A REST client's connection: requests are taken one at a time and answered in their order. */
+final class RestSession implements Machine, HttpParser.Handler {
+    /** One whole request. */
+    record Call(HttpHead.Request head, byte[] body) { }
+
+    interface Desk {
+        /** Takes a call; what comes of it is told to the session's {@link #answer}. */
+        void take(Call call, RestSession session);
+        /** The client of the call at hand has left. */
+        void left(RestSession session);
+        void closed(RestSession session);
+        boolean draining();
+        Counters counters();
+    }
+
+    static final int BODY_MOST = 64 * 1024;
+    private static final int WAITING_MOST = 32;
+
+    private final HttpParser parser = new HttpParser(true, BODY_MOST, this);
+    private final Desk desk;
+    private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private HttpHead.Request head;
+    private Out out;
+    private Call now;
+    private boolean over, last, taking;
+
+    RestSession(Desk desk) { this.desk = desk; }
+
+    @Override public void opened(Out out) { this.out = out; }
+
+    @Override public void received(ByteBuffer in) {
+        try {
+            parser.feed(in);
+        } catch (HttpParser.Malformed e) {
+            in.position(in.limit());
+            desk.counters().add("client_malformed");
+            refuse(Problem.of(400, "malformed", "The request is malformed", e.getMessage()));
+            return;
+        }
+        goOn();
+    }
+
+    @Override public void head(HttpHead head) {
+        this.head = (HttpHead.Request) head;
+        body.reset();
+        if (over) {
+            return;
+        }
+        String expect = head.header("expect");
+        if (expect != null && expect.equalsIgnoreCase("100-continue")) {
+            out.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+        }
+    }
+
+    @Override public void body(byte[] part) {
+        if (body.size() + part.length <= BODY_MOST) {
+            body.writeBytes(part);
+        } else if (!over) {                   // chunks, each within the bound, that go on and on
+            refuse(Problem.of(413, "too-large", "The content is too large", "at most " + BODY_MOST + " bytes"));
+        }
+    }
+
+    @Override public void end() {
+        if (over) {
+            return;
+        }
+        if (waiting.size() >= WAITING_MOST) {
+            refuse(Problem.of(400, "too-many", "Too many requests at once", "at most " + WAITING_MOST));
+            return;
+        }
+        waiting.add(new Call(head, body.toByteArray()));
+    }
+
+    private void goOn() {
+        if (taking) {
+            return;
+        }
+        taking = true;
+        while (now == null && !over && !waiting.isEmpty()) {
+            now = waiting.poll();
+            last = !now.head().keepAlive();
+            desk.take(now, this);
+        }
+        taking = false;
+        if (desk.draining()) {
+            closeIfIdle();
+        }
+    }
+
+    /** The answer to the call at hand. */
+    void answer(byte[] response) {
+        now = null;
+        if (!over) {
+            out.write(response);
+            if (last) {
+                finish();
+            } else {
+                goOn();
+            }
+        }
+    }
+
+    private void refuse(Problem problem) {
+        if (!over) {
+            out.write(problem.response(Map.of("Connection", "close")));
+            boolean owed = now != null;
+            finish();
+            if (owed) {
+                desk.left(this);
+            }
+        }
+    }
+
+    void closeIfIdle() {
+        if (now == null && !over && out != null) {
+            finish();
+        }
+    }
+
+    private void finish() {
+        over = true;
+        out.finish();
+        desk.closed(this);
+    }
+
+    @Override public void ended(String why) {
+        if (!over) {
+            over = true;
+            desk.closed(this);
+            if (now != null) {
+                desk.left(this);
+            }
+        }
+    }
+}
