Replicated store, syslog and the operator's file, wired into serve; stories for each failure met

Drain marks in the store (drain/ID) reach the module as if discovery had listed the member as draining.

--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -3,12 +3,15 @@
 import crankspar.Balance;
 import crankspar.BenchLink;
 import crankspar.config.Config;
+import crankspar.config.Operator;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 
 /** The command line. */
 @Command(name = "crankspar", description = "A pooler for shards of a primary and its replicas.",
@@ -38,13 +41,27 @@
         return BAD_CONFIG;
     }
 
-    @Command(description = "Serves, as the environment and its configuration say.")
-    int serve() throws IOException, InterruptedException {
+    private static Config platform() throws Config.Bad {
+        return System.getenv("BALANCER_CONFIG") == null ? null : Config.read(System.getenv());
+    }
+
+    private static Operator operator(Path file) throws Config.Bad { return file == null ? null : Operator.read(file); }
+
+    @Command(description = "Serves, as the environment and an operator's file say.")
+    int serve(@Option(names = "--operator", paramLabel = "FILE",
+            description = "sets up the REST front, the store and syslog") Path file)
+            throws IOException, InterruptedException {
         Daemon daemon;
         try {
-            daemon = new Daemon(Config.read(System.getenv()));
+            Operator operator = operator(file);
+            Config config = file == null ? Config.read(System.getenv()) : platform();
+            Logging.set(operator);
+            daemon = new Daemon(config, operator);
         } catch (Config.Bad e) {
             return bad(e);
+        } catch (IOException e) {             // an address in use, a snapshot that cannot be read
+            System.err.println("crankspar: " + e.getMessage());
+            return 1;
         }
         // The runtime ends when its hooks have: SIGTERM is answered by finishing what is owed.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -77,11 +94,14 @@
     }
 
     @Command(name = "check-config", description = "Reads the configuration as serve would, and says what is wrong.")
-    int checkConfig() {
+    int checkConfig(@Option(names = "--operator", paramLabel = "FILE") Path file) {
         try {
-            Config config = Config.read(System.getenv());
-            System.out.println("good: " + config.name() + ", " + config.settings().classes().size() + " classes, "
-                    + config.known().members().size() + " members known");
+            Operator operator = operator(file);
+            Config config = file == null ? Config.read(System.getenv()) : platform();
+            System.out.println("good: " + (config == null ? "" : "the platform's front as " + config.name() + ", "
+                    + config.known().members().size() + " members known")
+                    + (config != null && operator != null ? "; " : "")
+                    + (operator == null ? "" : "the operator's file of " + operator.name()));
             return 0;
         } catch (Config.Bad e) {
             return bad(e);
--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -1,10 +1,9 @@
 package crankspar.cli;
 
 import crankspar.Balance;
-import crankspar.Router.Health;
-import crankspar.Router.ListKind;
-import crankspar.Router.Member;
+import crankspar.Router;
 import crankspar.config.Config;
+import crankspar.config.Operator;
 import crankspar.core.Counters;
 import crankspar.core.Pooler;
 import crankspar.discovery.MemberList;
@@ -14,13 +13,18 @@
 import crankspar.pg.PgAnswer;
 import crankspar.pg.PgFront;
 import crankspar.pg.Statement;
+import crankspar.rest.RestFront;
+import crankspar.store.Replication;
+import crankspar.store.Snapshots;
+import crankspar.store.Store;
+import crankspar.store.StoreResource;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 
-/** Puts the parts together: one loop, one core, the platform's front, discovery. */
+/** Puts the parts together on one loop: the store, and a core for each front that is set up. */
 public final class Daemon implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(Daemon.class.getName());
     /** Clients keep coming for a moment after the signal: they are taken and answered (ms). */
@@ -28,65 +32,129 @@
     /** Shares of the sockets for clients and for servers; the rest is for the runtime's own files. */
     private static final double CLIENTS = 0.55;
     private static final double SERVERS = 0.35;
+    /** What one process may hold where the platform sets no limit. */
+    private static final int SOCKETS = 1024;
 
     private final Loop loop;
     private final Counters counters = new Counters();
-    private final Pool<Statement, PgAnswer> pool;
-    private final Pooler<Statement, PgAnswer> pooler;
-    private final PgFront front;
-    private final double longest;
-    private final InetSocketAddress address;
+    private final Store store;
+    private Pooler<Statement, PgAnswer> pgCore;
+    private PgFront pg;
+    private RestFront.Parts rest;
+    private InetSocketAddress pgAddress;
+    private InetSocketAddress restAddress;
+    private double longest;
 
-    public Daemon(Config config) throws IOException, InterruptedException {
-        long began = System.nanoTime();
-        int answered = new Warmup().run(config.settings(), config.known().members());
-        LOG.info("warm after " + (System.nanoTime() - began) / 1_000_000 + " ms, " + answered + " answers");
+    /** Either may be null, not both: the platform's front needs the one, the REST front the other. */
+    public Daemon(Config config, Operator operator) throws Config.Bad, IOException, InterruptedException {
+        Operator.Rest setup = operator == null ? null : operator.rest();
+        if (config == null && setup == null) {
+            throw new Config.Bad("rest", "nothing to serve: no platform configuration and no REST front");
+        }
+        Router.Settings restSettings = operator != null && operator.settings() != null ? operator.settings()
+                : config != null ? config.settings() : null;
+        if (setup != null && restSettings == null) {
+            throw new Config.Bad("settings", "not set");
+        }
+        if (config != null) {
+            long began = System.nanoTime();
+            int answered = new Warmup().run(config.settings(), config.known().members());
+            LOG.info("warm after " + (System.nanoTime() - began) / 1_000_000 + " ms, " + answered + " answers");
+        }
         loop = new Loop("loop");
-        var settings = config.settings();
-        pool = new Pool<>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(),
-                settings.limits().dialTimeout(), settings.limits().connIdle(), (int) (config.sockets() * SERVERS));
-        var watch = new Watch(loop, config.discovery(), config.known().revision(), counters, this::listed,
-                this::watchLost);
-        pooler = new Pooler<>(settings, loop, pool, watch, counters, Balance::new);
-        front = new PgFront(loop, settings, counters, pooler, (int) (config.sockets() * CLIENTS));
-        longest = settings.classes().stream().mapToDouble(c -> c.giveUp()).max().orElse(0);
-        loop.runAndWait(() -> {
-            locate(config.known());
-            pooler.start(config.known().members());
-        });
+        store = new Store(operator != null ? operator.name() : config.name());
         try {
-            address = front.listen(config.listen());
+            keepConfiguration(config, operator);
+            double share = config != null && setup != null ? 0.5 : 1; // two fronts halve the sockets
+            double sockets = share * (config != null ? config.sockets() : SOCKETS);
+            if (config != null) {
+                platform(config, (int) (sockets * CLIENTS), (int) (sockets * SERVERS));
+            }
+            if (setup != null) {
+                rest(setup, restSettings, (int) (sockets * CLIENTS), (int) (sockets * SERVERS));
+            }
+            if (operator != null && !operator.store().peers().isEmpty()) {
+                new Replication(loop, store, counters, operator.store().periodMs(), operator.store().peers());
+            }
         } catch (IOException | RuntimeException e) {
             loop.close();
             throw e;
         }
-        LOG.info(config.name() + " listens at " + address);
     }
 
-    public InetSocketAddress address() { return address; }
+    /** The store holds what the program was given, beside what it learns. */
+    private void keepConfiguration(Config config, Operator operator) throws IOException, InterruptedException {
+        if (operator != null && operator.store().snapshot() != null) {
+            new Snapshots(loop, store, operator.store().snapshot());
+        }
+        loop.runAndWait(() -> {
+            try {
+                if (config != null) {
+                    store.put("config/" + store.node() + "/platform", config.text());
+                }
+                if (operator != null) {
+                    store.put("config/" + store.node() + "/operator", operator.text());
+                }
+            } catch (Store.Refused e) {
+                LOG.warning("the configuration is not kept: " + e.getMessage());
+            }
+        });
+    }
 
-    private void listed(MemberList list) {
-        locate(list);
-        pooler.members(list.complete() ? ListKind.FULL : ListKind.CHANGES, list.members());
+    private void platform(Config config, int clients, int servers) throws IOException, InterruptedException {
+        var settings = config.settings();
+        var pool = new Pool<Statement, PgAnswer>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(),
+                settings.limits().dialTimeout(), settings.limits().connIdle(), servers);
+        var later = new Directory[1];
+        var watch = new Watch(loop, config.discovery(), config.known().revision(), counters,
+                list -> later[0].listed(list), () -> pgCore.watchLost());
+        pgCore = new Pooler<>(settings, loop, pool, watch, counters, Balance::new);
+        pg = new PgFront(loop, settings, counters, pgCore, clients);
+        loop.runAndWait(() -> {
+            later[0] = new Directory(store, "pg", pool, pgCore);
+            later[0].start(config.known());
+        });
+        pgAddress = pg.listen(config.listen());
+        longest = settings.classes().stream().mapToDouble(Router.RequestClass::giveUp).max().orElse(0);
+        LOG.info(config.name() + " listens at " + pgAddress);
     }
 
-    private void locate(MemberList list) {
-        list.addresses().forEach(pool::locate);
-        for (Member m : list.members()) {
-            if (m.health() != Health.RUNNING) {
-                pool.forget(m.id());
+    private void rest(Operator.Rest setup, Router.Settings settings, int clients, int servers)
+            throws IOException, InterruptedException {
+        var later = new Directory[1];
+        Pooler.Discovery discovery = setup.discovery() == null ? on -> { }
+                : new Watch(loop, setup.discovery(), setup.members().revision(), counters,
+                        list -> later[0].listed(list), () -> rest.pooler().watchLost());
+        rest = RestFront.build(loop, settings, counters, discovery, Balance::new, clients, servers);
+        rest.front().add(StoreResource.PATH, new StoreResource(store, counters));
+        loop.runAndWait(() -> {
+            later[0] = new Directory(store, "rest", rest.pool(), rest.pooler());
+            later[0].start(setup.members());
+            if (setup.discovery() == null) {
+                later[0].listed(setup.members()); // a fixed list is the present one
             }
-        }
+        });
+        restAddress = rest.front().listen(setup.listen());
+        longest = Math.max(longest,
+                settings.classes().stream().mapToDouble(Router.RequestClass::giveUp).max().orElse(0));
+        LOG.info("the REST front listens at " + restAddress);
     }
 
-    private void watchLost() { pooler.watchLost(); }
+    public InetSocketAddress pgAddress() { return pgAddress; }
+    public InetSocketAddress restAddress() { return restAddress; }
 
     /** Ends in order: still open for a moment, then nothing new, then the last answers. */
     public void stop() throws InterruptedException {
-        var quiet = new CountDownLatch(1);
+        var quiet = new CountDownLatch((pg == null ? 0 : 1) + (rest == null ? 0 : 1));
         loop.after(STILL_OPEN, () -> {
-            front.drain();
-            pooler.whenQuiet(() -> loop.after(50, quiet::countDown));
+            if (pg != null) {
+                pg.drain();
+                pgCore.whenQuiet(() -> loop.after(50, quiet::countDown)); // the last bytes leave
+            }
+            if (rest != null) {
+                rest.front().drain();
+                rest.pooler().whenQuiet(() -> loop.after(50, quiet::countDown));
+            }
         });
         quiet.await((long) (STILL_OPEN + longest + 500), TimeUnit.MILLISECONDS);
         loop.runAndWait(() -> System.err.println("counters " + counters));
--- /dev/null
+++ b/src/main/java/crankspar/cli/Directory.java
@@ -0,0 +1,111 @@
+package crankspar.cli;
+
+import crankspar.Router.Health;
+import crankspar.Router.ListKind;
+import crankspar.Router.Member;
+import crankspar.core.Pooler;
+import crankspar.discovery.MemberList;
+import crankspar.net.Pool;
+import crankspar.store.Store;
+import crankspar.syslog.StructuredData;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * One front's members: discovery's word, with the operator's drain marks from the store laid over it. A mark
+ * ({@code drain/ID}) reaches the module as if discovery had listed the member as draining.
+ */
+final class Directory {
+    static final String DRAIN = "drain/";
+    private static final Logger LOG = Logger.getLogger(Directory.class.getName());
+
+    private final Store store;
+    private final String key;
+    private final Pool<?, ?> pool;
+    private final Pooler<?, ?> pooler;
+    private final Map<String, Member> members = new LinkedHashMap<>();
+    private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+
+    Directory(Store store, String front, Pool<?, ?> pool, Pooler<?, ?> pooler) {
+        this.store = store;
+        this.key = "members/" + store.node() + "/" + front;
+        this.pool = pool;
+        this.pooler = pooler;
+        store.onChange(this::changed);
+    }
+
+    /** The list to start from: the given one, or the last one kept. Told to the module as the old copy it is. */
+    void start(MemberList known) {
+        MemberList list = known;
+        String kept = store.get(key);
+        if (known.members().isEmpty() && kept != null) {
+            try {
+                list = MemberList.read(crankspar.config.Json.object(kept));
+            } catch (IOException | IllegalArgumentException e) {
+                LOG.warning("the kept member list cannot be read: " + e.getMessage());
+            }
+        }
+        take(list);
+        pooler.start(marked(list.members()));
+    }
+
+    void listed(MemberList list) {
+        take(list);
+        pooler.members(list.complete() ? ListKind.FULL : ListKind.CHANGES, marked(list.members()));
+        keep(list.revision());
+    }
+
+    private void take(MemberList list) {
+        if (list.complete()) {
+            members.keySet().retainAll(list.addresses().keySet());
+            addresses.keySet().retainAll(list.addresses().keySet());
+        }
+        list.addresses().forEach(pool::locate);
+        addresses.putAll(list.addresses());
+        for (Member m : list.members()) {
+            if (m.health() == Health.GONE) {
+                members.remove(m.id());
+                addresses.remove(m.id());
+            } else {
+                members.put(m.id(), m);
+            }
+            if (m.health() != Health.RUNNING) {
+                pool.forget(m.id());
+            }
+        }
+    }
+
+    private List<Member> marked(List<Member> list) {
+        var all = new ArrayList<Member>(list.size());
+        list.forEach(m -> all.add(mark(m)));
+        return all;
+    }
+
+    private Member mark(Member m) {
+        return m.health() != Health.RUNNING || store.get(DRAIN + m.id()) == null ? m : new Member(m.id(), m.zone(),
+                m.listedPrimary(), m.capacityHint(), Health.DRAINING, m.group(), m.machine(), m.lastStart());
+    }
+
+    private void changed(Store.Entry e) {
+        Member m = e.key().startsWith(DRAIN) ? members.get(e.key().substring(DRAIN.length())) : null;
+        if (m != null) {
+            LOG.log(Level.INFO, "operator's mark: " + m.id() + (e.value() == null ? " may serve" : " drains"),
+                    StructuredData.of("member", "id", m.id(), "drain", e.value() != null, "by", e.node()));
+            pooler.members(ListKind.CHANGES, List.of(mark(m)));
+        }
+    }
+
+    private void keep(long revision) {
+        try {
+            store.put(key, new MemberList(revision, true, List.copyOf(members.values()), addresses).write());
+        } catch (Store.Refused e) {
+            LOG.warning("the member list was not kept: " + e.getMessage());
+        }
+    }
+}
--- a/src/main/java/crankspar/config/Config.java
+++ b/src/main/java/crankspar/config/Config.java
@@ -11,7 +11,7 @@
 
 /** What one pooler is told by the platform. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-                     MemberList known, Router.Settings settings) {
+                     MemberList known, Router.Settings settings, String text) {
     /** A configuration that cannot be used; the message names the key. */
     public static final class Bad extends Exception {
         public Bad(String key, String why) { super(key + ": " + why); }
@@ -23,26 +23,17 @@
         if (file == null || file.isEmpty()) {
             throw new Bad("BALANCER_CONFIG", "not set");
         }
+        String text;
         Map<?, ?> object;
         try {
-            object = Json.object(Files.readString(Path.of(file)));
+            text = Files.readString(Path.of(file));
+            object = Json.object(text);
         } catch (IOException | RuntimeException e) {
             throw new Bad("BALANCER_CONFIG", "cannot be read: " + brief(e));
         }
         long seed = seed(object.get("seed"));
-        Router.Settings settings;
-        try {
-            settings = SettingsReader.read(part(object, "settings"), seed);
-        } catch (IllegalArgumentException e) {
-            throw new Bad("settings", brief(e));
-        }
-        MemberList known;
-        try {
-            known = object.get("known") == null ? new MemberList(0, true, java.util.List.of(), Map.of())
-                    : MemberList.read(part(object, "known"));
-        } catch (IllegalArgumentException e) {
-            throw new Bad("known", brief(e));
-        }
+        Router.Settings settings = settings(object, seed);
+        MemberList known = members(object, "known", "");
         Object limits = object.get("limits");
         int sockets = limits instanceof Map<?, ?> m && m.get("sockets") instanceof Number n ? n.intValue() : 1024;
         if (sockets < 64) {
@@ -50,16 +41,32 @@
         }
         return new Config(text(env.get("BALANCER_NAME"), object, "name"),
                 address(env.get("BALANCER_LISTEN"), object, "listen"),
-                address(env.get("BALANCER_DISCOVERY"), object, "discovery"), seed, sockets, known, settings);
+                address(env.get("BALANCER_DISCOVERY"), object, "discovery"), seed, sockets, known, settings, text);
+    }
+
+    static Router.Settings settings(Map<?, ?> object, long seed) throws Bad {
+        try {
+            return SettingsReader.read(part(object, "settings"), seed);
+        } catch (IllegalArgumentException e) {
+            throw new Bad("settings", brief(e));
+        }
+    }
+
+    static MemberList members(Map<?, ?> object, String key, String path) throws Bad {
+        try {
+            return object.get(key) == null ? MemberList.EMPTY : MemberList.read(part(object, key));
+        } catch (IllegalArgumentException e) {
+            throw new Bad(path + key, brief(e));
+        }
     }
 
-    private static String brief(Exception e) {
+    static String brief(Exception e) {
         String message = String.valueOf(e.getMessage());
         return (e instanceof IllegalArgumentException ? "" : e.getClass().getSimpleName() + " ")
                 + message.lines().findFirst().orElse("");
     }
 
-    private static Map<?, ?> part(Map<?, ?> object, String key) throws Bad {
+    static Map<?, ?> part(Map<?, ?> object, String key) throws Bad {
         if (object.get(key) instanceof Map<?, ?> map) {
             return map;
         }
@@ -75,7 +82,7 @@
         }
     }
 
-    private static String text(String first, Map<?, ?> object, String key) throws Bad {
+    static String text(String first, Map<?, ?> object, String key) throws Bad {
         Object value = first != null ? first : object.get(key);
         if (value instanceof String s && !s.isEmpty()) {
             return s;
--- a/src/main/java/crankspar/discovery/MemberList.java
+++ b/src/main/java/crankspar/discovery/MemberList.java
@@ -1,8 +1,13 @@
 package crankspar.discovery;
 
+import com.fasterxml.jackson.core.JsonGenerator;
 import crankspar.Router.Health;
 import crankspar.Router.Member;
+import crankspar.config.Json;
 import crankspar.net.Addresses;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -12,6 +17,8 @@
 /** A list in discovery's form: entries for the module, and where each of them listens. */
 public record MemberList(long revision, boolean complete, List<Member> members,
                          Map<String, InetSocketAddress> addresses) {
+    public static final MemberList EMPTY = new MemberList(0, true, List.of(), Map.of());
+
     /** The list that an object holds; an IllegalArgumentException says what is wrong with it. */
     public static MemberList read(Map<?, ?> object) {
         if (!(object.get("members") instanceof List<?> entries) || !(object.get("revision") instanceof Number revision)) {
@@ -38,6 +45,42 @@
         return new MemberList(revision.longValue(), Boolean.TRUE.equals(object.get("complete")), members, addresses);
     }
 
+    /** The same list as text, to be kept. */
+    public String write() {
+        var out = new StringWriter();
+        try (JsonGenerator g = Json.FACTORY.createGenerator(out)) {
+            g.writeStartObject();
+            g.writeNumberField("revision", revision);
+            g.writeBooleanField("complete", complete);
+            g.writeArrayFieldStart("members");
+            for (Member m : members) {
+                g.writeStartObject();
+                g.writeStringField("id", m.id());
+                InetSocketAddress at = addresses.get(m.id());
+                if (at != null) {
+                    g.writeStringField("host_port", at.getHostString() + ":" + at.getPort());
+                }
+                g.writeStringField("locality", m.zone());
+                g.writeStringField("flavor", m.machine());
+                g.writeNumberField("cell", m.group());
+                g.writeStringField("phase", switch (m.health()) {
+                    case RUNNING -> "up";
+                    case DRAINING -> "draining";
+                    case GONE -> "removed";
+                });
+                g.writeNumberField("size", m.capacityHint());
+                g.writeNumberField("up_since_ms", m.lastStart());
+                g.writeStringField("role", m.listedPrimary() ? "primary" : "replica");
+                g.writeEndObject();
+            }
+            g.writeEndArray();
+            g.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toString();
+    }
+
     private static String text(Map<?, ?> e, String key) { return e.get(key) instanceof String s ? s : ""; }
 
     private static double number(Map<?, ?> e, String key, double absent) {
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -95,6 +95,11 @@
         return new RestServerSession(counters, loop::now);
     }
 
+    /** An error of a resource's, in the same words as all others. */
+    public static byte[] problem(int status, String type, String title, String detail) {
+        return Problem.of(status, type, title, detail).response(Map.of());
+    }
+
     public void add(String path, Resource resource) { resources.put(path, resource); }
 
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
--- /dev/null
+++ b/src/test/java/crankspar/pg/PgFrontTest.java
@@ -0,0 +1,268 @@
+package crankspar.pg;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import crankspar.Balance;
+import crankspar.Router.Health;
+import crankspar.Router.Member;
+import crankspar.TestSettings;
+import crankspar.core.Counters;
+import crankspar.core.Pooler;
+import crankspar.net.Loop;
+import crankspar.net.Pool;
+import crankspar.net.ScriptedPeer;
+import crankspar.net.ScriptedPeer.Wire;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Stories of PostgreSQL clients and scripted servers, over loopback: one for each failure met. */
+class PgFrontTest {
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final Counters counters = new Counters();
+    private Loop loop;
+    private PgFront front;
+    private InetSocketAddress address;
+
+    @BeforeEach void start() throws Exception { loop = new Loop("test"); }
+
+    @AfterEach void stop() throws Exception {
+        loop.close();
+        for (AutoCloseable c : open) {
+            c.close();
+        }
+    }
+
+    /** A wire with messages instead of bytes. */
+    private static final class Pg {
+        final Wire wire;
+        private final PgDecoder decoder;
+
+        Pg(Wire wire, boolean fromClient) {
+            this.wire = wire;
+            decoder = new PgDecoder(fromClient);
+        }
+
+        void send(PgMessage... messages) throws IOException {
+            var e = new PgEncoder();
+            for (PgMessage m : messages) {
+                e.add(m);
+            }
+            wire.send(e.bytes());
+        }
+
+        PgMessage next() throws IOException {
+            try {
+                for (PgMessage m = decoder.next(); ; m = decoder.next()) {
+                    if (m != null) {
+                        return m;
+                    }
+                    decoder.feed(ByteBuffer.wrap(wire.read(1)));
+                }
+            } catch (PgDecoder.Malformed e) {
+                throw new IOException(e);
+            }
+        }
+
+        /** What comes before ReadyForQuery, without the notes. */
+        List<PgMessage> answer() throws IOException {
+            var all = new ArrayList<PgMessage>();
+            for (PgMessage m = next(); !(m instanceof PgMessage.ReadyForQuery); m = next()) {
+                if (!(m instanceof PgMessage.ParameterStatus)) {
+                    all.add(m);
+                }
+            }
+            return all;
+        }
+
+        List<PgMessage> ask(String sql) throws IOException {
+            send(new PgMessage.Query(sql));
+            return answer();
+        }
+    }
+
+    private interface Query { void play(Pg pg, String sql) throws IOException, InterruptedException; }
+
+    /** A server: it welcomes, reports itself as primary when probed, and plays the script for each query. */
+    private ScriptedPeer server(Query script) throws Exception {
+        var peer = new ScriptedPeer(wire -> {
+            var pg = new Pg(wire, true);
+            pg.next();
+            pg.send(new PgMessage.AuthenticationOk(), new PgMessage.ReadyForQuery());
+            while (true) {
+                String sql = ((PgMessage.Query) pg.next()).sql();
+                if (sql.equals("SHOW load")) {
+                    row(pg, "x0=" + loop.now() / 1000 + ",x1=1");
+                } else {
+                    script.play(pg, sql);
+                }
+            }
+        });
+        open.add(peer);
+        return peer;
+    }
+
+    private void row(Pg pg, String value) throws IOException {
+        pg.send(PgEncoder.textColumns("val"), new PgMessage.DataRow(List.of(value.getBytes())),
+                new PgMessage.CommandComplete("SELECT 1"), new PgMessage.ParameterStatus("role", "primary"),
+                new PgMessage.ParameterStatus("applied_ms", Long.toString((long) loop.now())),
+                new PgMessage.ReadyForQuery());
+    }
+
+    private void pooler(InetSocketAddress... servers) throws Exception {
+        var settings = TestSettings.platform();
+        var pool = new Pool<Statement, PgAnswer>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(), 250,
+                30_000, 20);
+        var core = new Pooler<Statement, PgAnswer>(settings, loop, pool, on -> { }, counters, Balance::new);
+        front = new PgFront(loop, settings, counters, core, 20);
+        var members = new ArrayList<Member>();
+        for (int i = 0; i < servers.length; i++) {
+            members.add(new Member("m" + i, "burnaby", i == 0, 1, Health.RUNNING, 2, "", 0));
+        }
+        loop.runAndWait(() -> {
+            for (int i = 0; i < servers.length; i++) {
+                pool.locate("m" + i, servers[i]);
+            }
+            core.start(members);
+        });
+        address = front.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    private Pg client() throws Exception {
+        Wire wire = Wire.to(address);
+        open.add(wire);
+        return new Pg(wire, false);
+    }
+
+    private Pg welcomed() throws Exception {
+        Pg pg = client();
+        pg.send(new PgMessage.Startup(Map.of("user", "client", "database", "core")));
+        pg.answer();
+        return pg;
+    }
+
+    private static String read(String id) {
+        return "/* id=" + id + ",c=my-roster,d=500,cluster=2 */ SELECT val FROM state WHERE uid = 'u1'";
+    }
+
+    private static String write(String id) {
+        return "/* id=" + id + ",c=trade-claim,d=600,cluster=2 */ INSERT INTO state (uid, val) VALUES ('u1', '\\x00')"
+                + " RETURNING val";
+    }
+
+    private static String code(List<PgMessage> answer) {
+        return answer.get(0) instanceof PgMessage.Report r ? r.code() : "none: " + answer;
+    }
+
+    /** Guards against connections that are never reused: a day's worth of them used up the sockets. */
+    @Test void answeredConnectionsAreUsedAgain() throws Exception {
+        var seen = new ArrayList<String>();
+        ScriptedPeer server = server((pg, sql) -> {
+            seen.add(sql);
+            row(pg, "v");
+        });
+        pooler(server.address());
+        Pg client = welcomed();
+        for (int i = 0; i < 20; i++) {
+            assertThat(client.ask(read("r" + i)).get(1)).isInstanceOf(PgMessage.DataRow.class);
+        }
+        assertThat(seen).hasSize(20);
+        assertThat(seen.get(0)).matches("/\\* id=r0,c=my-roster,d=\\d+,cluster=2 \\*/ SELECT val FROM state WHERE uid = 'u1'");
+        loop.runAndWait(() -> assertThat(counters.get("server_connections_opened")).isLessThanOrEqualTo(2));
+    }
+
+    /** Guards against input cut anywhere, and queries written ahead of the welcome and of answers. */
+    @Test void bytesMayComeOneByOneAndAheadOfTheWelcome() throws Exception {
+        pooler(server((pg, sql) -> row(pg, sql.substring(6, 8))).address());
+        Pg client = client();
+        byte[] all = new PgEncoder().add(new PgMessage.Startup(Map.of("user", "client", "database", "core")))
+                .add(new PgMessage.Query("")).add(new PgMessage.Query(read("a1")))
+                .add(new PgMessage.Query(read("a2"))).bytes();
+        for (byte b : all) {
+            client.wire.send(new byte[] {b});
+        }
+        client.answer();
+        assertThat(client.answer()).containsExactly(new PgMessage.EmptyQueryResponse());
+        for (String id : List.of("a1", "a2")) {
+            var row = (PgMessage.DataRow) client.answer().get(1);
+            assertThat(new String(row.values().get(0))).isEqualTo(id);
+        }
+    }
+
+    /** Guards against a second run: a reset after the last byte leaves a write unknown, never sent again. */
+    @Test void aWriteWhoseConnectionBreaksFailsAndIsNotSentAgain() throws Exception {
+        var runs = new AtomicInteger();
+        pooler(server((pg, sql) -> {
+            runs.incrementAndGet();
+            pg.wire.close();
+        }).address());
+        assertThat(code(welcomed().ask(write("w1")))).isEqualTo("08007");
+        assertThat(runs).hasValue(1);
+    }
+
+    /** Guards against calling a write unknown that was never sent: a refused connection proves it. */
+    @Test void aWriteThatNeverConnectsIsRefusedWithTheTimeToComeBack() throws Exception {
+        InetSocketAddress nobody;
+        try (var closed = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            nobody = (InetSocketAddress) closed.getLocalSocketAddress();
+        }
+        pooler(nobody);
+        var report = (PgMessage.Report) welcomed().ask(write("w2")).get(0);
+        assertThat(report.code()).isEqualTo("53300");
+        assertThat(Long.parseLong(report.fields().get('D'))).isPositive();
+    }
+
+    /** Guards against held answers: a server that says nothing costs the deadline, and no more. */
+    @Test void aSilentServerEndsWithOneAnswerInTime() throws Exception {
+        pooler(server((pg, sql) -> { }).address());
+        Pg client = welcomed();
+        double asked = loop.now();
+        assertThat(code(client.ask(read("s1")))).isEqualTo("53300");
+        assertThat(loop.now() - asked).isLessThan(500 + 70);
+        assertThat(client.ask("SET x = 1")).containsExactly(new PgMessage.CommandComplete("SET"));
+    }
+
+    /** Guards against crashes by what no client of ours sends: an error for that peer, and a counter. */
+    @Test void malformedInputGetsAnErrorAndNothingElseEnds() throws Exception {
+        pooler(server((pg, sql) -> row(pg, "v")).address());
+        Pg client = welcomed();
+        for (String sql : List.of("SELECT 1", "/* c */ SELECT 1", "/* id=1,c=none,d=5,cluster=2 */ SELECT 1",
+                "/* id=1,c=scoreboard,d=x,cluster=2 */ SELECT 1", "/* id=1,c=scoreboard,d=5 */ SELECT 1")) {
+            assertThat(code(client.ask(sql))).as(sql).isEqualTo("08P01");
+        }
+        client.wire.send(new byte[] {'P', 0, 0, 0, 4, 'S', 0, 0, 0, 4}); // Parse, then Sync
+        assertThat(code(client.answer())).isEqualTo("0A000");
+        assertThat(client.ask(read("m1")).get(1)).isInstanceOf(PgMessage.DataRow.class);
+        client.wire.send(new byte[] {'Q', 0x7f, 0, 0, 0});                // a frame of 2 GB
+        assertThat(((PgMessage.Report) client.next()).code()).isEqualTo("08P01");
+        assertThat(client.wire.ends()).isTrue();
+        loop.runAndWait(() -> assertThat(counters.get("client_malformed")).isEqualTo(6));
+    }
+
+    /** Guards against a restart that loses what is on its way: open at first, then a gentle end. */
+    @Test void drainingAnswersWhatIsOwedAndEndsBetweenRequests() throws Exception {
+        ScriptedPeer[] self = new ScriptedPeer[1];
+        ScriptedPeer server = self[0] = server((pg, sql) -> {
+            self[0].saw(sql);
+            Thread.sleep(100);                // its work: the drain comes meanwhile
+            row(pg, "v");
+        });
+        pooler(server.address());
+        Pg busy = welcomed();
+        Pg idle = welcomed();
+        busy.send(new PgMessage.Query(read("d1")));
+        assertThat(server.next()).contains("d1");
+        loop.runAndWait(front::drain);
+        assertThat(idle.wire.ends()).isTrue();
+        assertThat(busy.answer().get(1)).isInstanceOf(PgMessage.DataRow.class);
+        assertThat(busy.wire.ends()).isTrue();
+    }
+}
