Test: the claim's repeats share one connection, as a loop of new ones met the client limit

Saw: aClaimWhoseClientLeftIsRecordedAllTheSame failed once with a reset. Checked: each repeat opened a connection that stayed open; the front of the test admits 50 and closes the rest. At fault: the test's loop. Now one connection asks again.

--- a/src/test/java/crankspar/rest/RestFrontTest.java
+++ b/src/test/java/crankspar/rest/RestFrontTest.java
@@ -197,9 +197,9 @@
         client.send(post("k3", "{}"));
         assertThat(primary.next()).contains("k3");
         client.close();
+        Wire again = client();
         String repeat = "";
         while (!repeat.startsWith("HTTP/1.1 200")) {
-            Wire again = client();
             again.send(post("k3", "{}"));
             repeat = again.http();
             assertThat(repeat).matches("(?s)HTTP/1.1 (409|200).*");
