--- a/src/main/java/crankspar/cli/Directory.java
+++ b/src/main/java/crankspar/cli/Directory.java
@@ -63,6 +63,7 @@
 
     private void take(MemberList list) {
         if (list.complete()) {
+            members.keySet().stream().filter(id -> !list.addresses().containsKey(id)).forEach(pool::forget);
             members.keySet().retainAll(list.addresses().keySet());
             addresses.keySet().retainAll(list.addresses().keySet());
         }
--- a/src/main/java/crankspar/cli/Warmup.java
+++ b/src/main/java/crankspar/cli/Warmup.java
@@ -110,7 +110,7 @@
     @Override public void after(double ms, Runnable what) { timers.add(new Timer(now + ms, order++, what)); }
     @Override public void watch(boolean on) { }
 
-    @Override public Pooler.Call send(String member, Statement query, double left,
+    @Override public Pooler.Call send(String member, Statement query, double left, double within,
                                       Consumer<AttemptEnd<PgAnswer>> end) {
         boolean load = query.equals(PgFront.probe());
         Carrier<Statement, PgAnswer> carrier = PgFront.dial(counters);
@@ -144,6 +144,6 @@
     }
 
     @Override public Pooler.Call probe(String member, Consumer<AttemptEnd<PgAnswer>> end) {
-        return send(member, PgFront.probe(), 250, end);
+        return send(member, PgFront.probe(), 250, 250, end);
     }
 }
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -39,8 +39,11 @@
 
     /** Where attempts go. An end may be told before {@code send} has returned. */
     public interface Backends<Q, A> {
-        /** Sends once, whole, or not at all; {@code left} ms will be waited. */
-        Call send(String member, Q query, double left, Consumer<AttemptEnd<A>> end);
+        /**
+         * Sends once, whole, or not at all; {@code left} ms will be waited. A connection that takes longer than
+         * {@code within} ms to come up is too late for it.
+         */
+        Call send(String member, Q query, double left, double within, Consumer<AttemptEnd<A>> end);
         Call probe(String member, Consumer<AttemptEnd<A>> end);
     }
 
@@ -53,6 +56,11 @@
     public record Ask<Q>(int requestClass, double ttl, String session, double mark, int group, Q query) { }
 
     private static final Logger LOG = Logger.getLogger(Pooler.class.getName());
+    /**
+     * A bounded read's data ages while its connection comes up, but the module judged it at once: sent later
+     * than this (ms), it could be answered from data past its bound.
+     */
+    private static final double AGEING_MOST = 40;
     /** Share of the rule's slack after a deadline at which the core answers by itself: a last guard. */
     private static final double LAST = 0.5;
 
@@ -173,7 +181,9 @@
 
     private void quiet() {
         if (owing == 0) {
-            whenQuiet.run();
+            Runnable what = whenQuiet;
+            whenQuiet = () -> { };
+            what.run();
         }
     }
 
@@ -214,7 +224,7 @@
         }
         o.out = a;
         counters.add("sent");
-        a.call = backends.send(member, o.ask.query(), left, end -> ended(a, end));
+        a.call = backends.send(member, o.ask.query(), left, within(o), end -> ended(a, end));
         if (a.ended) {
             return;
         }
@@ -227,6 +237,11 @@
         });
     }
 
+    private double within(Owed o) {
+        return settings.classes().get(o.ask.requestClass()).freshness() == Router.Freshness.BOUNDED
+                ? AGEING_MOST : Double.POSITIVE_INFINITY;
+    }
+
     private void ended(Attempt a, AttemptEnd<A> end) {
         if (a.ended) {
             return;
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -47,12 +47,12 @@
 
         Link(Member member) { this.member = member; }
 
-        void dial() {
+        void dial(double within) {
             open++;
             counters.add("server_connections_opened");
             carrier.keeper(this);
             stream = loop.connect(member.address, carrier);
-            loop.after(dialTimeout, () -> {
+            loop.after(Math.min(dialTimeout, within), () -> {
                 if (!up) {
                     lose("no connection in time");
                 }
@@ -152,7 +152,8 @@
         }
     }
 
-    @Override public Pooler.Call send(String member, Q query, double left, Consumer<AttemptEnd<A>> end) {
+    @Override public Pooler.Call send(String member, Q query, double left, double within,
+                                      Consumer<AttemptEnd<A>> end) {
         Member m = members.get(member);
         if (m == null) {
             return refuse(end, "no address is known");
@@ -164,7 +165,7 @@
             }
             link = new Link(m);
             link.carry(query, left, end);
-            link.dial();
+            link.dial(within);
         } else {
             link.carry(query, left, end);
         }
@@ -177,7 +178,7 @@
     }
 
     @Override public Pooler.Call probe(String member, Consumer<AttemptEnd<A>> end) {
-        return send(member, probe, dialTimeout, end);
+        return send(member, probe, dialTimeout, dialTimeout, end);
     }
 
     /** Frees a socket for a member that needs one: the longest idle goes first. */
--- a/src/test/java/crankspar/pg/PgFrontTest.java
+++ b/src/test/java/crankspar/pg/PgFrontTest.java
@@ -230,6 +230,26 @@
         assertThat(client.ask("SET x = 1")).containsExactly(new PgMessage.CommandComplete("SET"));
     }
 
+    /** Guards against a stale read: what waits for its connection ages beyond what the module judged. */
+    @Test void aBoundedReadIsNotSentOnAConnectionThatCameUpLate() throws Exception {
+        var peer = new ScriptedPeer[1];
+        peer[0] = new ScriptedPeer(wire -> {
+            var pg = new Pg(wire, true);
+            pg.next();
+            Thread.sleep(120);                // a welcome later than the data may age
+            pg.send(new PgMessage.AuthenticationOk(), new PgMessage.ReadyForQuery());
+            String sql = String.valueOf(pg.next());
+            if (sql.contains("scoreboard")) { // the module's probes may come
+                peer[0].saw(sql);
+            }
+        });
+        open.add(peer[0]);
+        pooler(peer[0].address());
+        assertThat(code(welcomed().ask("/* id=b1,c=scoreboard,d=300,cluster=2 */ SELECT val FROM state WHERE uid = 'u'")))
+                .isEqualTo("53300");
+        assertThat(peer[0].left()).isZero();
+    }
+
     /** Guards against crashes by what no client of ours sends: an error for that peer, and a counter. */
     @Test void malformedInputGetsAnErrorAndNothingElseEnds() throws Exception {
         pooler(server((pg, sql) -> row(pg, "v")).address());
