One table of client connections for both fronts; the core keeps a request until its end is heard

Saw: duplicates listed PgFront and RestFront with the same listener, table and drain; now net.Clients. Read again: Pooler.conclude forgot a request at once, while the module's own word of it could still wait in the queue: a send asked for in between would have had no outcome and left the module an attempt that never ends. Now it is forgotten behind that event. ClientSession bounds waiting queries by length too. PoolerTest: re-entry, time-outs by what was written, a client that left, each reach of a broken attempt.

--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -305,9 +305,12 @@
     private void conclude(String id, Owed o) {
         o.over = true;
         owing--;
-        if (o.out == null) {
-            owed.remove(id);
-        }
+        // Behind what the module is yet to hear: a send that it asks for meanwhile still gets its outcome.
+        event(() -> {
+            if (o.out == null) {
+                owed.remove(id);
+            }
+        });
     }
 
     @Override public void cancel(String request, int number) {
--- a/src/main/java/crankspar/pg/ClientSession.java
+++ b/src/main/java/crankspar/pg/ClientSession.java
@@ -23,10 +23,12 @@
 
     /** Queries that one client may have waiting; more than that is no client of ours. */
     private static final int WAITING_MOST = 64;
+    private static final int WAITING_CHARS_MOST = 256 * 1024;
 
     private final PgDecoder decoder = new PgDecoder(true);
     private final Desk desk;
     private final ArrayDeque<PgMessage> waiting = new ArrayDeque<>();
+    private int waitingChars;
     private Out out;
     private boolean welcomed, skipping, busy, taking, over;
     private String id;
@@ -39,7 +41,8 @@
         decoder.feed(in);
         try {
             for (PgMessage m = decoder.next(); m != null && !over; m = decoder.next()) {
-                if (waiting.size() >= WAITING_MOST) {
+                waitingChars += m instanceof PgMessage.Query q ? q.sql().length() : 0;
+                if (waiting.size() >= WAITING_MOST || waitingChars > WAITING_CHARS_MOST) {
                     fatal("54000", "too many statements at once");
                     return;
                 }
@@ -58,7 +61,9 @@
         }
         taking = true;
         while (!busy && !over && !waiting.isEmpty()) {
-            on(waiting.poll());
+            PgMessage m = waiting.poll();
+            waitingChars -= m instanceof PgMessage.Query q ? q.sql().length() : 0;
+            on(m);
         }
         taking = false;
         if (desk.draining()) {
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -5,35 +5,28 @@
 import crankspar.core.Counters;
 import crankspar.core.Pooler;
 import crankspar.net.Carrier;
+import crankspar.net.Clients;
 import crankspar.net.Loop;
 import crankspar.net.Machine;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
-import java.util.Set;
 
 /** The platform's front: PostgreSQL clients on one side, PostgreSQL servers on the other. */
 public final class PgFront implements ClientSession.Desk {
-    private final Loop loop;
     private final Router.Settings settings;
     private final Counters counters;
     private final Pooler<Statement, PgAnswer> pooler;
-    private final int most;
     private final Map<String, Integer> classes = new HashMap<>();
-    private final Set<ClientSession> sessions = new LinkedHashSet<>();
-    private Loop.Listener listener;
-    private boolean draining;
+    private final Clients<ClientSession> clients;
 
     public PgFront(Loop loop, Router.Settings settings, Counters counters, Pooler<Statement, PgAnswer> pooler,
                    int most) {
-        this.loop = loop;
         this.settings = settings;
         this.counters = counters;
         this.pooler = pooler;
-        this.most = most;
+        clients = new Clients<>(loop, counters, most, () -> new ClientSession(this), ClientSession::closeIfIdle);
         settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
     }
 
@@ -41,22 +34,10 @@
     public static Carrier<Statement, PgAnswer> dial(Counters counters) { return new ServerSession(counters); }
     public static Statement probe() { return Statement.probe(); }
 
-    public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-        listener = loop.listen(address, this::session);
-        return listener.address();
-    }
+    public InetSocketAddress listen(InetSocketAddress address) throws IOException { return clients.listen(address); }
 
     /** A machine for a client's connection, or null when there are too many. */
-    public Machine session() {
-        if (sessions.size() >= most) {
-            counters.add("client_connections_refused");
-            return null;
-        }
-        counters.add("client_connections");
-        var session = new ClientSession(this);
-        sessions.add(session);
-        return session;
-    }
+    public Machine session() { return clients.admit(); }
 
     @Override public String take(Statement s, ClientSession session) throws Statement.Malformed {
         Integer kind = classes.get(s.text("c"));
@@ -72,15 +53,10 @@
     }
 
     @Override public void gone(String id) { pooler.gone(id); }
-    @Override public boolean draining() { return draining; }
+    @Override public boolean draining() { return clients.draining(); }
     @Override public Counters counters() { return counters; }
-
-    @Override public void closed(ClientSession session) { sessions.remove(session); }
+    @Override public void closed(ClientSession session) { clients.closed(session); }
 
     /** Takes no new connections, and closes each that it has between two requests. */
-    public void drain() {
-        draining = true;
-        listener.close();
-        new ArrayList<>(sessions).forEach(ClientSession::closeIfIdle);
-    }
+    public void drain() { clients.drain(); }
 }
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -10,8 +10,8 @@
 import crankspar.http.HttpHead;
 import crankspar.http.HttpText;
 import crankspar.net.Carrier;
+import crankspar.net.Clients;
 import crankspar.net.Loop;
-import crankspar.net.Machine;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -19,12 +19,9 @@
 import java.net.URLDecoder;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * The second front: pages of the read classes and writes with an idempotency key, over HTTP/1.1. It words
@@ -57,14 +54,11 @@
     private final Router.Settings settings;
     private final Counters counters;
     private final Pooler<RestQuery, RestAnswer> pooler;
-    private final int most;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Resource> resources = new LinkedHashMap<>();
-    private final Set<RestSession> sessions = new LinkedHashSet<>();
     private final Map<RestSession, String> reads = new HashMap<>();
     private final Claims claims = new Claims(CLAIM_BYTES, KEEP);
-    private Loop.Listener listener;
-    private boolean draining;
+    private final Clients<RestSession> clients;
 
     private RestFront(Loop loop, Router.Settings settings, Counters counters, Pooler<RestQuery, RestAnswer> pooler,
                       int most) {
@@ -72,7 +66,7 @@
         this.settings = settings;
         this.counters = counters;
         this.pooler = pooler;
-        this.most = most;
+        clients = new Clients<>(loop, counters, most, () -> new RestSession(this), RestSession::closeIfIdle);
         settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
         resources.put("/v1/status", this::status);
     }
@@ -102,21 +96,7 @@
 
     public void add(String path, Resource resource) { resources.put(path, resource); }
 
-    public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-        listener = loop.listen(address, this::session);
-        return listener.address();
-    }
-
-    private Machine session() {
-        if (sessions.size() >= most) {
-            counters.add("client_connections_refused");
-            return null;
-        }
-        counters.add("client_connections");
-        var session = new RestSession(this);
-        sessions.add(session);
-        return session;
-    }
+    public InetSocketAddress listen(InetSocketAddress address) throws IOException { return clients.listen(address); }
 
     // ---- Requests.
     @Override public void take(RestSession.Call call, RestSession session) {
@@ -351,13 +331,10 @@
     }
 
     // ---- Connections.
-    @Override public void closed(RestSession session) { sessions.remove(session); }
-    @Override public boolean draining() { return draining; }
+    @Override public void closed(RestSession session) { clients.closed(session); }
+    @Override public boolean draining() { return clients.draining(); }
     @Override public Counters counters() { return counters; }
 
-    public void drain() {
-        draining = true;
-        listener.close();
-        new ArrayList<>(sessions).forEach(RestSession::closeIfIdle);
-    }
+    /** Takes no new connections, and closes each that it has between two requests. */
+    public void drain() { clients.drain(); }
 }
--- /dev/null
+++ b/src/test/java/crankspar/core/PoolerTest.java
@@ -0,0 +1,148 @@
+package crankspar.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import crankspar.Router;
+import crankspar.Router.ListKind;
+import crankspar.Router.Member;
+import crankspar.Router.Outcome;
+import crankspar.Router.ProbeResult;
+import crankspar.Router.Request;
+import crankspar.Router.Status;
+import crankspar.TestSettings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** The core by itself: a scripted module, a clock by hand, attempts that end when the test says. */
+class PoolerTest implements Pooler.Time, Pooler.Backends<String, String> {
+    private record Timer(double at, Runnable what) { }
+
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>(java.util.Comparator.comparingDouble(Timer::at));
+    private final List<String> heard = new ArrayList<>();
+    private final List<FinalAnswer<String>> answers = new ArrayList<>();
+    private final Counters counters = new Counters();
+    private Consumer<AttemptEnd<String>> end;
+    private Reach reach = Reach.WHOLLY_WRITTEN;
+    private boolean depth;
+    private double now = 1000;
+
+    /** Sends each request once to m, again after a miss, and fails it after anything else. */
+    private final class Scripted implements Router {
+        private final Actions actions;
+
+        Scripted(Actions actions) { this.actions = actions; }
+
+        private void enter(String what) {
+            assertThat(depth).as("the module called inside its own call").isFalse();
+            heard.add(what);
+        }
+
+        private void act(Runnable what) {
+            depth = true;
+            what.run();
+            depth = false;
+        }
+
+        @Override public void onStart(double now) { }
+        @Override public void onMembers(double now, ListKind kind, List<Member> members) { }
+        @Override public void onWatchLost(double now) { }
+        @Override public void onRequest(double now, Request r) {
+            enter("request");
+            act(() -> actions.send(r.id(), "m", 0));
+        }
+        @Override public void onOutcome(double now, Outcome o) {
+            enter(o.status() + (o.over() ? " over" : ""));
+            if (!o.over()) {
+                act(() -> {
+                    if (o.status() == Status.MISS) {
+                        actions.send(o.request(), "m", 0);
+                    } else {
+                        actions.fail(o.request());
+                    }
+                });
+            }
+        }
+        @Override public void onProbe(double now, ProbeResult r) { }
+        @Override public void onGone(double now, String request) { enter("gone"); }
+        @Override public void onTimer(double now, long cookie) { }
+    }
+
+    private final Pooler<String, String> pooler = new Pooler<>(TestSettings.platform(), this, this, on -> { }, counters,
+            (settings, actions) -> new Scripted(actions));
+
+    @Override public double now() { return now; }
+    @Override public void after(double ms, Runnable what) { timers.add(new Timer(now + ms, what)); }
+
+    @Override public Pooler.Call send(String member, String query, double left, double within,
+                                      Consumer<AttemptEnd<String>> whenOver) {
+        end = whenOver;
+        if (query.equals("inline")) {
+            whenOver.accept(new AttemptEnd.Served<>("now", AttemptEnd.Note.NONE));
+        }
+        return () -> reach;
+    }
+
+    @Override public Pooler.Call probe(String member, Consumer<AttemptEnd<String>> whenOver) { return () -> reach; }
+
+    private String take(String query) {
+        return pooler.take(new Pooler.Ask<>(4, 500, "s", Double.NaN, 1, query), answers::add);
+    }
+
+    private void at(double ms) {
+        while (!timers.isEmpty() && timers.peek().at() <= 1000 + ms) {
+            Timer t = timers.poll();
+            now = Math.max(now, t.at());
+            t.what().run();
+        }
+        now = 1000 + ms;
+    }
+
+    /** Guards against re-entry: an end may come inside the send that the module has just asked for. */
+    @Test void anEndInsideItsOwnSendIsHeardAfterTheCall() {
+        take("inline");
+        assertThat(heard).containsExactly("request", "OK over");
+        assertThat(answers).containsExactly(new FinalAnswer.Served<>("now", AttemptEnd.Note.NONE));
+        at(2000);
+        assertThat(answers).hasSize(1);
+        assertThat(pooler.owing()).isZero();
+    }
+
+    @Test void timeOutsAreToldByWhatWasWritten() {
+        take("q");
+        at(500);
+        assertThat(heard).containsExactly("request", "TIMEOUT");
+        assertThat(answers).containsExactly(new FinalAnswer.Failed<>(true, "given up"));
+        heard.clear();
+        answers.clear();
+        reach = Reach.NOT_CONNECTED;
+        take("q");
+        at(1000);
+        assertThat(heard).containsExactly("request", "MOOT");
+        assertThat(answers).containsExactly(new FinalAnswer.Failed<>(false, "given up"));
+    }
+
+    @Test void aLateEndAfterTheClientLeftBringsNoAnswerAndNoSecondOutcome() {
+        String id = take("q");
+        end.accept(new AttemptEnd.Missed<>(AttemptEnd.Note.NONE));
+        pooler.gone(id);
+        end.accept(new AttemptEnd.Served<>("late", AttemptEnd.Note.NONE));
+        assertThat(heard).containsExactly("request", "MISS", "gone", "CANCELLED over");
+        at(2000);
+        assertThat(answers).isEmpty();
+        assertThat(pooler.owing()).isZero();
+    }
+
+    @Test void brokenAttemptsAreToldByHowFarTheyHadCome() {
+        for (Reach r : Reach.values()) {
+            heard.clear();
+            take("q");
+            end.accept(new AttemptEnd.Broken<>(r, "test"));
+            assertThat(heard).containsExactly("request", r.mayHaveRun() ? "RESET" : "CONNECT_FAILED");
+        }
+        assertThat(answers).extracting(a -> ((FinalAnswer.Failed<String>) a).mayHaveRun())
+                .containsExactly(false, false, true, true);
+    }
+}
