--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -51,6 +51,7 @@
     int serve(@Option(names = "--operator", paramLabel = "FILE",
             description = "sets up the REST front, the store and syslog") Path file)
             throws IOException, InterruptedException {
+        var reloads = new Reloads(file);
         Daemon daemon;
         try {
             Operator operator = operator(file);
@@ -63,6 +64,7 @@
             System.err.println("crankspar: " + e.getMessage());
             return 1;
         }
+        reloads.serve(daemon);
         // The runtime ends when its hooks have: SIGTERM is answered by finishing what is owed.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -41,6 +41,8 @@
     private Pooler<Statement, PgAnswer> pgCore;
     private PgFront pg;
     private RestFront.Parts rest;
+    private Watch pgWatch;
+    private Watch restWatch;
     private InetSocketAddress pgAddress;
     private InetSocketAddress restAddress;
     private double longest;
@@ -106,9 +108,9 @@
         var pool = new Pool<Statement, PgAnswer>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(),
                 settings.limits().dialTimeout(), settings.limits().connIdle(), servers);
         var later = new Directory[1];
-        var watch = new Watch(loop, config.discovery(), config.known().revision(), counters,
+        pgWatch = new Watch(loop, config.discovery(), config.known().revision(), counters,
                 list -> later[0].listed(list), () -> pgCore.watchLost());
-        pgCore = new Pooler<>(settings, loop, pool, watch, counters, Balance::new);
+        pgCore = new Pooler<>(settings, loop, pool, pgWatch, counters, Balance::new);
         pg = new PgFront(loop, settings, counters, pgCore, clients);
         loop.runAndWait(() -> {
             later[0] = new Directory(store, "pg", pool, pgCore);
@@ -122,9 +124,9 @@
     private void rest(Operator.Rest setup, Router.Settings settings, int clients, int servers)
             throws IOException, InterruptedException {
         var later = new Directory[1];
-        Pooler.Discovery discovery = setup.discovery() == null ? on -> { }
-                : new Watch(loop, setup.discovery(), setup.members().revision(), counters,
-                        list -> later[0].listed(list), () -> rest.pooler().watchLost());
+        restWatch = setup.discovery() == null ? null : new Watch(loop, setup.discovery(), setup.members().revision(),
+                counters, list -> later[0].listed(list), () -> rest.pooler().watchLost());
+        Pooler.Discovery discovery = restWatch == null ? on -> { } : restWatch;
         rest = RestFront.build(loop, settings, counters, discovery, Balance::new, clients, servers);
         rest.front().add(StoreResource.PATH, new StoreResource(store, counters));
         loop.runAndWait(() -> {
@@ -143,6 +145,23 @@
     public InetSocketAddress pgAddress() { return pgAddress; }
     public InetSocketAddress restAddress() { return restAddress; }
 
+    /**
+     * Takes over what has changed in files read anew: where each front's discovery is. Everything else of
+     * them holds from the next start on. Clients, requests and the known members are not touched.
+     */
+    public void reload(Config config, Operator operator) {
+        loop.run(() -> {
+            counters.add("reloads");
+            if (pgWatch != null && config != null) {
+                pgWatch.moveTo(config.discovery());
+            }
+            Operator.Rest setup = operator == null ? null : operator.rest();
+            if (restWatch != null && setup != null && setup.discovery() != null) {
+                restWatch.moveTo(setup.discovery());
+            }
+        });
+    }
+
     /** Ends in order: still open for a moment, then nothing new, then the last answers. */
     public void stop() throws InterruptedException {
         var quiet = new CountDownLatch((pg == null ? 0 : 1) + (rest == null ? 0 : 1));
--- a/src/main/java/crankspar/config/Config.java
+++ b/src/main/java/crankspar/config/Config.java
@@ -44,6 +44,14 @@
                 address(env.get("BALANCER_DISCOVERY"), object, "discovery"), seed, sockets, known, settings, text);
     }
 
+    /**
+     * The file once more, after a SIGHUP. Only the file can have changed since the start, so that it goes
+     * before the variables, which still tell the discovery of the start.
+     */
+    public static Config reread(Map<String, String> env) throws Bad {
+        return read(Map.of("BALANCER_CONFIG", env.getOrDefault("BALANCER_CONFIG", "")));
+    }
+
     static Router.Settings settings(Map<?, ?> object, long seed) throws Bad {
         try {
             return SettingsReader.read(part(object, "settings"), seed);
--- a/src/main/java/crankspar/discovery/Watch.java
+++ b/src/main/java/crankspar/discovery/Watch.java
@@ -19,24 +19,29 @@
 
 /**
  * Discovery: one watch at a time, opened when the module asks for it. When it ends, for whatever reason, that
- * is told; whether and when to ask again is the module's to say.
+ * is told; whether and when to ask again is the module's to say. When discovery moves, the watch at the old
+ * address is heard on until the one at the new address has brought its list.
  */
 public final class Watch implements Pooler.Discovery {
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
     /**
      * A live watch brings at least an empty line every 2 s. What discovery has to tell counts as told 6 s
-     * later even if it never arrived, so a silent one is given up well before that.
+     * later even if it never arrived, and 4 s after a move: a silent watch is given up in time to ask again.
      */
-    private static final double SILENT = 3500;
+    private static final double SILENT = 2500;
+    /** A connection that takes longer to come up (ms) is a cut link's. */
+    private static final double DIAL = 1000;
     private static final int LINE_MOST = 1 << 20;
 
     private final Loop loop;
-    private final InetSocketAddress address;
     private final Counters counters;
     private final Consumer<MemberList> lists;
     private final Runnable lost;
+    private InetSocketAddress address;
     private long revision;
     private Session session;
+    /** The watch at an address that discovery has left: its end is no news. */
+    private Session former;
 
     public Watch(Loop loop, InetSocketAddress address, long revision, Counters counters,
                  Consumer<MemberList> lists, Runnable lost) {
@@ -54,29 +59,63 @@
             session = null;
         }
         if (on) {
-            counters.add("discovery_watches");
-            session = new Session();
-            session.stream = loop.connect(address, session);
-            session.mind();
+            open();
+        } else {
+            leaveFormer();
+        }
+    }
+
+    /**
+     * Discovery is to be found elsewhere from now on. Guards against a gap: the new watch opens at once and
+     * asks for the whole list, as the count of another service's versions may be another.
+     */
+    public void moveTo(InetSocketAddress address) {
+        if (address.equals(this.address)) {
+            return;
+        }
+        LOG.info("discovery moves to " + address);
+        counters.add("discovery_moves");
+        this.address = address;
+        revision = 0;
+        if (session != null) {
+            leaveFormer();
+            former = session;
+            open();
+        }
+    }
+
+    private void open() {
+        counters.add("discovery_watches");
+        session = new Session();
+        session.stream = loop.connect(address, session);
+        session.mind();
+    }
+
+    private void leaveFormer() {
+        if (former != null) {
+            former.drop();
+            former = null;
         }
     }
 
     private final class Session implements Machine, HttpParser.Handler {
         private final HttpParser parser = new HttpParser(false, Long.MAX_VALUE, this);
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final InetSocketAddress at = address;
         private Machine.Out stream;
         private double heard = loop.now();
-        private boolean over;
+        private boolean up, over;
 
         private void mind() {
             if (over) {
                 return;
             }
             double quiet = loop.now() - heard;
-            if (quiet > SILENT) {
+            double most = up ? SILENT : DIAL;
+            if (quiet > most) {
                 fail("silent for " + Math.round(quiet) + " ms");
             } else {
-                loop.after(SILENT - quiet + 1, this::mind);
+                loop.after(most - quiet + 1, this::mind);
             }
         }
 
@@ -88,6 +127,11 @@
         private void fail(String why) {
             if (!over) {
                 drop();
+                if (former == this) {
+                    former = null;
+                    LOG.info("the former watch ended: " + why);
+                    return;
+                }
                 session = session == this ? null : session;
                 counters.add("discovery_lost");
                 LOG.info("watch lost: " + why);
@@ -96,8 +140,10 @@
         }
 
         @Override public void opened(Out out) {
+            up = true;
+            heard = loop.now();
             out.write(HttpText.request("GET", "/api/targets?stream=1&index=" + revision,
-                    Map.of("Host", address.getHostString() + ":" + address.getPort()), new byte[0]));
+                    Map.of("Host", at.getHostString() + ":" + at.getPort()), new byte[0]));
         }
 
         @Override public void received(ByteBuffer in) {
@@ -141,7 +187,10 @@
         private void list(String text) {
             try {
                 MemberList list = MemberList.read(Json.object(text));
-                revision = list.revision();
+                if (former != this) {
+                    revision = list.revision();
+                    leaveFormer();
+                }
                 counters.add("discovery_lists");
                 lists.accept(list);
             } catch (IOException | IllegalArgumentException e) {
