Servers: exact answers only, and a connection settles before it carries the next request

Checked in the code: ServerSession.on took messages in any order and number, and passed over what came while nothing was asked; Pool.over rested a connection before the bytes behind ReadyForQuery were looked at, so that a second copy answered the next request. A wait after each answer was tried first and ruled out: a scripted copy came 20 ms late on a busy machine and was served. An empty query behind each answer is answered behind whatever the server has yet to say, however late. REST has nothing like it and waits 20 ms.

Now: phases that accept the exact sequence; lengths checked against type and frame as soon as a head is there, so that no attempt waits for the rest of noise; numbers are digits only; a position ahead of the shared clock is no news (core, both fronts); links of members that moved or left are not rested, and the pool forgets those members.

--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -61,6 +61,8 @@
      * than this (ms), it could be answered from data past its bound.
      */
     private static final double AGEING_MOST = 40;
+    /** How far (ms) two clocks and their roundings may differ. */
+    private static final double AHEAD_MOST = 100;
     /** Share of the rule's slack after a deadline at which the core answers by itself: a last guard. */
     private static final double LAST = 0.5;
 
@@ -242,22 +244,35 @@
                 ? AGEING_MOST : Double.POSITIVE_INFINITY;
     }
 
+    /**
+     * A note whose position lies ahead of the clock that all machines share is noise, whichever wire brought
+     * it. Guards against stale reads: believed once, it would pass its member through the gate for good.
+     */
+    private AttemptEnd.Note plausible(AttemptEnd.Note note) {
+        if (Double.isNaN(note.position()) || note.position() > 0 && note.position() < now() + AHEAD_MOST) {
+            return note;
+        }
+        counters.add("notes_implausible");
+        return AttemptEnd.Note.NONE;
+    }
+
     private void ended(Attempt a, AttemptEnd<A> end) {
         if (a.ended) {
             return;
         }
         if (end instanceof AttemptEnd.Served<A> s) {
+            AttemptEnd.Note note = plausible(s.note());
             if (!a.owed.over) {
-                answer(a.request, a.owed, new FinalAnswer.Served<>(s.answer(), s.note()));
+                answer(a.request, a.owed, new FinalAnswer.Served<>(s.answer(), note));
             }
-            end(a, Status.OK, s.note());
+            end(a, Status.OK, note);
         } else if (end instanceof AttemptEnd.Missed<A> m) {
-            end(a, Status.MISS, m.note());
+            end(a, Status.MISS, plausible(m.note()));
         } else if (end instanceof AttemptEnd.TurnedAway<A> t) {
-            end(a, Status.FULL, t.note());
+            end(a, Status.FULL, plausible(t.note()));
         } else if (end instanceof AttemptEnd.Erred<A> e) {
             a.owed.mayHaveRun = true;
-            end(a, Status.ERROR, e.note());
+            end(a, Status.ERROR, plausible(e.note()));
         } else if (end instanceof AttemptEnd.Broken<A> b) {
             a.owed.mayHaveRun |= b.reach().mayHaveRun();
             LOG.fine(() -> "attempt at " + a.member + " broke, " + b.reach() + ": " + b.why());
@@ -336,7 +351,8 @@
             if (!over[0]) {
                 over[0] = true;
                 boolean ok = end instanceof AttemptEnd.Served<A>;
-                AttemptEnd.Note note = end instanceof AttemptEnd.Served<A> s ? s.note() : AttemptEnd.Note.NONE;
+                AttemptEnd.Note note = end instanceof AttemptEnd.Served<A> s ? plausible(s.note())
+                        : AttemptEnd.Note.NONE;
                 event(() -> module.onProbe(now(), new Router.ProbeResult(member, ok, now() - sent,
                         ok ? note.role() : Role.UNKNOWN, note.position())));
             }
--- a/src/main/java/crankspar/http/HttpParser.java
+++ b/src/main/java/crankspar/http/HttpParser.java
@@ -35,6 +35,7 @@
     private Map<String, String> headers = new LinkedHashMap<>();
     private long left;
     private int status;
+    private int messages;
 
     public HttpParser(boolean requests, long bodyMost, Handler handler) {
         this.requests = requests;
@@ -44,6 +45,14 @@
 
     public void feed(ByteBuffer in) throws Malformed {
         while (in.hasRemaining()) {
+            feedMessage(in);
+        }
+    }
+
+    /** Feeds to the end of one message at most: what follows stays in the buffer. */
+    public void feedMessage(ByteBuffer in) throws Malformed {
+        messages = 0;
+        while (in.hasRemaining() && messages == 0) {
             switch (state) {
                 case LENGTH, CHUNK, TO_CLOSE -> bodyPart(in);
                 default -> {
@@ -168,6 +177,7 @@
         state = State.HEAD;
         start = null;
         headers = new LinkedHashMap<>();
+        messages++;
         handler.end();
     }
 }
--- a/src/main/java/crankspar/net/Carrier.java
+++ b/src/main/java/crankspar/net/Carrier.java
@@ -9,8 +9,9 @@
  * once; a connection that breaks while it carries nothing just ends.
  */
 public interface Carrier<Q, A> extends Machine {
-    /** What the pool wants to hear: that requests may be carried, and that the connection is gone. */
+    /** What the pool wants to hear: that a request may be carried, and that the connection is gone. */
     interface Keeper {
+        /** It is welcomed or, after a request, settled. */
         void ready();
         void gone(String why);
     }
@@ -20,6 +21,11 @@
     void carry(Q query, double left, Consumer<AttemptEnd<A>> end);
     /** How far the request at hand has come. */
     Reach reach();
-    /** Whether the request before was answered whole, and the next may follow on this connection. */
+    /** Whether the request before was answered whole, and another may follow on this connection. */
     boolean reusable();
+    /**
+     * Makes sure that nothing of the answer before is still to come, then says that it is ready. Guards
+     * against a second copy of an answer, which would pass for the next request's.
+     */
+    void settle();
 }
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -19,6 +19,8 @@
     /** Idle connections are closed after this share of the time at which the server may do so. */
     private static final double IDLE_SHARE = 0.5;
     private static final double SWEEP = 1000;
+    /** A member that is gone is forgotten after this long (ms), by when no attempt at it is out. */
+    private static final double FORGET = 60_000;
 
     private final Loop loop;
     private final Counters counters;
@@ -32,26 +34,31 @@
 
     private final class Member {
         InetSocketAddress address;
+        double goneAt = Double.POSITIVE_INFINITY;
         final ArrayDeque<Link> idle = new ArrayDeque<>();
     }
 
     /** One connection with what it carries. */
     private final class Link implements Carrier.Keeper, Pooler.Call {
         final Member member;
+        final InetSocketAddress address;
         final Carrier<Q, A> carrier = dialect.get();
         Stream stream;
-        boolean up, closed;
+        boolean up, settling, closed;
         double idleSince;
         Runnable first;
         Consumer<AttemptEnd<A>> end;
 
-        Link(Member member) { this.member = member; }
+        Link(Member member) {
+            this.member = member;
+            address = member.address;
+        }
 
         void dial(double within) {
             open++;
             counters.add("server_connections_opened");
             carrier.keeper(this);
-            stream = loop.connect(member.address, carrier);
+            stream = loop.connect(address, carrier);
             loop.after(Math.min(dialTimeout, within), () -> {
                 if (!up) {
                     lose("no connection in time");
@@ -73,24 +80,42 @@
             Consumer<AttemptEnd<A>> told = end;
             end = null;
             if (!closed && carrier.reusable()) {
-                rest();                       // first: what the end leads to may want this very connection
+                settle();
             }
             if (told != null) {
                 told.accept(how);
             }
         }
 
+        private void settle() {
+            settling = true;
+            carrier.settle();
+            loop.after(dialTimeout, () -> {
+                if (settling) {               // a server that hangs: its connection is of no use
+                    lose("not settled in time");
+                }
+            });
+        }
+
         @Override public void ready() {
             up = true;
-            if (first != null) {
+            if (closed) {
+                return;                       // settled too late
+            }
+            if (settling) {
+                settling = false;
+                rest();
+            } else {
                 first.run();
                 first = null;
-            } else {
-                rest();
             }
         }
 
         private void rest() {
+            if (member.goneAt < loop.now() || !address.equals(member.address)) {
+                drop();                       // the member left, or moved, while this was busy
+                return;
+            }
             idleSince = loop.now();
             member.idle.push(this);
         }
@@ -108,6 +133,7 @@
 
         private void drop() {
             closed = true;
+            settling = false;
             open--;
             member.idle.remove(this);
             stream.close();
@@ -142,12 +168,14 @@
             new ArrayDeque<>(m.idle).forEach(Link::drop);
             m.address = address;
         }
+        m.goneAt = Double.POSITIVE_INFINITY;
     }
 
-    /** A member that is gone keeps no idle connections. */
+    /** A member that drains or is gone keeps no idle connections, and after a while no entry. */
     public void forget(String id) {
         Member m = members.get(id);
         if (m != null) {
+            m.goneAt = loop.now();
             new ArrayDeque<>(m.idle).forEach(Link::drop);
         }
     }
@@ -197,6 +225,7 @@
     }
 
     private void sweep() {
+        members.values().removeIf(m -> loop.now() - m.goneAt > FORGET);
         for (Member m : members.values()) {
             while (!m.idle.isEmpty() && loop.now() - m.idle.peekLast().idleSince > idle) {
                 m.idle.peekLast().drop();
--- a/src/main/java/crankspar/pg/PgDecoder.java
+++ b/src/main/java/crankspar/pg/PgDecoder.java
@@ -12,7 +12,12 @@
     /** Values are at most 64 KiB, twice that as hex digits; no message is longer by more than its frame. */
     static final int FRAME_MOST = 144 * 1024;
     private static final int STARTUP_MOST = 10_000;
+    /** A server's short messages: longer ones are noise that happens to begin like a message. */
+    private static final int SHORT_MOST = 1024;
+    private static final int ERROR_MOST = 16 * 1024;
     private static final int KEEP = 4 * 1024;
+    /** What a column's description holds after its name. */
+    private static final int COLUMN = 18;
     private static final int VERSION_3 = 3 << 16;
     private static final int CANCEL = 80877102;
     private static final int SSL = 80877103;
@@ -60,9 +65,12 @@
             return null;
         }
         int length = ByteBuffer.wrap(kept, from + head - 4, 4).getInt();
-        if (length < (started ? 4 : 8) || length > (started ? FRAME_MOST : STARTUP_MOST)) {
+        if (length < (started ? 4 : 8) || length > (started ? most((char) (kept[from] & 0xff)) : STARTUP_MOST)) {
             throw new Malformed("a message of " + length + " bytes");
         }
+        if (started && !fromClient && kept[from] == 'D') {
+            fits(length);
+        }
         int whole = length + head - 4;
         if (to - from < whole) {
             return null;
@@ -70,7 +78,50 @@
         char type = started ? (char) (kept[from] & 0xff) : 0;
         var body = new Body(kept, from + head, from + whole);
         from += whole;
-        return started ? fromClient ? clients(type, body) : servers(type, body) : startup(body);
+        PgMessage message = started ? fromClient ? clients(type, body) : servers(type, body) : startup(body);
+        if (!body.over()) {
+            throw new Malformed("a message is longer than what it holds");
+        }
+        return message;
+    }
+
+    /** Whether no byte of a next message has come. */
+    boolean empty() { return from == to; }
+
+    /**
+     * The most that a message of this type may hold; none for a type that this side never sends. Guards
+     * against a wait for the rest of what was never a message: its head alone tells.
+     */
+    private int most(char type) {
+        if (fromClient) {
+            return switch (type) {
+                case 'Q', 'P', 'B', 'd', 'F' -> FRAME_MOST;
+                case 'D', 'E', 'C', 'f', 'p' -> SHORT_MOST;
+                case 'S', 'X', 'H', 'c' -> 4;
+                default -> 0;
+            };
+        }
+        return switch (type) {
+            case 'D' -> FRAME_MOST;
+            case 'E', 'N' -> ERROR_MOST;
+            case 'R', 'S', 'T', 'C' -> SHORT_MOST;
+            case 'K' -> 12;
+            case 'Z' -> 5;
+            case 'I' -> 4;
+            default -> 0;
+        };
+    }
+
+    /** Every answer is one value, so that a row's own length must be its frame's, less the two counts. */
+    private void fits(int length) throws Malformed {
+        if (to - from >= 11) {
+            var head = ByteBuffer.wrap(kept, from + 5, 6);
+            int columns = head.getShort();
+            int value = head.getInt();
+            if (columns != 1 || Math.max(0, value) != length - 10 || value < -1) {
+                throw new Malformed("a row of " + columns + " columns and " + value + " bytes in " + length);
+            }
+        }
     }
 
     private PgMessage startup(Body b) throws Malformed {
@@ -97,19 +148,37 @@
             case 'Q' -> new PgMessage.Query(b.text());
             case 'S' -> new PgMessage.Sync();
             case 'X' -> new PgMessage.Terminate();
-            default -> new PgMessage.Other(type);
+            default -> {
+                b.rest();
+                yield new PgMessage.Other(type);
+            }
         };
     }
 
     private static PgMessage servers(char type, Body b) throws Malformed {
         return switch (type) {
-            case 'R' -> b.int32() == 0 ? new PgMessage.AuthenticationOk() : new PgMessage.Other('R');
+            case 'R' -> {
+                if (b.int32() != 0) {
+                    throw new Malformed("a password is asked for");
+                }
+                yield new PgMessage.AuthenticationOk();
+            }
             case 'K' -> new PgMessage.BackendKeyData(b.int32(), b.int32());
             case 'S' -> new PgMessage.ParameterStatus(b.text(), b.text());
-            case 'Z' -> new PgMessage.ReadyForQuery();
+            case 'Z' -> {
+                char status = b.code();
+                if (status != 'I' && status != 'T' && status != 'E') {
+                    throw new Malformed("ready in no known state");
+                }
+                yield new PgMessage.ReadyForQuery();
+            }
             case 'T' -> {
-                byte[] body = b.rest();
-                yield new PgMessage.RowDescription(body.length < 2 ? 0 : (body[0] & 0xff) << 8 | body[1] & 0xff, body);
+                int columns = b.int16();
+                for (int i = 0; i < columns; i++) {
+                    b.text();
+                    b.skip(COLUMN);
+                }
+                yield new PgMessage.RowDescription(columns, b.whole());
             }
             case 'D' -> {
                 int columns = b.int16();
@@ -135,11 +204,13 @@
     /** The bytes of one message; running out of them is malformed. */
     private static final class Body {
         private final byte[] bytes;
+        private final int start;
         private int at;
         private final int end;
 
         Body(byte[] bytes, int at, int end) {
             this.bytes = bytes;
+            this.start = at;
             this.at = at;
             this.end = end;
         }
@@ -173,10 +244,12 @@
             return Arrays.copyOfRange(bytes, start, start + n);
         }
 
-        byte[] rest() {
-            int start = at;
-            at = end;
-            return Arrays.copyOfRange(bytes, start, end);
-        }
+        void skip(int n) throws Malformed { take(n); }
+
+        void rest() { at = end; }
+
+        boolean over() { return at == end; }
+
+        byte[] whole() { return Arrays.copyOfRange(bytes, start, end); }
     }
 }
--- a/src/main/java/crankspar/pg/ServerSession.java
+++ b/src/main/java/crankspar/pg/ServerSession.java
@@ -14,8 +14,14 @@
 /**
  * The pooler's side of a connection to a server. The first request waits for the server's welcome: what has
  * not been welcomed has not been written, so that a write caught by a hang can still be proved unsent.
+ *
+ * An answer is the exact sequence of columns, one row, its completion and ReadyForQuery, or an error and
+ * ReadyForQuery, with notes between them. Guards against spoilt answers: anything else may have run, is
+ * served to nobody, its notes count for nothing, and its connection is of no more use.
  */
 final class ServerSession implements Carrier<Statement, PgAnswer> {
+    private enum Phase { DIALLED, WELCOMING, IDLE, SETTLING, SETTLED, ASKED, COLUMNS, ROW, COMPLETE, ERROR }
+
     private static final byte[] STARTUP;
 
     static {
@@ -25,11 +31,14 @@
         STARTUP = new PgEncoder().add(new PgMessage.Startup(parameters)).bytes();
     }
 
+    /** An empty query: answered at once, with no effect, and after all that the server had yet to say. */
+    private static final byte[] SETTLE = new PgEncoder().add(new PgMessage.Query("")).bytes();
+
     private final PgDecoder decoder = new PgDecoder(false);
     private final Counters counters;
     private Keeper keeper;
     private Out out;
-    private boolean welcomed;
+    private Phase phase = Phase.DIALLED;
     private Reach reach = Reach.NOT_CONNECTED;
     private Statement statement;
     private Consumer<AttemptEnd<PgAnswer>> end;
@@ -44,7 +53,7 @@
 
     @Override public void keeper(Keeper keeper) { this.keeper = keeper; }
     @Override public Reach reach() { return reach; }
-    @Override public boolean reusable() { return reach == Reach.ANSWERED; }
+    @Override public boolean reusable() { return phase == Phase.IDLE && decoder.empty(); }
 
     @Override public void opened(Out out) {
         this.out = out;
@@ -54,10 +63,7 @@
     @Override public void carry(Statement statement, double left, Consumer<AttemptEnd<PgAnswer>> end) {
         this.statement = statement;
         this.end = end;
-        columns = null;
-        row = null;
-        complete = null;
-        error = null;
+        phase = Phase.ASKED;
         role = Role.UNKNOWN;
         position = Double.NaN;
         reach = Reach.PARTLY_WRITTEN;
@@ -65,42 +71,73 @@
         out.write(bytes, bytes.length, () -> reach = reach == Reach.PARTLY_WRITTEN ? Reach.WHOLLY_WRITTEN : reach);
     }
 
+    /**
+     * The answer to an empty query comes behind whatever the server says of itself after an answer; a wait for
+     * it would only be a guess of how long that takes (measured: a copy 20 ms late on a busy machine).
+     */
+    @Override public void settle() {
+        phase = Phase.SETTLING;
+        out.write(SETTLE);
+    }
+
     @Override public void received(ByteBuffer in) {
         decoder.feed(in);
         try {
-            for (PgMessage m = decoder.next(); m != null; m = decoder.next()) {
+            PgMessage m = null;
+            while (phase != Phase.IDLE && (m = decoder.next()) != null) {
                 on(m);
             }
         } catch (PgDecoder.Malformed e) {
-            counters.add("server_malformed");
+            counters.add(end == null ? "server_unasked_bytes" : "server_malformed");
             out.close();
             keeper.gone("malformed: " + e.getMessage());
+            return;
+        }
+        if (phase == Phase.IDLE && !decoder.empty()) {
+            // A second copy, say: it must not be taken for the answer to the next request.
+            counters.add("server_unasked_bytes");
+            out.close();
+            keeper.gone("bytes that nothing asked for");
         }
     }
 
-    private void on(PgMessage m) {
+    private void on(PgMessage m) throws PgDecoder.Malformed {
         if (m instanceof PgMessage.ParameterStatus p) {
             note(p);
-        } else if (m instanceof PgMessage.RowDescription d) {
+        } else if (m instanceof PgMessage.Report r && r.notice()) {
+            return;
+        } else if (phase == Phase.DIALLED && m instanceof PgMessage.AuthenticationOk) {
+            phase = Phase.WELCOMING;
+        } else if (phase == Phase.WELCOMING && m instanceof PgMessage.BackendKeyData) {
+            return;
+        } else if (phase == Phase.WELCOMING && m instanceof PgMessage.ReadyForQuery && decoder.empty()) {
+            phase = Phase.IDLE;
+            keeper.ready();
+        } else if (phase.compareTo(Phase.IDLE) < 0 && m instanceof PgMessage.Report r) {
+            // Too many connections, say: told before anything was asked, so nothing was written.
+            out.close();
+            keeper.gone("not welcome: " + r.code() + " " + r.message());
+        } else if (phase == Phase.SETTLING && m instanceof PgMessage.EmptyQueryResponse) {
+            phase = Phase.SETTLED;
+        } else if (phase == Phase.SETTLED && m instanceof PgMessage.ReadyForQuery && decoder.empty()) {
+            phase = Phase.IDLE;
+            keeper.ready();
+        } else if (phase == Phase.ASKED && m instanceof PgMessage.RowDescription d && d.columns() == 1) {
             columns = d;
-        } else if (m instanceof PgMessage.DataRow d) {
+            phase = Phase.COLUMNS;
+        } else if (phase == Phase.COLUMNS && m instanceof PgMessage.DataRow d) {
             row = d;
-        } else if (m instanceof PgMessage.CommandComplete c) {
+            phase = Phase.ROW;
+        } else if (phase == Phase.ROW && m instanceof PgMessage.CommandComplete c) {
             complete = c;
-        } else if (m instanceof PgMessage.Report r && !r.notice()) {
+            phase = Phase.COMPLETE;
+        } else if (phase == Phase.ASKED && m instanceof PgMessage.Report r) {
             error = r;
-            if (!welcomed && r.code().equals("53300")) {
-                // Too many connections: said before anything was asked, so nothing was written.
-                out.close();
-                keeper.gone("not welcome: " + r.message());
-            }
-        } else if (m instanceof PgMessage.ReadyForQuery) {
-            if (!welcomed) {
-                welcomed = true;
-                keeper.ready();
-            } else if (end != null) {
-                over();
-            }
+            phase = Phase.ERROR;
+        } else if ((phase == Phase.COMPLETE || phase == Phase.ERROR) && m instanceof PgMessage.ReadyForQuery) {
+            over();
+        } else {
+            throw new PgDecoder.Malformed(m.getClass().getSimpleName() + " out of turn, in " + phase);
         }
     }
 
@@ -108,79 +145,73 @@
         if (p.name().equals("role")) {
             role = p.value().equals("primary") ? Role.PRIMARY : p.value().equals("replica") ? Role.REPLICA : Role.UNKNOWN;
         } else if (p.name().equals("applied_ms")) {
-            try {
-                position = Double.parseDouble(p.value());
-            } catch (NumberFormatException e) {
-                counters.add("server_malformed");
-            }
+            position = number(p.value());
         }
     }
 
-    /** ReadyForQuery ends the request, and with it the notes that came before. */
+    /** A plain decimal number, or NaN: no sign, no exponent, none of the other things that Java would read. */
+    private double number(String text) {
+        if (text.length() <= 24 && text.matches("[0-9]+(\\.[0-9]*)?")) {
+            return Double.parseDouble(text);
+        }
+        counters.add("server_unread_notes");
+        return Double.NaN;
+    }
+
+    /** ReadyForQuery, or the connection's end after an error, ends the request, and with it its notes. */
     private void over() {
         Consumer<AttemptEnd<PgAnswer>> told = end;
         AttemptEnd<PgAnswer> how = how();
         end = null;
+        phase = Phase.IDLE;
         reach = Reach.ANSWERED;
         told.accept(how);
     }
 
     private AttemptEnd<PgAnswer> how() {
         var note = new Note(role, position);
-        if (error != null) {
+        if (phase == Phase.ERROR) {
             return switch (error.code()) {
                 case "25006", "72000" -> new AttemptEnd.Missed<>(note);
                 case "53300", "57P03" -> new AttemptEnd.TurnedAway<>(note);
                 default -> {
-                    counters.add("server_error_" + error.code());
+                    counters.add("server_error_" + (error.code().matches("[0-9A-Z]{5}") ? error.code() : "other"));
                     yield new AttemptEnd.Erred<>(note, error.code() + " " + error.message());
                 }
             };
         }
-        if (row == null || complete == null || columns == null) {
-            counters.add("server_malformed");
-            return new AttemptEnd.Erred<>(note, "no row came");
-        }
         if (statement.sql().equals(Statement.LOAD)) {
-            note = LoadReport.read(row);
+            note = report();
         }
         return new AttemptEnd.Served<>(new PgAnswer(columns, row, complete), note);
     }
 
     /** An error that ends the connection needs no ReadyForQuery: what it says still counts. */
     @Override public void ended(String why) {
-        if (end != null && error != null) {
-            Consumer<AttemptEnd<PgAnswer>> told = end;
-            AttemptEnd<PgAnswer> how = how();
-            end = null;
-            told.accept(how);
+        if (phase == Phase.ERROR && decoder.empty()) {
+            over();
         }
         keeper.gone(why);
     }
 
-    /** The report that a probe brings: {@code x0=1767225600.123,x1=1}, a position in Unix seconds and a role. */
-    static final class LoadReport {
-        private LoadReport() { }
-
-        static Note read(PgMessage.DataRow row) {
-            double position = Double.NaN;
-            Role role = Role.UNKNOWN;
-            for (byte[] value : row.values()) {
-                for (String part : value == null ? new String[0]
-                        : new String(value, StandardCharsets.UTF_8).split("[,{}\\s\"]+")) {
-                    String[] pair = part.split("[=:]", 2);
-                    try {
-                        if (pair[0].equals("x0")) {
-                            position = 1000 * Double.parseDouble(pair[1]);
-                        } else if (pair[0].equals("x1")) {
-                            role = Double.parseDouble(pair[1]) >= 0.5 ? Role.PRIMARY : Role.REPLICA;
-                        }
-                    } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
-                        return Note.NONE;
-                    }
-                }
+    /**
+     * The report that a probe brings: {@code x0=1767225600.123,x1=1}, a position in Unix seconds and a role.
+     * One that cannot be read whole tells nothing.
+     */
+    private Note report() {
+        double at = Double.NaN;
+        double primary = Double.NaN;
+        byte[] value = row.values().get(0);
+        for (String part : value == null || value.length > 1024 ? new String[0]
+                : new String(value, StandardCharsets.UTF_8).split("[,{}\\s\"]+")) {
+            String[] pair = part.split("[=:]", 2);
+            if (pair.length == 2 && pair[0].equals("x0")) {
+                at = 1000 * number(pair[1]);
+            } else if (pair.length == 2 && pair[0].equals("x1")) {
+                primary = number(pair[1]);
             }
-            return new Note(role, position);
         }
+        return Double.isNaN(at) || primary != 0 && primary != 1 ? Note.NONE
+                : new Note(primary == 1 ? Role.PRIMARY : Role.REPLICA, at);
     }
 }
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -86,7 +86,7 @@
     }
 
     private static Carrier<RestQuery, RestAnswer> dial(Counters counters, Loop loop) {
-        return new RestServerSession(counters, loop::now);
+        return new RestServerSession(counters, loop);
     }
 
     /** An error of a resource's, in the same words as all others. */
--- a/src/main/java/crankspar/rest/RestServerSession.java
+++ b/src/main/java/crankspar/rest/RestServerSession.java
@@ -7,6 +7,7 @@
 import crankspar.core.AttemptEnd;
 import crankspar.core.AttemptEnd.Note;
 import crankspar.core.Counters;
+import crankspar.core.Pooler;
 import crankspar.core.Reach;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
@@ -19,15 +20,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.function.Consumer;
-import java.util.function.DoubleSupplier;
 
 /** The pooler's side of a connection to a server that speaks REST: one request at a time, HTTP/1.1. */
 final class RestServerSession implements Carrier<RestQuery, RestAnswer>, HttpParser.Handler {
     static final int BODY_MOST = 256 * 1024;
+    /** HTTP/1.1 has nothing to ask a server behind an answer: it is listened to for this long (ms) instead. */
+    private static final double SETTLE = 20;
 
     private final HttpParser parser = new HttpParser(false, BODY_MOST, this);
     private final Counters counters;
-    private final DoubleSupplier clock;
+    private final Pooler.Time clock;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Keeper keeper;
     private Out out;
@@ -37,8 +39,9 @@
     private HttpHead.Response head;
     private Consumer<AttemptEnd<RestAnswer>> end;
     private boolean keepAlive = true;
+    private boolean surplus;
 
-    RestServerSession(Counters counters, DoubleSupplier clock) {
+    RestServerSession(Counters counters, Pooler.Time clock) {
         this.counters = counters;
         this.clock = clock;
     }
@@ -56,7 +59,7 @@
         query = q;
         end = whenOver;
         reach = Reach.PARTLY_WRITTEN;
-        least = q.least(clock.getAsDouble());
+        least = q.least(clock.now());
         var headers = new LinkedHashMap<String, String>();
         headers.put("Host", "server");
         headers.put("Request-Deadline-Ms", Long.toString(Math.max(1, Math.round(left))));
@@ -72,6 +75,14 @@
         out.write(bytes, bytes.length, () -> reach = reach == Reach.PARTLY_WRITTEN ? Reach.WHOLLY_WRITTEN : reach);
     }
 
+    @Override public void settle() {
+        clock.after(SETTLE, () -> {
+            if (!surplus) {
+                keeper.ready();
+            }
+        });
+    }
+
     private static String target(RestQuery q) {
         if (q == RestQuery.LOAD) {
             return "/v1/load";
@@ -95,15 +106,27 @@
 
     @Override public void received(ByteBuffer in) {
         try {
-            parser.feed(in);
+            while (end != null && in.hasRemaining()) {
+                parser.feedMessage(in);
+            }
         } catch (HttpParser.Malformed e) {
             in.position(in.limit());
-            counters.add("server_malformed");
-            out.close();
-            keeper.gone("malformed: " + e.getMessage());
+            spoilt("server_malformed", "malformed: " + e.getMessage());
+            return;
+        }
+        if (in.hasRemaining()) {              // a second copy, say: it must not answer the next request
+            in.position(in.limit());
+            spoilt("server_unasked_bytes", "bytes that nothing asked for");
         }
     }
 
+    private void spoilt(String counter, String why) {
+        surplus = true;
+        counters.add(counter);
+        out.close();
+        keeper.gone(why);
+    }
+
     @Override public void head(HttpHead head) {
         this.head = (HttpHead.Response) head;
         body.reset();
@@ -112,10 +135,8 @@
     @Override public void body(byte[] part) {
         if (body.size() + part.length <= BODY_MOST) {
             body.writeBytes(part);
-        } else {
-            out.close();
-            counters.add("server_malformed");
-            keeper.gone("an answer of more than " + BODY_MOST + " bytes");
+        } else if (!surplus) {
+            spoilt("server_malformed", "an answer of more than " + BODY_MOST + " bytes");
         }
     }
 
@@ -126,10 +147,8 @@
         keepAlive = head.keepAlive();
         Consumer<AttemptEnd<RestAnswer>> told = end;
         end = null;
-        if (told == null) {
-            out.close();                      // an answer that nothing asked for
-            keeper.gone("an answer out of turn");
-            return;
+        if (told == null || surplus) {
+            return;                           // it was too long, and is given up already
         }
         AttemptEnd<RestAnswer> how = how();
         reach = Reach.ANSWERED;
@@ -205,6 +224,7 @@
                     }
                 }
             }
+            items = p.nextToken() == null ? items : null;
         } catch (IOException e) {
             items = null;
         }
@@ -215,12 +235,9 @@
         return new AttemptEnd.Served<>(new RestAnswer(status, type, bytes, items, next), note);
     }
 
+    /** A plain number, or NaN: nothing else that Java would read passes for a position. */
     private static double number(String text) {
-        try {
-            return text == null ? Double.NaN : Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            return Double.NaN;
-        }
+        return text != null && text.matches("[0-9]{1,15}(\\.[0-9]{0,6})?") ? Double.parseDouble(text) : Double.NaN;
     }
 
     @Override public void ended(String why) {
--- a/src/test/java/crankspar/core/PoolerTest.java
+++ b/src/test/java/crankspar/core/PoolerTest.java
@@ -26,6 +26,7 @@
     private final Counters counters = new Counters();
     private Consumer<AttemptEnd<String>> end;
     private Reach reach = Reach.WHOLLY_WRITTEN;
+    private double heardPosition;
     private boolean depth;
     private double now = 1000;
 
@@ -54,6 +55,7 @@
             act(() -> actions.send(r.id(), "m", 0));
         }
         @Override public void onOutcome(double now, Outcome o) {
+            heardPosition = o.position();
             enter(o.status() + (o.over() ? " over" : ""));
             if (!o.over()) {
                 act(() -> {
@@ -145,4 +147,16 @@
         assertThat(answers).extracting(a -> ((FinalAnswer.Failed<String>) a).mayHaveRun())
                 .containsExactly(false, false, true, true);
     }
+
+    /** Guards against a position to come: believed once, it would pass its member for good. */
+    @Test void aPositionAheadOfTheClockIsNoNews() {
+        for (double position : new double[] {now + 5000, 1e300, Double.POSITIVE_INFINITY, -1}) {
+            take("q");
+            end.accept(new AttemptEnd.Served<>("a", new AttemptEnd.Note(Router.Role.REPLICA, position)));
+            assertThat(heardPosition).as("" + position).isNaN();
+        }
+        take("q");
+        end.accept(new AttemptEnd.Served<>("a", new AttemptEnd.Note(Router.Role.REPLICA, now - 5)));
+        assertThat(heardPosition).isEqualTo(now - 5);
+    }
 }
--- a/src/test/java/crankspar/pg/PgFrontTest.java
+++ b/src/test/java/crankspar/pg/PgFrontTest.java
@@ -99,7 +99,9 @@
             pg.send(new PgMessage.AuthenticationOk(), new PgMessage.ReadyForQuery());
             while (true) {
                 String sql = ((PgMessage.Query) pg.next()).sql();
-                if (sql.equals("SHOW load")) {
+                if (sql.isEmpty()) {
+                    pg.send(new PgMessage.EmptyQueryResponse(), new PgMessage.ReadyForQuery());
+                } else if (sql.equals("SHOW load")) {
                     row(pg, "x0=" + loop.now() / 1000 + ",x1=1");
                 } else {
                     script.play(pg, sql);
@@ -285,4 +287,91 @@
         assertThat(busy.answer().get(1)).isInstanceOf(PgMessage.DataRow.class);
         assertThat(busy.wire.ends()).isTrue();
     }
+
+    private static byte[] bytes(PgMessage... messages) {
+        var e = new PgEncoder();
+        for (PgMessage m : messages) {
+            e.add(m);
+        }
+        return e.bytes();
+    }
+
+    /** Guards against spoilt answers: they may have run, are served to nobody, and nothing is sent after them. */
+    @Test void aSpoiltAnswerFailsAWriteAndItsConnectionCarriesNothingMore() throws Exception {
+        var columns = PgEncoder.textColumns("val");
+        var row = new PgMessage.DataRow(List.of("other".getBytes()));
+        var done = new PgMessage.CommandComplete("INSERT 0 1");
+        var ready = new PgMessage.ReadyForQuery();
+        byte[] longRow = bytes(columns, row, done, ready);
+        longRow[bytes(columns).length + 4] += 9;                  // its length takes in what follows
+        byte[] hugeValue = bytes(columns, row);
+        hugeValue[bytes(columns).length + 7] = (byte) 0xB2;       // 3 GB, it says
+        List<byte[]> spoilt = List.of(bytes(columns, row, row, done, ready), bytes(columns, done, ready),
+                bytes(row, done, ready), bytes(columns, row, done, done, ready), bytes(ready),
+                bytes(columns, new PgMessage.DataRow(List.of(new byte[1], new byte[1])), done, ready),
+                bytes(PgEncoder.textColumns("a", "b"), row, done, ready), bytes(columns, row, new PgMessage.EmptyQueryResponse()),
+                bytes(columns, row, PgMessage.Report.error("ERROR", "53300", "full"), ready), longRow, hugeValue,
+                "what is this\n".getBytes(), new byte[] {'Z', 0, 0, 0, 9}, new byte[] {'C', 0x7f, 0, 0, 0});
+        var at = new AtomicInteger();
+        ScriptedPeer server = server((pg, sql) -> {
+            pg.wire.send(spoilt.get(at.getAndIncrement() % spoilt.size()));
+            pg.next();                        // nothing may come after it
+            at.addAndGet(1000);
+        });
+        pooler(server.address());
+        Pg client = welcomed();
+        for (int i = 0; i < spoilt.size(); i++) {
+            assertThat(code(client.ask(write("g" + i)))).as("spoilt answer " + i).isEqualTo("08007");
+            assertThat(at).hasValue(i + 1);
+        }
+    }
+
+    /** Guards against a stray copy that answers the next request, at once or a little later. */
+    @Test void whatComesAfterAnAnswerIsNeverTheNextOnes() throws Exception {
+        var asked = new AtomicInteger();
+        pooler(server((pg, sql) -> {
+            var e = new PgEncoder().add(PgEncoder.textColumns("val"))
+                    .add(new PgMessage.DataRow(List.of(sql.substring(6, 9).getBytes())))
+                    .add(new PgMessage.CommandComplete("SELECT 1")).add(new PgMessage.ReadyForQuery());
+            byte[] one = e.bytes();
+            byte[] two = java.util.Arrays.copyOf(one, 2 * one.length);
+            System.arraycopy(one, 0, two, one.length, one.length);
+            if (asked.incrementAndGet() % 2 == 0) {
+                pg.wire.send(two);
+            } else {
+                pg.wire.send(one);
+                Thread.sleep(30);             // the copy's own way
+                pg.wire.send(one);
+            }
+        }).address());
+        Pg client = welcomed();
+        for (int i = 10; i < 40; i++) {
+            var row = (PgMessage.DataRow) client.ask(read("r" + i)).get(1);
+            assertThat(new String(row.values().get(0))).isEqualTo("r" + i);
+        }
+        loop.runAndWait(() -> assertThat(counters.get("server_unasked_bytes")).isGreaterThan(20));
+    }
+
+    /** Guards against a report that cannot be read, or a position to come, believed as news of a member. */
+    @Test void noisyNotesTellNothing() throws Exception {
+        for (String value : List.of("NaN", "1e300", "Infinity", "0x1p60", "-5", "9".repeat(15), "")) {
+            var session = new ServerSession(counters);
+            var told = new ArrayList<crankspar.core.AttemptEnd<PgAnswer>>();
+            session.keeper(new crankspar.net.Carrier.Keeper() {
+                @Override public void ready() { session.carry(Statement.probe(), 100, told::add); }
+                @Override public void gone(String why) { }
+            });
+            session.opened(new crankspar.net.Machine.Out() {
+                @Override public void write(byte[] bytes, int length, Runnable written) { }
+                @Override public void finish() { }
+                @Override public void close() { }
+            });
+            session.received(ByteBuffer.wrap(bytes(new PgMessage.AuthenticationOk(), new PgMessage.ReadyForQuery())));
+            session.received(ByteBuffer.wrap(bytes(PgEncoder.textColumns("load"),
+                    new PgMessage.DataRow(List.of(("x0=" + value + ",x1=1").getBytes())),
+                    new PgMessage.CommandComplete("SHOW"), new PgMessage.ReadyForQuery())));
+            var note = ((crankspar.core.AttemptEnd.Served<PgAnswer>) told.get(0)).note();
+            assertThat(note.position()).as(value).matches(x -> Double.isNaN(x) || x > 1e17); // the core drops the latter
+        }
+    }
 }
--- a/src/test/java/crankspar/rest/RestFrontTest.java
+++ b/src/test/java/crankspar/rest/RestFrontTest.java
@@ -256,4 +256,22 @@
         assertThat(answer).matches("(?s)HTTP/1.1 503.*Retry-After: 2\r\n.*").contains("\"outcome\":\"not-run\"");
         assertThat(now() - asked).isLessThan(200 + 500);
     }
+
+    /** Guards against a stray copy that answers the next page: each must be the one that was asked for. */
+    @Test void aSecondCopyOfAnAnswerIsNotTheNextOnes() throws Exception {
+        ScriptedPeer primary = server(wire -> {
+            for (String call = wire.http(); call != null; call = wire.http()) {
+                String answer = call.startsWith("GET /v1/load")
+                        ? ok("", "{\"role\":\"primary\",\"position\":" + (long) now() + "}")
+                        : ok("Role: primary\r\nApplied-Position: " + (long) now() + "\r\n",
+                                "{\"items\":[\"" + call.replaceAll("(?s).*key=([a-z0-9]+).*", "$1") + "\"]}");
+                wire.send(answer + answer);
+            }
+        });
+        Wire client = pooler(primary);
+        for (int i = 10; i < 30; i++) {
+            client.send(get("/v1/groups/1/my-roster?key=k" + i));
+            assertThat(client.http()).startsWith("HTTP/1.1 200").contains("\"k" + i + "\"");
+        }
+    }
 }
