Clients at the bound make room; silent, half and unreadable clients end in time

Checked: Clients.admit refused every newcomer once 55 % of the descriptors were held, however idle the holders; nothing ended a connection that sent no startup or half a message; a finished connection left the count 300 ms before its descriptor was free; closeIfIdle looked at requests only, not at half a command in the decoder.

Now: a place is counted until its connection is closed; at the bound the place of a leaving, silent, never asking or longest idle client goes to the newcomer, in this order; a greeting is due in 1 s, a first request in 2 s, the rest of a message in 1.8 s. Statements are checked before they are taken. Bad bytes get an error for each whole request before them, then FATAL. The guards are in net and serve both fronts.

--- a/src/main/java/crankspar/http/HttpParser.java
+++ b/src/main/java/crankspar/http/HttpParser.java
@@ -72,6 +72,9 @@
         }
     }
 
+    /** Whether no part of a next message has come. */
+    public boolean between() { return state == State.HEAD && start == null && line.size() == 0; }
+
     /** The connection has ended: the end of a body that has no other, or of a message cut short. */
     public void close() throws Malformed {
         if (state == State.TO_CLOSE) {
--- a/src/main/java/crankspar/http/HttpText.java
+++ b/src/main/java/crankspar/http/HttpText.java
@@ -34,6 +34,7 @@
             case 400 -> "Bad Request";
             case 404 -> "Not Found";
             case 405 -> "Method Not Allowed";
+            case 408 -> "Request Timeout";
             case 409 -> "Conflict";
             case 413 -> "Content Too Large";
             case 422 -> "Unprocessable Content";
--- a/src/main/java/crankspar/net/Clients.java
+++ b/src/main/java/crankspar/net/Clients.java
@@ -1,51 +1,124 @@
 package crankspar.net;
 
 import crankspar.core.Counters;
+import crankspar.net.Visitor.Standing;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
-import java.util.Set;
-import java.util.function.Consumer;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.function.Supplier;
 
-/** A front's client connections: admitted up to a bound, and closed between two requests when it drains. */
-public final class Clients<S extends Machine> {
+/**
+ * A front's client connections, each counted until it is really closed. Up to a bound all are admitted; at
+ * the bound the one that needs its place least makes room. Those that say nothing, or stop in the middle of
+ * a message, are ended in time.
+ */
+public final class Clients<S extends Visitor> {
+    private static final double SWEEP = 100;
+    /** From connecting to a greeting (ms): guards against hundreds that connect and say nothing. */
+    private static final double SILENT_MOST = 1000;
+    /** From connecting to a first request (ms). */
+    private static final double UNASKED_MOST = 2000;
+    /** For one message, from its first byte to its last (ms): guards against lines that never end. */
+    private static final double HALF_MOST = 1800;
+
     private final Loop loop;
     private final Counters counters;
     private final int most;
     private final Supplier<S> maker;
-    private final Consumer<S> closeIfIdle;
-    private final Set<S> sessions = new LinkedHashSet<>();
+    private final Map<S, Place> places = new LinkedHashMap<>();
     private Loop.Listener listener;
     private boolean draining;
 
-    public Clients(Loop loop, Counters counters, int most, Supplier<S> maker, Consumer<S> closeIfIdle) {
+    /** How long a session has stood as it stands, to the nearest sweep. */
+    private static final class Place {
+        final double opened;
+        Standing standing = Standing.NEW;
+        long progress;
+        double since;
+
+        Place(double now) { opened = since = now; }
+    }
+
+    public Clients(Loop loop, Counters counters, int most, Supplier<S> maker) {
         this.loop = loop;
         this.counters = counters;
         this.most = most;
         this.maker = maker;
-        this.closeIfIdle = closeIfIdle;
     }
 
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
         listener = loop.listen(address, this::admit);
+        loop.after(SWEEP, this::sweep);
         return listener.address();
     }
 
-    /** A machine for a client's connection, or null when there are too many. */
+    private double now() { return loop == null ? 0 : loop.now(); }
+
+    /** A machine for a client's connection, or null when all places are taken by requests. */
     public Machine admit() {
-        if (sessions.size() >= most) {
+        if (places.size() >= most && !makeRoom()) {
             counters.add("client_connections_refused");
             return null;
         }
         counters.add("client_connections");
         S session = maker.get();
-        sessions.add(session);
+        places.put(session, new Place(now()));
         return session;
     }
 
-    public void closed(S session) { sessions.remove(session); }
+    /**
+     * Guards against clients that ask once and keep their connections: turning newcomers away instead left
+     * four in five of a day's connections unserved.
+     */
+    private boolean makeRoom() {
+        S least = null;
+        Standing lowest = Standing.HALF;
+        double oldest = 0;
+        for (Map.Entry<S, Place> e : places.entrySet()) {
+            Standing standing = e.getKey().standing();
+            double since = standing == e.getValue().standing ? e.getValue().since : now();
+            if (standing.compareTo(lowest) < 0 || standing == lowest && least != null && since < oldest) {
+                least = e.getKey();
+                lowest = standing;
+                oldest = since;
+            }
+        }
+        if (least == null) {
+            return false;
+        }
+        counters.add("client_connections_" + lowest.name().toLowerCase(java.util.Locale.ROOT) + "_closed_for_room");
+        least.drop();
+        return true;
+    }
+
+    private void sweep() {
+        double now = now();
+        for (Map.Entry<S, Place> e : new ArrayList<>(places.entrySet())) {
+            S session = e.getKey();
+            Place place = e.getValue();
+            if (session.standing() != place.standing || session.progress() != place.progress) {
+                place.standing = session.standing();
+                place.progress = session.progress();
+                place.since = now;
+            }
+            if (place.standing == Standing.NEW && now - place.opened > SILENT_MOST) {
+                counters.add("client_connections_silent");
+                session.turnAway("nothing whole came in time");
+            } else if (place.standing == Standing.HALF && now - place.since > HALF_MOST) {
+                counters.add("client_connections_half");
+                session.turnAway("the rest of a message did not come in time");
+            } else if (place.standing == Standing.STARTED && now - place.opened > UNASKED_MOST) {
+                counters.add("client_connections_unasked");
+                session.closeIfIdle();
+            }
+        }
+        loop.after(SWEEP, this::sweep);
+    }
+
+    /** Its connection is closed, and its place free. */
+    public void closed(S session) { places.remove(session); }
 
     public boolean draining() { return draining; }
 
@@ -53,6 +126,6 @@
     public void drain() {
         draining = true;
         listener.close();
-        new ArrayList<>(sessions).forEach(closeIfIdle);
+        new ArrayList<>(places.keySet()).forEach(Visitor::closeIfIdle);
     }
 }
--- a/src/main/java/crankspar/net/Machine.java
+++ b/src/main/java/crankspar/net/Machine.java
@@ -26,4 +26,6 @@
     void received(ByteBuffer in);
     /** The peer or the network ended it, or it never came up: told once, never after an own close. */
     void ended(String why);
+    /** The connection is closed, whoever closed it: told once, and last. */
+    default void closed() { }
 }
--- a/src/main/java/crankspar/net/Stream.java
+++ b/src/main/java/crankspar/net/Stream.java
@@ -16,6 +16,8 @@
     private static final int QUEUE_MOST = 512 * 1024;
     /** How long a finished connection is still read, so that no reset overtakes the last answer (ms). */
     private static final double LINGER = 300;
+    /** ... and how much of it at most: one that goes on sending is not worth the time. */
+    private static final int LINGER_BYTES = 256 * 1024;
 
     private record Chunk(ByteBuffer bytes, Runnable written) { }
 
@@ -24,7 +26,7 @@
     private final Machine machine;
     private final ArrayDeque<Chunk> queue = new ArrayDeque<>();
     private ByteBuffer in;
-    private int queued;
+    private int queued, lingered;
     private boolean open = true, reading, writing, finishing, finished;
 
     Stream(Loop loop, AsynchronousSocketChannel channel, Machine machine) {
@@ -68,8 +70,11 @@
                     return;
                 }
                 in.flip();
-                if (!finished) {
+                if (!finishing) {
                     guard(() -> machine.received(in));
+                } else if ((lingered += count) > LINGER_BYTES) {
+                    end("finished");
+                    return;
                 }
                 // Handlers may run inline: going round by the queue keeps a fast peer from nesting reads.
                 loop.run(Stream.this::read);
@@ -158,6 +163,7 @@
                     LOG.fine("close: " + e);
                 }
             }
+            machine.closed();
         }
     }
 
--- a/src/main/java/crankspar/pg/ClientSession.java
+++ b/src/main/java/crankspar/pg/ClientSession.java
@@ -2,7 +2,7 @@
 
 import crankspar.core.Counters;
 import crankspar.core.FinalAnswer;
-import crankspar.net.Machine;
+import crankspar.net.Visitor;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 
@@ -10,11 +10,11 @@
  * A client's connection: it takes one query at a time, in order, and answers each. What the answer is comes
  * from the {@link Desk}; this machine only knows how it is said.
  */
-final class ClientSession implements Machine {
+final class ClientSession implements Visitor {
     /** Where queries go. */
     interface Desk {
-        /** Takes a statement; the id names it until its answer comes. An error is for this client. */
-        String take(Statement statement, ClientSession session) throws Statement.Malformed;
+        /** Takes a statement; its id names it until its answer comes. An error is for this client. */
+        void take(Statement statement, ClientSession session) throws Statement.Malformed;
         void gone(String id);
         void closed(ClientSession session);
         boolean draining();
@@ -22,15 +22,16 @@
     }
 
     /** Queries that one client may have waiting; more than that is no client of ours. */
-    private static final int WAITING_MOST = 64;
-    private static final int WAITING_CHARS_MOST = 256 * 1024;
+    private static final int WAITING_MOST = 128;
+    private static final int WAITING_CHARS_MOST = 512 * 1024;
 
     private final PgDecoder decoder = new PgDecoder(true);
     private final Desk desk;
     private final ArrayDeque<PgMessage> waiting = new ArrayDeque<>();
     private int waitingChars;
     private Out out;
-    private boolean welcomed, skipping, busy, taking, over;
+    private boolean welcomed, asked, skipping, busy, taking, over;
+    private long messages;
     private String id;
 
     ClientSession(Desk desk) { this.desk = desk; }
@@ -41,6 +42,7 @@
         decoder.feed(in);
         try {
             for (PgMessage m = decoder.next(); m != null && !over; m = decoder.next()) {
+                messages++;
                 waitingChars += m instanceof PgMessage.Query q ? q.sql().length() : 0;
                 if (waiting.size() >= WAITING_MOST || waitingChars > WAITING_CHARS_MOST) {
                     fatal("54000", "too many statements at once");
@@ -91,9 +93,8 @@
         } else if (m instanceof PgMessage.Other o && welcomed) {
             unknown(o.type());
         } else {
-            over = true;                      // Terminate, CancelRequest, or anything before a startup
+            leave();                          // Terminate, CancelRequest, or anything before a startup
             out.close();
-            desk.closed(this);
         }
     }
 
@@ -108,6 +109,7 @@
     }
 
     private void query(String sql) {
+        asked = true;
         String bare = sql.strip();
         String word = bare.split("[\\s;]", 2)[0].toUpperCase(java.util.Locale.ROOT);
         if (bare.isEmpty() || bare.equals(";")) {
@@ -125,11 +127,12 @@
         } else {
             try {
                 Statement statement = Statement.parse(sql);
+                id = statement.id();
                 busy = true;
-                String taken = desk.take(statement, this);
-                id = busy ? taken : null;     // the answer may have come already
+                desk.take(statement, this);   // the answer may come within
             } catch (Statement.Malformed e) {
                 busy = false;
+                id = null;
                 desk.counters().add("client_malformed");
                 out.write(new PgEncoder().add(PgMessage.Report.error("ERROR", "08P01", e.getMessage()))
                         .add(new PgMessage.ReadyForQuery()).bytes());
@@ -157,29 +160,75 @@
         goOn();
     }
 
+    /**
+     * What cannot be read ends the connection. Guards against lost requests: each that came whole before it
+     * gets its answer first, and none is waited for, as the client is owed the error soon.
+     */
     private void fatal(String code, String message) {
+        if (over) {
+            return;
+        }
         desk.counters().add("client_malformed");
-        out.write(new PgEncoder().add(PgMessage.Report.error("FATAL", code, message)).bytes());
+        var e = new PgEncoder();
+        if (busy) {
+            e.add(PgMessage.Report.error("ERROR", "08007", "given up: " + message)).add(new PgMessage.ReadyForQuery());
+        }
+        for (PgMessage m : waiting) {
+            if (m instanceof PgMessage.Query) {
+                e.add(PgMessage.Report.error("ERROR", "53300", "not looked at: " + message))
+                        .add(new PgMessage.ReadyForQuery());
+            }
+        }
+        out.write(e.add(PgMessage.Report.error("FATAL", code, message)).bytes());
         out.finish();
         leave();
     }
 
-    /** Between requests a connection may be closed: the client sends what crosses this once more elsewhere. */
-    void closeIfIdle() {
-        if (!busy && !over && out != null) {
-            over = true;
+    @Override public Standing standing() {
+        if (over) {
+            return Standing.LEAVING;
+        }
+        return busy || !waiting.isEmpty() ? Standing.BUSY : !welcomed ? Standing.NEW
+                : !decoder.empty() ? Standing.HALF : asked ? Standing.IDLE : Standing.STARTED;
+    }
+
+    @Override public long progress() { return messages; }
+
+    @Override public void turnAway(String why) {
+        if (out == null) {
+            leave();
+        } else {
+            fatal("08P01", why);
+        }
+    }
+
+    /** Guards against ending half a command: its client would not know that it was not read. */
+    @Override public void closeIfIdle() {
+        Standing standing = standing();
+        if (out != null && (standing == Standing.IDLE || standing == Standing.STARTED
+                || standing == Standing.NEW && decoder.empty())) {
             out.finish();
-            desk.closed(this);
+            leave();
+        }
+    }
+
+    @Override public void drop() {
+        leave();
+        if (out != null) {
+            out.close();
         }
     }
 
     @Override public void ended(String why) { leave(); }
 
+    @Override public void closed() { desk.closed(this); }
+
     private void leave() {
         if (!over) {
             over = true;
-            desk.closed(this);
-            if (id != null) {
+            waiting.clear();
+            if (busy) {
+                busy = false;
                 desk.gone(id);
             }
         }
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -19,6 +19,8 @@
     private final Counters counters;
     private final Pooler<Statement, PgAnswer> pooler;
     private final Map<String, Integer> classes = new HashMap<>();
+    /** The clients' ids of what is open, with the core's. */
+    private final Map<String, String> open = new HashMap<>();
     private final Clients<ClientSession> clients;
 
     public PgFront(Loop loop, Router.Settings settings, Counters counters, Pooler<Statement, PgAnswer> pooler,
@@ -26,7 +28,7 @@
         this.settings = settings;
         this.counters = counters;
         this.pooler = pooler;
-        clients = new Clients<>(loop, counters, most, () -> new ClientSession(this), ClientSession::closeIfIdle);
+        clients = new Clients<>(loop, counters, most, () -> new ClientSession(this));
         settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
     }
 
@@ -39,20 +41,36 @@
     /** A machine for a client's connection, or null when there are too many. */
     public Machine session() { return clients.admit(); }
 
-    @Override public String take(Statement s, ClientSession session) throws Statement.Malformed {
+    /**
+     * Guards against what no client of ours sends: an id that is open already would let one client end or
+     * spoil another's request, and a read that is no SELECT would be run again as though it were harmless.
+     */
+    @Override public void take(Statement s, ClientSession session) throws Statement.Malformed {
+        String id = s.id();
         Integer kind = classes.get(s.text("c"));
         if (kind == null) {
-            throw new Statement.Malformed("unknown class " + s.text("c"));
+            throw new Statement.Malformed("unknown class");
+        }
+        Router.RequestClass c = settings.classes().get(kind);
+        Freshness freshness = c.freshness();
+        if (freshness != Freshness.WRITE && !s.reads()) {
+            throw new Statement.Malformed("a read must be a SELECT");
         }
-        double group = s.number("cluster");
-        Freshness freshness = settings.classes().get(kind).freshness();
         boolean inSession = freshness == Freshness.SESSION || freshness == Freshness.WRITE;
         double mark = s.names().containsKey("after") ? s.number("after") : Double.NaN;
-        return pooler.take(new Pooler.Ask<>(kind, s.number("d"), inSession ? s.key() : null, mark, (int) group, s),
-                session::answer);
+        var ask = new Pooler.Ask<>(kind, Math.min(s.number("d"), c.giveUp()), inSession ? s.key() : null, mark,
+                (int) s.number("cluster"), s);
+        if (open.putIfAbsent(id, "") != null) {
+            throw new Statement.Malformed("a request with this id is open");
+        }
+        String taken = pooler.take(ask, answer -> {
+            open.remove(id);
+            session.answer(answer);
+        });
+        open.replace(id, taken);              // unless the answer has come already
     }
 
-    @Override public void gone(String id) { pooler.gone(id); }
+    @Override public void gone(String id) { pooler.gone(open.remove(id)); }
     @Override public boolean draining() { return clients.draining(); }
     @Override public Counters counters() { return counters; }
     @Override public void closed(ClientSession session) { clients.closed(session); }
--- a/src/main/java/crankspar/pg/Statement.java
+++ b/src/main/java/crankspar/pg/Statement.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * A statement with the comment that says what it asks for. It goes on as it came, but for {@code d}: the
@@ -18,6 +19,14 @@
     /** A probe: a statement of the pooler's own, without a comment. */
     static Statement probe() { return new Statement(LOAD, Map.of(), 0, null); }
 
+    private static final Pattern NAME = Pattern.compile("[a-z_]{1,16}");
+    private static final Pattern VALUE = Pattern.compile("[!-~&&[^,*/'\"]]{1,64}");
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,6})?");
+
+    /**
+     * Reads the comment, and looks at the statement as far as sending it on needs: one statement, of text
+     * that can be read, whose quotes end. Guards against servers, which close on what they cannot read.
+     */
     public static Statement parse(String sql) throws Malformed {
         int start = sql.indexOf("/*");
         int end = sql.indexOf("*/", start + 2);
@@ -25,18 +34,38 @@
             throw new Malformed("the statement does not begin with a comment");
         }
         var names = new LinkedHashMap<String, String>();
-        for (String part : sql.substring(start + 2, end).strip().split(",")) {
-            int equals = part.indexOf('=');
-            if (equals <= 0) {
+        for (String part : sql.substring(start + 2, end).strip().split(",", -1)) {
+            String[] pair = part.split("=", 2);
+            if (pair.length < 2 || !NAME.matcher(pair[0].strip()).matches()
+                    || !VALUE.matcher(pair[1].strip()).matches()) {
                 throw new Malformed("no name and value: " + brief(part));
             }
-            names.put(part.substring(0, equals).strip(), part.substring(equals + 1).strip());
+            if (names.put(pair[0].strip(), pair[1].strip()) != null) {
+                throw new Malformed("told twice: " + pair[0].strip());
+            }
+        }
+        int quotes = 0;
+        for (int i = end + 2; i < sql.length(); i++) {
+            char c = sql.charAt(i);
+            quotes += c == '\'' ? 1 : 0;
+            if (c < ' ' && c != '\n' && c != '\t' && c != '\r' || c == '\uFFFD'
+                    || c == ';' && quotes % 2 == 0 && !sql.substring(i + 1).isBlank()) {
+                throw new Malformed("no single statement of readable text");
+            }
+        }
+        if (quotes % 2 != 0 || sql.substring(end + 2).isBlank()) {
+            throw new Malformed("the statement does not end");
         }
         int quote = sql.indexOf('\'', end);
         int close = sql.indexOf('\'', quote + 1);
         return new Statement(sql, names, end + 2, quote < 0 || close < 0 ? null : sql.substring(quote + 1, close));
     }
 
+    String id() throws Malformed { return text("id"); }
+
+    /** Whether it only reads, as far as its first word tells. */
+    boolean reads() { return sql.substring(commentEnd).stripLeading().regionMatches(true, 0, "SELECT", 0, 6); }
+
     private static String brief(String part) { return part.length() > 40 ? part.substring(0, 40) + "..." : part; }
 
     public String text(String name) throws Malformed {
@@ -47,17 +76,13 @@
         return value;
     }
 
-    /** A number that is not negative. */
+    /** A plain number that is not negative: nothing else that Java would read as one, such as 10f or 0x1p3. */
     public double number(String name) throws Malformed {
-        try {
-            double value = Double.parseDouble(text(name));
-            if (value >= 0 && value < 1e15) {
-                return value;
-            }
-        } catch (NumberFormatException e) {
-            // told below
+        String value = text(name);
+        if (!NUMBER.matcher(value).matches()) {
+            throw new Malformed(name + " is no number: " + brief(value));
         }
-        throw new Malformed(name + " is no number: " + brief(names.get(name)));
+        return Double.parseDouble(value);
     }
 
     /** The text to send on, with what is left of the time. */
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -66,7 +66,7 @@
         this.settings = settings;
         this.counters = counters;
         this.pooler = pooler;
-        clients = new Clients<>(loop, counters, most, () -> new RestSession(this), RestSession::closeIfIdle);
+        clients = new Clients<>(loop, counters, most, () -> new RestSession(this));
         settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
         resources.put("/v1/status", this::status);
     }
--- a/src/main/java/crankspar/rest/RestSession.java
+++ b/src/main/java/crankspar/rest/RestSession.java
@@ -3,14 +3,14 @@
 import crankspar.core.Counters;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
-import crankspar.net.Machine;
+import crankspar.net.Visitor;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Map;
 
 /** A REST client's connection: requests are taken one at a time and answered in their order. */
-final class RestSession implements Machine, HttpParser.Handler {
+final class RestSession implements Visitor, HttpParser.Handler {
     /** One whole request. */
     record Call(HttpHead.Request head, byte[] body) { }
 
@@ -35,6 +35,7 @@
     private Out out;
     private Call now;
     private boolean over, last, taking;
+    private long calls;
 
     RestSession(Desk desk) { this.desk = desk; }
 
@@ -80,6 +81,7 @@
             refuse(Problem.of(400, "too-many", "Too many requests at once", "at most " + WAITING_MOST));
             return;
         }
+        calls++;
         waiting.add(new Call(head, body.toByteArray()));
     }
 
@@ -113,7 +115,7 @@
     }
 
     private void refuse(Problem problem) {
-        if (!over) {
+        if (!over && out != null) {
             out.write(problem.response(Map.of("Connection", "close")));
             boolean owed = now != null;
             finish();
@@ -123,25 +125,48 @@
         }
     }
 
-    void closeIfIdle() {
-        if (now == null && !over && out != null) {
+    @Override public Standing standing() {
+        if (over) {
+            return Standing.LEAVING;
+        }
+        return now != null || !waiting.isEmpty() ? Standing.BUSY : !parser.between() ? Standing.HALF
+                : calls == 0 ? Standing.NEW : Standing.IDLE;
+    }
+
+    @Override public long progress() { return calls; }
+
+    @Override public void turnAway(String why) {
+        refuse(Problem.of(408, "timeout", "The request did not come whole", why));
+    }
+
+    @Override public void closeIfIdle() {
+        if (standing() == Standing.IDLE || standing() == Standing.NEW) {
             finish();
         }
     }
 
+    @Override public void drop() {
+        ended("dropped");
+        if (out != null) {
+            out.close();
+        }
+    }
+
     private void finish() {
         over = true;
-        out.finish();
-        desk.closed(this);
+        if (out != null) {
+            out.finish();
+        }
     }
 
     @Override public void ended(String why) {
         if (!over) {
             over = true;
-            desk.closed(this);
             if (now != null) {
                 desk.left(this);
             }
         }
     }
+
+    @Override public void closed() { desk.closed(this); }
 }
--- a/src/test/java/crankspar/pg/PgFrontTest.java
+++ b/src/test/java/crankspar/pg/PgFrontTest.java
@@ -26,6 +26,8 @@
 
 /** Stories of PostgreSQL clients and scripted servers, over loopback: one for each failure met. */
 class PgFrontTest {
+    private static final int PLACES = 20;
+
     private final List<AutoCloseable> open = new ArrayList<>();
     private final Counters counters = new Counters();
     private Loop loop;
@@ -124,7 +126,7 @@
         var pool = new Pool<Statement, PgAnswer>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(), 250,
                 30_000, 20);
         var core = new Pooler<Statement, PgAnswer>(settings, loop, pool, on -> { }, counters, Balance::new);
-        front = new PgFront(loop, settings, counters, core, 20);
+        front = new PgFront(loop, settings, counters, core, PLACES);
         var members = new ArrayList<Member>();
         for (int i = 0; i < servers.length; i++) {
             members.add(new Member("m" + i, "burnaby", i == 0, 1, Health.RUNNING, 2, "", 0));
@@ -256,8 +258,15 @@
     @Test void malformedInputGetsAnErrorAndNothingElseEnds() throws Exception {
         pooler(server((pg, sql) -> row(pg, "v")).address());
         Pg client = welcomed();
-        for (String sql : List.of("SELECT 1", "/* c */ SELECT 1", "/* id=1,c=none,d=5,cluster=2 */ SELECT 1",
-                "/* id=1,c=scoreboard,d=x,cluster=2 */ SELECT 1", "/* id=1,c=scoreboard,d=5 */ SELECT 1")) {
+        var bad = new ArrayList<>(List.of("SELECT 1", "/* c */ SELECT 1", "/* id=1,c=none,d=5,cluster=2 */ SELECT 1",
+                "/* id=1,c=scoreboard,d=5 */ SELECT 1", "/* c=scoreboard,d=5,cluster=2 */ SELECT 1",
+                "/* id=1,id=2,c=scoreboard,d=5,cluster=2 */ SELECT 1", "/* id=1,c=scoreboard,d=5,cluster=2 */ SELECT 'a",
+                "/* id=1,c=scoreboard,d=5,cluster=2 */ SELECT 1; SELECT 2", "/* id=1,c=scoreboard,d=5,cluster=2 */ \u0001",
+                "/* id=1,c=scoreboard,d=5,cluster=2 */ INSERT INTO state VALUES ('a')", "/* id=1,c=scoreboard,d=5,cluster=2 */"));
+        for (String d : List.of("x", "-5", "1e3", "0x10", "10f", "NaN", "Infinity", "")) {
+            bad.add("/* id=1,c=scoreboard,d=" + d + ",cluster=2 */ SELECT 1");
+        }
+        for (String sql : bad) {
             assertThat(code(client.ask(sql))).as(sql).isEqualTo("08P01");
         }
         client.wire.send(new byte[] {'P', 0, 0, 0, 4, 'S', 0, 0, 0, 4}); // Parse, then Sync
@@ -266,7 +275,7 @@
         client.wire.send(new byte[] {'Q', 0x7f, 0, 0, 0});                // a frame of 2 GB
         assertThat(((PgMessage.Report) client.next()).code()).isEqualTo("08P01");
         assertThat(client.wire.ends()).isTrue();
-        loop.runAndWait(() -> assertThat(counters.get("client_malformed")).isEqualTo(6));
+        loop.runAndWait(() -> assertThat(counters.get("client_malformed")).isEqualTo(bad.size() + 1));
     }
 
     /** Guards against a restart that loses what is on its way: open at first, then a gentle end. */
@@ -374,4 +383,76 @@
             assertThat(note.position()).as(value).matches(x -> Double.isNaN(x) || x > 1e17); // the core drops the latter
         }
     }
+
+    /** Guards against a taken request lost to the bad bytes behind it: each gets its answer, then the error. */
+    @Test void whatCameWholeBeforeBadBytesIsAnswered() throws Exception {
+        ScriptedPeer[] self = new ScriptedPeer[1];
+        ScriptedPeer server = self[0] = server((pg, sql) -> self[0].saw(sql)); // and says nothing
+        pooler(server.address());
+        Pg client = welcomed();
+        client.send(new PgMessage.Query(write("b1")), new PgMessage.Query(read("b2")));
+        assertThat(server.next()).contains("b1");
+        client.wire.send(new byte[] {'Q', -1, -1, -1, -1});
+        assertThat(code(client.answer())).isEqualTo("08007");
+        assertThat(code(client.answer())).isEqualTo("53300");
+        assertThat(((PgMessage.Report) client.next()).code()).isEqualTo("08P01");
+        assertThat(client.wire.ends()).isTrue();
+    }
+
+    /** Guards against one client's request ended or answered by another's: the id is the first one's. */
+    @Test void anIdThatIsOpenElsewhereIsTurnedAway() throws Exception {
+        ScriptedPeer[] self = new ScriptedPeer[1];
+        ScriptedPeer server = self[0] = server((pg, sql) -> {
+            self[0].saw(sql);
+            Thread.sleep(100);                // its work: the second client asks meanwhile
+            row(pg, "v");
+        });
+        pooler(server.address());
+        Pg first = welcomed();
+        Pg second = welcomed();
+        first.send(new PgMessage.Query(read("same")));
+        assertThat(server.next()).contains("same");
+        assertThat(code(second.ask(read("same")))).isEqualTo("08P01");
+        assertThat(first.answer().get(1)).isInstanceOf(PgMessage.DataRow.class);
+        assertThat(second.ask(read("same")).get(1)).as("free again").isInstanceOf(PgMessage.DataRow.class);
+    }
+
+    /** Guards against places held for good by clients that ask once, stay and never come back. */
+    @Test void aNewcomerGetsThePlaceOfTheLongestIdle() throws Exception {
+        pooler(server((pg, sql) -> row(pg, "v")).address());
+        var idle = new ArrayList<Pg>();
+        for (int i = 0; i < PLACES; i++) {
+            idle.add(welcomed());
+            idle.get(i).ask(read("i" + i));
+        }
+        for (int i = 0; i < 5; i++) {
+            assertThat(welcomed().ask(read("n" + i)).get(1)).isInstanceOf(PgMessage.DataRow.class);
+        }
+        assertThat(idle.get(PLACES - 1).ask(read("last")).get(1)).isInstanceOf(PgMessage.DataRow.class);
+        loop.runAndWait(() -> assertThat(counters.get("client_connections_idle_closed_for_room")).isEqualTo(5));
+    }
+
+    /** Guards against hundreds that connect and say nothing, or half of something: all end within 3 s. */
+    @Test void silentAndHalfSpokenClientsAreEndedAndTheOthersServed() throws Exception {
+        pooler(server((pg, sql) -> row(pg, "v")).address());
+        var rude = new ArrayList<Pg>();
+        double began = loop.now();
+        for (int i = 0; i < 3 * PLACES; i++) {
+            rude.add(client());
+        }
+        assertThat(welcomed().ask(read("u1")).get(1)).isInstanceOf(PgMessage.DataRow.class);
+        Pg half = welcomed();
+        half.wire.send(new byte[] {'Q', 0, 0, 1, 0, '/', '*'});
+        for (Pg pg : rude) {
+            try {
+                assertThat(((PgMessage.Report) pg.next()).code()).isEqualTo("08P01");
+            } catch (IOException e) {
+                // closed without a word, to make room: that is an end too
+            }
+        }
+        assertThat(((PgMessage.Report) half.next()).code()).isEqualTo("08P01");
+        assertThat(half.wire.ends()).isTrue();
+        assertThat(loop.now() - began).isLessThan(3000);
+        loop.runAndWait(() -> assertThat(counters.get("client_connections_refused")).isZero());
+    }
 }
--- a/src/test/java/crankspar/rest/RestFrontTest.java
+++ b/src/test/java/crankspar/rest/RestFrontTest.java
@@ -274,4 +274,16 @@
             assertThat(client.http()).startsWith("HTTP/1.1 200").contains("\"k" + i + "\"");
         }
     }
+
+    /** Guards against connections that never finish a request, on this front too. */
+    @Test void aHalfRequestEndsInTime() throws Exception {
+        Wire client = pooler(server(pages("p", true, new AtomicLong(), new AtomicInteger())));
+        Wire silent = client();
+        double began = now();
+        client.send("GET /v1/status HTT");
+        assertThat(silent.http()).startsWith("HTTP/1.1 408");
+        assertThat(client.http()).startsWith("HTTP/1.1 408");
+        assertThat(client.ends()).isTrue();
+        assertThat(now() - began).isLessThan(3000);
+    }
 }
