--- a/src/main/java/crankspar/Balance.java
+++ b/src/main/java/crankspar/Balance.java
@@ -82,6 +82,7 @@
     private static final class Db {
         final String id;
         Member entry;
+        boolean listed;                       // by discovery's last word on it
         boolean usable;                       // may be sent to: neither draining nor, where that binds, gone
         boolean drained;                      // listed as draining, and not as running since
         Role role = Role.UNKNOWN;             // by the newest note
@@ -245,17 +246,41 @@
         if (kind != ListKind.OLD_COPY) {
             askGap = ASK_FIRST;
         }
-        if (kind != ListKind.CHANGES && !settings.rules().softRemoval()) {
-            dbs.values().forEach(db -> db.usable = false);
+        if (kind != ListKind.CHANGES) {
+            dbs.values().forEach(db -> {
+                db.listed = false;
+                db.usable &= settings.rules().softRemoval();
+            });
         }
         for (Member m : members) {
             learn(m);
         }
+        new ArrayList<>(dbs.values()).forEach(this::forget);
         groups.values().forEach(this::pump);
     }
 
+    /**
+     * A member that left for good counts no more: else a day of replacements would leave the new ones an ever
+     * smaller share of its group's arrivals, and tables that only grow.
+     */
+    private void forget(Db db) {
+        if (db.listed || db.usable || !db.out.isEmpty()) {
+            return;
+        }
+        Group g = groups.get(db.entry.group());
+        dbs.remove(db.id);
+        g.members.remove(db);
+        g.primary = g.primary == db ? null : g.primary;
+        if (g.members.isEmpty() && g.line.isEmpty()) {
+            groups.remove(db.entry.group());
+        }
+    }
+
     private void learn(Member m) {
         Db db = dbs.get(m.id());
+        if (db == null && m.health() == Health.GONE) {
+            return;
+        }
         if (db == null) {
             db = new Db(m.id());
             db.limit = Math.max(least, FIRST_LIMIT / settings.siblings());
@@ -267,6 +292,7 @@
         }
         db.entry = m;
         db.drained = m.health() == Health.DRAINING || db.drained && m.health() == Health.GONE;
+        db.listed = m.health() != Health.GONE;
         db.usable = m.health() == Health.RUNNING || settings.rules().softRemoval() && !db.drained;
         if (m.lastStart() > Math.max(0, db.coldSince)) {
             db.coldSince = m.lastStart();
@@ -686,6 +712,7 @@
             w.group.scout = null;
         }
         judge(db, a, o);
+        forget(db);
         if (!o.status().neverRan) {
             w.mayHaveRun = true;
         } else if (!w.mayHaveRun && w.out.isEmpty()) {
@@ -842,6 +869,9 @@
         if (w.out.isEmpty()) {
             works.remove(w.request.id());
         }
+        if (w.group.members.isEmpty() && w.group.line.isEmpty()) {
+            groups.remove(w.request.group(), w.group); // one that only a request has named
+        }
     }
 
     private void cancel(Attempt a) {
--- a/src/test/java/crankspar/BalanceTest.java
+++ b/src/test/java/crankspar/BalanceTest.java
@@ -577,4 +577,40 @@
         f.end(twice, 1, Status.OK, Role.REPLICA, 0);
         assertTrue(f.did("cancel " + twice + " 0"));
     }
+
+    // ---- Members that left ----
+    private static void replace(Fake f, String old, String young, double lastStart) {
+        f.module.onMembers(f.now, ListKind.CHANGES, List.of(member(old, "near", Health.GONE, false, 0),
+                member(young, "near", Health.RUNNING, false, lastStart)));
+    }
+
+    /** Guards against a day of replacements: what left takes no share of what a cold member may earn. */
+    @Test void membersThatLeftForGoodCountNoMore() {
+        Fake f = group();
+        for (int i = 0; i < 200; i++) {
+            replace(f, i == 0 ? "b" : "x" + (i - 1), "x" + i, 0);
+        }
+        f.at(20_000);
+        replace(f, "x199", "cold", f.now);
+        f.hear("a", Role.REPLICA, 400);
+        f.hear("c", Role.REPLICA, 400);
+        f.hear("cold", Role.REPLICA, 5);
+        int sent = 0;
+        for (int i = 0; i < 40; i++) {
+            String at = f.ask("r" + i, BROWSE);
+            if ("cold".equals(at)) {
+                sent++;
+                f.end("r" + i, Status.OK, Role.REPLICA, 5);
+            }
+        }
+        assertTrue(sent >= 2, sent + " of 40: a quarter of them times what a cold member can do is 2 at least");
+    }
+
+    @Test void aMemberThatLeavesWithWorkOutIsKeptUntilItsOutcome() {
+        Fake f = group();
+        String at = f.ask("r", BROWSE);
+        f.module.onMembers(f.now, ListKind.CHANGES, List.of(member(at, "near", Health.GONE, false, 0)));
+        f.end("r", Status.RESET, Role.UNKNOWN, 0);
+        assertEquals(2, f.sends("r"), "it goes on elsewhere");
+    }
 }
