--- a/src/main/java/crankspar/Balance.java
+++ b/src/main/java/crankspar/Balance.java
@@ -57,6 +57,10 @@
     private static final double WAIT_MOST = 1000;
     /** A member that fails this share of its requests gets no reads but trials. */
     private static final double ERRING = 0.4;
+    /** Broken or failed connections in a row that make a member lost: one says more of a connection. */
+    private static final int STRIKES = 2;
+    /** A member heard again within this long (ms) cannot have started anew meanwhile: it is no colder. */
+    private static final double RESTART = 2000;
     /** First wait after a full round of misses in search of a primary, or after being turned away (ms). */
     private static final double PAUSE = 50;
     /** Reads that no replica can take may fill this share of the primary's bound; the rest is the writes'. */
@@ -102,6 +106,7 @@
         double shutGap = PAUSE;
         double share = 1;                     // sparse: share of ours taken; a primary spares half for spills
         double owed;                          // means owed by attempts that ended without an answer
+        int strikes;                          // connections broken or failed since the last answer
         boolean lost;                         // an outage seen first-hand: it may come back cold
         double coldSince = Double.NEGATIVE_INFINITY;
         double trialAt, trialGap;
@@ -736,12 +741,13 @@
             notePosition(db, committed ? o.position() - 1 : o.position(), now);
             noteRole(db, o.role(), now);
             noteLatency(db, o.elapsed());
-            db.heard = now;
-            if (db.lost) {
-                db.lost = false;              // an outage seen first-hand: it may have come back cold
-                db.coldSince = now;
+            if (db.lost && now - db.heard > RESTART) {
+                db.coldSince = now;           // an outage seen first-hand: it may have come back cold
                 db.limit = Math.min(1, db.limit);
             }
+            db.lost = false;
+            db.strikes = 0;
+            db.heard = now;
             if (o.status() != Status.FULL) {  // what is turned away unseen proves nothing
                 db.silent = false;
                 db.owed = 0;
@@ -767,10 +773,14 @@
                 db.trialGap = db.erring() ? db.trialGap : TRIAL_FIRST * scale;
                 measure(db, o.elapsed(), kind.aim());
             }
-            case ERROR, RESET -> {
+            case ERROR -> {
                 db.errors += Math.max(2 * FRESH_WEIGHT, weight(db)) * (1 - db.errors);
                 db.measured = now;
             }
+            case RESET -> {                   // of a connection first: where they are rare each would weigh too much
+                db.strikes++;
+                db.errors += FRESH_WEIGHT * (1 - db.errors);
+            }
             case FULL -> {
                 cut(db);
                 lower(db, a.work.group);
@@ -786,8 +796,12 @@
                 }
             }
             case CONNECT_FAILED -> {
-                db.lost = true;
-                fallSilent(db);
+                if (++db.strikes >= STRIKES || now - db.heard > UNHEARD) {
+                    db.lost = true;
+                    fallSilent(db);
+                } else {
+                    db.shutUntil = Math.max(db.shutUntil, now + PAUSE * (0.5 + random.nextDouble()));
+                }
             }
             case MISS -> searchOn(a.work, db);
             default -> { }
--- a/src/test/java/crankspar/BalanceTest.java
+++ b/src/test/java/crankspar/BalanceTest.java
@@ -613,4 +613,35 @@
         f.end("r", Status.RESET, Role.UNKNOWN, 0);
         assertEquals(2, f.sends("r"), "it goes on elsewhere");
     }
+
+    // ---- Connections that break ----
+    /** Guards against members shut out by their connections: a day of resets had all of them cold and silent. */
+    @Test void oneBrokenConnectionSaysLittleOfItsMember() {
+        Fake f = new Fake().start(member("a", "near"));
+        f.hear("a", Role.REPLICA, 5);
+        assertEquals("a", f.ask("first", ANY));
+        f.end("first", Status.OK, Role.REPLICA, 5);
+        for (int i = 0; i < 20; i++) {
+            f.at(100 + 100 * i);
+            assertEquals("a", f.ask("good" + i, ANY), "before failure " + i);
+            f.end("good" + i, Status.OK, Role.REPLICA, 5);
+            assertEquals("a", f.ask("bad" + i, ANY));
+            f.end("bad" + i, i % 2 == 0 ? Status.RESET : Status.CONNECT_FAILED, Role.UNKNOWN, 0);
+            f.module.onGone(f.now, "bad" + i);
+        }
+    }
+
+    @Test void connectionsThatFailInARowMakeItLost() {
+        Fake f = new Fake().start(member("a", "near"));
+        f.hear("a", Role.REPLICA, 5);
+        f.ask("first", ANY);
+        f.end("first", Status.OK, Role.REPLICA, 5);
+        f.at(10);
+        f.ask("r1", ANY);
+        f.ask("r2", ANY);
+        f.end("r1", Status.RESET, Role.UNKNOWN, 0);
+        f.end("r2", Status.CONNECT_FAILED, Role.UNKNOWN, 0);
+        f.at(150);
+        assertNull(f.ask("r3", ANY), "the first trial is due later");
+    }
 }
