--- a/src/main/java/crankspar/Balance.java
+++ b/src/main/java/crankspar/Balance.java
@@ -777,7 +777,7 @@
                 db.errors += Math.max(2 * FRESH_WEIGHT, weight(db)) * (1 - db.errors);
                 db.measured = now;
             }
-            case RESET -> {                   // of a connection first: where they are rare each would weigh too much
+            case RESET -> {                   // this says more of a connection than of its member
                 db.strikes++;
                 db.errors += FRESH_WEIGHT * (1 - db.errors);
             }
