Balance: three broken connections in a row make a lost member, a reset weighs 0.05

Two strikes are met by chance there (a reset behind a reset: one in twenty-five), a dead process brings more than three at once.

--- a/src/main/java/crankspar/Balance.java
+++ b/src/main/java/crankspar/Balance.java
@@ -58,7 +58,7 @@
     /** A member that fails this share of its requests gets no reads but trials. */
     private static final double ERRING = 0.4;
     /** Broken or failed connections in a row that make a member lost: one says more of a connection. */
-    private static final int STRIKES = 2;
+    private static final int STRIKES = 3;
     /** A member heard again within this long (ms) cannot have started anew meanwhile: it is no colder. */
     private static final double RESTART = 2000;
     /** First wait after a full round of misses in search of a primary, or after being turned away (ms). */
@@ -779,7 +779,7 @@
             }
             case RESET -> {                   // this says more of a connection than of its member
                 db.strikes++;
-                db.errors += FRESH_WEIGHT * (1 - db.errors);
+                db.errors += FRESH_WEIGHT / 2 * (1 - db.errors);
             }
             case FULL -> {
                 cut(db);
