SIGTERM: serve on as long as the kill allows; what comes late is answered by then

The log of a stop, timed: n0 closed its clients 0.6 s after its signal, at 17.97 s, and n1, stopped before it, was ready at 20.02 s: for 2 s there was no pooler. Ruled out: ending sooner, which the times showed to bring a pooler back no sooner (its end 1.2 s and 2.2 s after the signal, both started anew 4.7 s after it).

The protocol gives the kill's soonest time: the longest deadline, or 3 s, plus 0.7 s. The listener and the clients' connections now stay open until 1.3 s before it, and whatever is taken has its answer due 0.3 s before it.

--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -27,8 +27,13 @@
 /** Puts the parts together on one loop: the store, and a core for each front that is set up. */
 public final class Daemon implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(Daemon.class.getName());
-    /** Clients keep coming for a moment after the signal: they are taken and answered (ms). */
-    static final double STILL_OPEN = 600;
+    /** A stop is followed by a kill no sooner than the longest deadline, or this (ms), ... */
+    private static final double KILL_MOST = 3000;
+    /** ... and this much later. */
+    private static final double KILL_AFTER = 700;
+    /** How long before the kill the last answer is out, and how long before that the last request is taken (ms). */
+    private static final double SPARE = 300;
+    private static final double LAST_REQUEST = 1000;
     /** Shares of the sockets for clients and for servers; the rest is for the runtime's own files. */
     private static final double CLIENTS = 0.55;
     private static final double SERVERS = 0.35;
@@ -162,10 +167,24 @@
         });
     }
 
-    /** Ends in order: still open for a moment, then nothing new, then the last answers. */
+    /**
+     * Ends in order: still open, then nothing new, then the last answers. Clients use the connections that
+     * they have for as long as these stay open. Guards against a gap: poolers are restarted in turn, and one
+     * that closed 0.6 s after its signal was gone for 2 s before the one before it was back.
+     */
     public void stop() throws InterruptedException {
+        double answered = Math.min(longest, KILL_MOST) + KILL_AFTER - SPARE;
+        double open = Math.max(KILL_AFTER - SPARE, answered - LAST_REQUEST);
         var quiet = new CountDownLatch((pg == null ? 0 : 1) + (rest == null ? 0 : 1));
-        loop.after(STILL_OPEN, () -> {
+        loop.run(() -> {
+            if (pg != null) {
+                pgCore.answerBy(loop.now() + answered);
+            }
+            if (rest != null) {
+                rest.pooler().answerBy(loop.now() + answered);
+            }
+        });
+        loop.after(open, () -> {
             if (pg != null) {
                 pg.drain();
                 pgCore.whenQuiet(() -> loop.after(50, quiet::countDown)); // the last bytes leave
@@ -175,7 +194,7 @@
                 rest.pooler().whenQuiet(() -> loop.after(50, quiet::countDown));
             }
         });
-        quiet.await((long) (STILL_OPEN + longest + 500), TimeUnit.MILLISECONDS);
+        quiet.await((long) (open + longest + 500), TimeUnit.MILLISECONDS);
         loop.runAndWait(() -> System.err.println("counters " + counters));
     }
 
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -112,6 +112,7 @@
     private long ids;
     private int owing;
     private Runnable whenQuiet = () -> { };
+    private double lastAnswer = Double.POSITIVE_INFINITY;
 
     public Pooler(Router.Settings settings, Time time, Backends<Q, A> backends, Discovery discovery,
                   Counters counters, BiFunction<Router.Settings, Router.Actions, Router> maker) {
@@ -137,11 +138,16 @@
 
     public void watchLost() { event(() -> module.onWatchLost(now())); }
 
+    /** Whatever is taken from now on gets its answer by this time at the latest: the process ends after it. */
+    public void answerBy(double time) { lastAnswer = time; }
+
     /** Takes a request; its reply is called exactly once unless {@link #gone} comes first. */
-    public String take(Ask<Q> ask, Consumer<FinalAnswer<A>> reply) {
+    public String take(Ask<Q> asked, Consumer<FinalAnswer<A>> reply) {
         String id = Long.toString(++ids, 36);
         counters.add("taken");
         double now = now();
+        double ttl = Math.max(0, Math.min(asked.ttl(), lastAnswer - now));
+        var ask = new Ask<>(asked.requestClass(), ttl, asked.session(), asked.mark(), asked.group(), asked.query());
         var o = new Owed(ask, reply, now);
         owed.put(id, o);
         owing++;
--- a/src/test/java/crankspar/core/PoolerTest.java
+++ b/src/test/java/crankspar/core/PoolerTest.java
@@ -159,4 +159,17 @@
         end.accept(new AttemptEnd.Served<>("a", new AttemptEnd.Note(Router.Role.REPLICA, now - 5)));
         assertThat(heardPosition).isEqualTo(now - 5);
     }
+
+    /** Guards against a restart that loses what came late: its answer is due before the process ends. */
+    @Test void whatIsTakenDuringAStopIsAnsweredByItsEnd() {
+        pooler.answerBy(now + 200);
+        take("q");
+        at(199);
+        assertThat(answers).isEmpty();
+        at(200);
+        assertThat(answers).containsExactly(new FinalAnswer.Failed<>(true, "given up"));
+        take("q");
+        at(201);
+        assertThat(answers).hasSize(2);
+    }
 }
