--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -33,7 +33,7 @@
     private static final double KILL_AFTER = 700;
     /** How long before the kill the last answer is out, and how long before that the last request is taken (ms). */
     private static final double SPARE = 300;
-    private static final double LAST_REQUEST = 1000;
+    private static final double LAST_REQUEST = 700;
     /** Shares of the sockets for clients and for servers; the rest is for the runtime's own files. */
     private static final double CLIENTS = 0.55;
     private static final double SERVERS = 0.35;
