Values of up to 1 MiB are served; the warm-up, broken by the exact phases, serves again

Counters once a second, and the reason of each refused answer, both probes: 14 % of all answers were thrown away as malformed, every one a row of 155 to 392 KB, sent again to up to six members each time; the page says 64 KiB. Besides, every answer of the warm-up was refused since the phases came (it described no column): its members had all gone silent and nothing of the path was warm; its test counted refusals as answers and could not fail.

REST's bodies have the same bound.

Three tests fail without it.

--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -66,7 +66,7 @@
         if (config != null) {
             long began = System.nanoTime();
             int answered = new Warmup().run(config.settings(), config.known().members());
-            LOG.info("warm after " + (System.nanoTime() - began) / 1_000_000 + " ms, " + answered + " answers");
+            LOG.info("warm after " + (System.nanoTime() - began) / 1_000_000 + " ms, " + answered + " served");
         }
         loop = new Loop("loop");
         store = new Store(operator != null ? operator.name() : config.name());
--- a/src/main/java/crankspar/cli/Warmup.java
+++ b/src/main/java/crankspar/cli/Warmup.java
@@ -32,7 +32,8 @@
     /** Enough for every method of the path to be compiled by the first compiler (measured). */
     private static final int REQUESTS = 4000;
     private static final double STEP = 7;
-    private static final double WORK = 40;
+    /** A server's work as a share of the shortest aim: more would have the module give the servers up. */
+    private static final double WORK = 0.2;
     /** The same for all starts: a slow machine is let in unready rather than late (ms). */
     private static final double MOST = 4000;
     private static final double START = 1_700_000_000_000.0;
@@ -42,9 +43,9 @@
     private final PriorityQueue<Timer> timers = new PriorityQueue<>(
             java.util.Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::order));
     private final Counters counters = new Counters();
+    private double work;
     private double now = START;
     private long order;
-    private int answered;
 
     /** Sinks what a machine writes, and says that it has left. */
     private final class Sink implements Machine.Out {
@@ -62,9 +63,10 @@
         @Override public void close() { }
     }
 
-    /** Requests answered, for the log and the test. */
+    /** Requests served, for the log and the test. */
     int run(Router.Settings settings, List<Member> known) {
         long began = System.nanoTime();
+        work = WORK * settings.classes().stream().mapToDouble(Router.RequestClass::aim).min().orElse(200);
         var members = new ArrayList<Member>();
         int group = known.isEmpty() ? 1 : known.get(0).group();
         for (int i = 0; i < 6; i++) {
@@ -78,7 +80,7 @@
         for (int i = 0; i < REQUESTS && (System.nanoTime() - began) / 1e6 < MOST; i++) {
             if (i % 50 == 0) {
                 client = front.session();
-                client.opened(new Sink(bytes -> answered++));
+                client.opened(new Sink(bytes -> { }));
                 client.received(ByteBuffer.wrap(new PgEncoder().add(new PgMessage.Startup(
                         Map.of("user", "client", "database", "core"))).bytes()));
             }
@@ -93,7 +95,7 @@
             pass(STEP);
         }
         pass(10_000);
-        return answered;
+        return (int) counters.get("answered_served");
     }
 
     private void pass(double ms) {
@@ -125,14 +127,14 @@
         boolean primary = member.equals("w0");
         double position = Math.floor(now);
         byte[] value = load ? ("x0=" + position / 1000 + ",x1=" + (primary ? 1 : 0)).getBytes() : new byte[64];
-        byte[] bytes = new PgEncoder().add(new PgMessage.RowDescription(1, new byte[2]))
+        byte[] bytes = new PgEncoder().add(PgEncoder.textColumns("val"))
                 .add(new PgMessage.DataRow(List.of(value)))
                 .add(new PgMessage.CommandComplete("SELECT 1"))
                 .add(new PgMessage.ParameterStatus("role", primary ? "primary" : "replica"))
                 .add(new PgMessage.ParameterStatus("applied_ms", Long.toString((long) position)))
                 .add(new PgMessage.ReadyForQuery()).bytes();
         boolean[] off = new boolean[1];
-        after(load ? 1 : WORK, () -> {
+        after(load ? 1 : work, () -> {
             if (!off[0]) {
                 carrier.received(ByteBuffer.wrap(bytes));
             }
--- a/src/main/java/crankspar/net/Stream.java
+++ b/src/main/java/crankspar/net/Stream.java
@@ -13,11 +13,11 @@
     private static final Logger LOG = Logger.getLogger(Stream.class.getName());
     private static final int READ = 8 * 1024;
     /** More than this queued for a peer that does not read ends its connection. */
-    private static final int QUEUE_MOST = 512 * 1024;
+    private static final int QUEUE_MOST = 2304 * 1024;
     /** How long a finished connection is still read, so that no reset overtakes the last answer (ms). */
     private static final double LINGER = 300;
     /** ... and how much of it at most: one that goes on sending is not worth the time. */
-    private static final int LINGER_BYTES = 256 * 1024;
+    private static final int LINGER_BYTES = 2048 * 1024;
 
     private record Chunk(ByteBuffer bytes, Runnable written) { }
 
--- a/src/main/java/crankspar/pg/ClientSession.java
+++ b/src/main/java/crankspar/pg/ClientSession.java
@@ -16,6 +16,8 @@
         /** Takes a statement; its id names it until its answer comes. An error is for this client. */
         void take(Statement statement, ClientSession session) throws Statement.Malformed;
         void gone(String id);
+        /** Whether all clients together may hold so many bytes more of what is not answered yet. */
+        boolean hold(int more);
         void closed(ClientSession session);
         boolean draining();
         Counters counters();
@@ -23,12 +25,13 @@
 
     /** Queries that one client may have waiting; more than that is no client of ours. */
     private static final int WAITING_MOST = 128;
-    private static final int WAITING_CHARS_MOST = 512 * 1024;
+    private static final int WAITING_CHARS_MOST = 2304 * 1024;
 
     private final PgDecoder decoder = new PgDecoder(true);
     private final Desk desk;
     private final ArrayDeque<PgMessage> waiting = new ArrayDeque<>();
     private int waitingChars;
+    private int held;
     private Out out;
     private boolean welcomed, asked, skipping, busy, taking, over;
     private long messages;
@@ -54,9 +57,19 @@
             fatal("08P01", e.getMessage());
             return;
         }
+        if (!hold(decoder.held() + waitingChars)) {
+            fatal("53200", "no room for a long statement now");
+            return;
+        }
         goOn();
     }
 
+    private boolean hold(int bytes) {
+        int more = bytes - held;
+        held = bytes;
+        return desk.hold(more);
+    }
+
     private void goOn() {
         if (taking) {
             return;
@@ -227,6 +240,7 @@
         if (!over) {
             over = true;
             waiting.clear();
+            hold(0);
             if (busy) {
                 busy = false;
                 desk.gone(id);
--- a/src/main/java/crankspar/pg/PgDecoder.java
+++ b/src/main/java/crankspar/pg/PgDecoder.java
@@ -9,8 +9,11 @@
 
 /** Cuts a byte stream into messages, however it was fragmented. It keeps at most one message. */
 public final class PgDecoder {
-    /** Values are at most 64 KiB, twice that as hex digits; no message is longer by more than its frame. */
-    static final int FRAME_MOST = 144 * 1024;
+    /**
+     * The platform's page says that values are at most 64 KiB; its servers were seen to send 392 KB, and each
+     * of these answers was thrown away six times over. No value is said to be longer than this and believed.
+     */
+    static final int FRAME_MOST = 1088 * 1024;
     private static final int STARTUP_MOST = 10_000;
     /** A server's short messages: longer ones are noise that happens to begin like a message. */
     private static final int SHORT_MOST = 1024;
@@ -85,6 +88,9 @@
         return message;
     }
 
+    /** Bytes that wait for the rest of their message. */
+    int held() { return to - from; }
+
     /** Whether no byte of a next message has come. */
     boolean empty() { return from == to; }
 
--- a/src/main/java/crankspar/pg/PgEncoder.java
+++ b/src/main/java/crankspar/pg/PgEncoder.java
@@ -71,7 +71,7 @@
     }
 
     /** Columns of text, for what the pooler tells of itself. */
-    static PgMessage.RowDescription textColumns(String... names) {
+    public static PgMessage.RowDescription textColumns(String... names) {
         var e = new PgEncoder();
         e.int16(names.length);
         for (String name : names) {
@@ -95,7 +95,11 @@
         out.write(n >>> 16);
         out.write(n >>> 8);
         out.write(n);
-        out.writeBytes(body.toByteArray());
+        try {
+            body.writeTo(out);                // without a copy between: a value may be large
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
         return this;
     }
 
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -15,6 +15,9 @@
 
 /** The platform's front: PostgreSQL clients on one side, PostgreSQL servers on the other. */
 public final class PgFront implements ClientSession.Desk {
+    /** Guards against half statements by the hundred, each within its own bound: a sixth of the heap. */
+    private static final long HELD_MOST = 10 << 20;
+
     private final Router.Settings settings;
     private final Counters counters;
     private final Pooler<Statement, PgAnswer> pooler;
@@ -22,6 +25,7 @@
     /** The clients' ids of what is open, with the core's. */
     private final Map<String, String> open = new HashMap<>();
     private final Clients<ClientSession> clients;
+    private long held;
 
     public PgFront(Loop loop, Router.Settings settings, Counters counters, Pooler<Statement, PgAnswer> pooler,
                    int most) {
@@ -70,6 +74,11 @@
         open.replace(id, taken);              // unless the answer has come already
     }
 
+    @Override public boolean hold(int more) {
+        held += more;
+        return more <= 0 || held <= HELD_MOST;
+    }
+
     @Override public void gone(String id) { pooler.gone(open.remove(id)); }
     @Override public boolean draining() { return clients.draining(); }
     @Override public Counters counters() { return counters; }
--- a/src/main/java/crankspar/rest/RestServerSession.java
+++ b/src/main/java/crankspar/rest/RestServerSession.java
@@ -23,7 +23,7 @@
 
 /** The pooler's side of a connection to a server that speaks REST: one request at a time, HTTP/1.1. */
 final class RestServerSession implements Carrier<RestQuery, RestAnswer>, HttpParser.Handler {
-    static final int BODY_MOST = 256 * 1024;
+    static final int BODY_MOST = 1088 * 1024;
     /** HTTP/1.1 has nothing to ask a server behind an answer: it is listened to for this long (ms) instead. */
     private static final double SETTLE = 20;
 
--- a/src/test/java/crankspar/cli/WarmupTest.java
+++ b/src/test/java/crankspar/cli/WarmupTest.java
@@ -11,7 +11,7 @@
     @Test void theWholePathRunsInMemoryAndAnswersAll() {
         int answers = new Warmup().run(TestSettings.platform(), List.of());
 
-        // 4,000 requests and the welcomes of 80 connections, unless the machine was too slow for them.
-        assertThat(answers).isBetween(100, 4080);
+        // 4,000 requests, unless the machine was too slow for them: nearly all of what was asked is served.
+        assertThat(answers).isBetween(100, 4000);
     }
 }
--- a/src/test/java/crankspar/pg/PgFrontTest.java
+++ b/src/test/java/crankspar/pg/PgFrontTest.java
@@ -335,6 +335,34 @@
         }
     }
 
+    /** Guards against a large value thrown away as noise: servers send more than the page says. */
+    @Test void aValueOfHundredsOfKilobytesIsServedWhole() throws Exception {
+        String value = "x".repeat(400_000);
+        pooler(server((pg, sql) -> row(pg, value)).address());
+        var row = (PgMessage.DataRow) welcomed().ask(read("big")).get(1);
+        assertThat(row.values().get(0)).hasSize(400_000);
+    }
+
+    /** Guards against half statements by the hundred, which would fill the heap: the last to grow gives way. */
+    @Test void halfStatementsTogetherHaveABound() throws Exception {
+        pooler(server((pg, sql) -> row(pg, "v")).address());
+        byte[] half = new byte[1_000_000];
+        half[0] = 'Q';
+        half[2] = 0x10;                       // of 1 MB and more, it says
+        var all = new ArrayList<Pg>();
+        for (int i = 0; i < 14; i++) {
+            Pg pg = welcomed();
+            all.add(pg);
+            pg.wire.send(half);
+        }
+        int noRoom = 0;
+        for (Pg pg : all) {
+            noRoom += ((PgMessage.Report) pg.next()).code().equals("53200") ? 1 : 0;
+        }
+        assertThat(noRoom).isBetween(3, 13);
+        assertThat(welcomed().ask(read("after")).get(1)).isInstanceOf(PgMessage.DataRow.class);
+    }
+
     /** Guards against a stray copy that answers the next request, at once or a little later. */
     @Test void whatComesAfterAnAnswerIsNeverTheNextOnes() throws Exception {
         var asked = new AtomicInteger();
