--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -178,9 +178,11 @@
         var quiet = new CountDownLatch((pg == null ? 0 : 1) + (rest == null ? 0 : 1));
         loop.run(() -> {
             if (pg != null) {
+                pg.stopping();
                 pgCore.answerBy(loop.now() + answered);
             }
             if (rest != null) {
+                rest.front().stopping();
                 rest.pooler().answerBy(loop.now() + answered);
             }
         });
--- a/src/main/java/crankspar/net/Clients.java
+++ b/src/main/java/crankspar/net/Clients.java
@@ -23,13 +23,17 @@
     /** For one message, from its first byte to its last (ms): guards against lines that never end. */
     private static final double HALF_MOST = 1800;
 
+    /** The share of the places up to which idle connections are kept. */
+    private static final double KEPT = 0.4;
+
     private final Loop loop;
     private final Counters counters;
     private final int most;
+    private final int kept;
     private final Supplier<S> maker;
     private final Map<S, Place> places = new LinkedHashMap<>();
     private Loop.Listener listener;
-    private boolean draining;
+    private boolean stopping, draining;
 
     /** How long a session has stood as it stands, to the nearest sweep. */
     private static final class Place {
@@ -45,6 +49,7 @@
         this.loop = loop;
         this.counters = counters;
         this.most = most;
+        kept = (int) Math.ceil(KEPT * most);
         this.maker = maker;
     }
 
@@ -65,9 +70,36 @@
         counters.add("client_connections");
         S session = maker.get();
         places.put(session, new Place(now()));
+        trim();
         return session;
     }
 
+    /**
+     * Guards against clients that have no connection left: they hold a third of the descriptors at most, keep
+     * what they have, and a request of theirs fails when all of that sits idle. Past a lower share, so that
+     * they have room to ask, the longest idle connection is closed for each that comes.
+     */
+    private void trim() {
+        int here = 0;
+        S longest = null;
+        double since = Double.POSITIVE_INFINITY;
+        for (Map.Entry<S, Place> e : places.entrySet()) {
+            Standing standing = e.getKey().standing();
+            Place place = e.getValue();
+            here += standing == Standing.LEAVING ? 0 : 1;
+            if (standing == Standing.IDLE && (longest == null || since(place, standing) < since)) {
+                longest = e.getKey();
+                since = since(place, standing);
+            }
+        }
+        if (here > kept && longest != null && !stopping) {
+            counters.add("client_connections_idle_trimmed");
+            longest.closeIfIdle();
+        }
+    }
+
+    private double since(Place place, Standing standing) { return standing == place.standing ? place.since : now(); }
+
     /**
      * Guards against clients that ask once and keep their connections: turning newcomers away instead left
      * four in five of a day's connections unserved.
@@ -78,7 +110,7 @@
         double oldest = 0;
         for (Map.Entry<S, Place> e : places.entrySet()) {
             Standing standing = e.getKey().standing();
-            double since = standing == e.getValue().standing ? e.getValue().since : now();
+            double since = since(e.getValue(), standing);
             if (standing.compareTo(lowest) < 0 || standing == lowest && least != null && since < oldest) {
                 least = e.getKey();
                 lowest = standing;
@@ -95,6 +127,7 @@
 
     private void sweep() {
         double now = now();
+        trim();
         for (Map.Entry<S, Place> e : new ArrayList<>(places.entrySet())) {
             S session = e.getKey();
             Place place = e.getValue();
@@ -122,6 +155,9 @@
 
     public boolean draining() { return draining; }
 
+    /** A stop has begun: no front sends new connections here, so that those that are idle are worth more. */
+    public void stopping() { stopping = true; }
+
     /** Takes no new connections, and closes each that it has between two requests. */
     public void drain() {
         draining = true;
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -84,6 +84,8 @@
     @Override public Counters counters() { return counters; }
     @Override public void closed(ClientSession session) { clients.closed(session); }
 
+    public void stopping() { clients.stopping(); }
+
     /** Takes no new connections, and closes each that it has between two requests. */
     public void drain() { clients.drain(); }
 }
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -335,6 +335,8 @@
     @Override public boolean draining() { return clients.draining(); }
     @Override public Counters counters() { return counters; }
 
+    public void stopping() { clients.stopping(); }
+
     /** Takes no new connections, and closes each that it has between two requests. */
     public void drain() { clients.drain(); }
 }
--- a/src/test/java/crankspar/pg/PgFrontTest.java
+++ b/src/test/java/crankspar/pg/PgFrontTest.java
@@ -446,18 +446,19 @@
     }
 
     /** Guards against places held for good by clients that ask once, stay and never come back. */
-    @Test void aNewcomerGetsThePlaceOfTheLongestIdle() throws Exception {
+    @Test void newcomersGetThePlacesOfTheLongestIdle() throws Exception {
         pooler(server((pg, sql) -> row(pg, "v")).address());
         var idle = new ArrayList<Pg>();
-        for (int i = 0; i < PLACES; i++) {
+        for (int i = 0; i < 2 * PLACES; i++) {
             idle.add(welcomed());
-            idle.get(i).ask(read("i" + i));
+            assertThat(idle.get(i).ask(read("i" + i)).get(1)).isInstanceOf(PgMessage.DataRow.class);
         }
-        for (int i = 0; i < 5; i++) {
-            assertThat(welcomed().ask(read("n" + i)).get(1)).isInstanceOf(PgMessage.DataRow.class);
-        }
-        assertThat(idle.get(PLACES - 1).ask(read("last")).get(1)).isInstanceOf(PgMessage.DataRow.class);
-        loop.runAndWait(() -> assertThat(counters.get("client_connections_idle_closed_for_room")).isEqualTo(5));
+        assertThat(idle.get(0).wire.ends()).as("closed long before the bound, which clients never reach").isTrue();
+        assertThat(idle.get(2 * PLACES - 1).ask(read("last")).get(1)).isInstanceOf(PgMessage.DataRow.class);
+        loop.runAndWait(() -> {
+            assertThat(counters.get("client_connections_idle_trimmed")).isBetween(30L, 34L);
+            assertThat(counters.get("client_connections_refused")).isZero();
+        });
     }
 
     /** Guards against hundreds that connect and say nothing, or half of something: all end within 3 s. */
