--- a/src/main/java/crankspar/Balance.java
+++ b/src/main/java/crankspar/Balance.java
@@ -9,8 +9,10 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /**
  * The decisions of one proxy. Its types, events and actions stand in Router.java.
@@ -903,6 +905,11 @@
         }
     }
 
+    @Override public Set<String> avoided() {
+        return dbs.values().stream().filter(db -> db.listed && (!db.usable || db.silent || db.erring()))
+                .map(db -> db.id).collect(Collectors.toSet());
+    }
+
     // ---- Silence: attempts out, nothing back. ----
     private void tick() {
         for (Db db : dbs.values()) {
--- a/src/main/java/crankspar/Router.java
+++ b/src/main/java/crankspar/Router.java
@@ -1,6 +1,7 @@
 package crankspar;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * What a proxy tells the decision module, and what the module may do. All times are milliseconds on the
@@ -125,6 +126,8 @@
     /** The client left: nothing is owed for the request any more. */
     void onGone(double now, String request);
     void onTimer(double now, long cookie);
+    /** The listed members that get no work now, or trials only: a view for operators, which changes nothing. */
+    Set<String> avoided();
 
     private static void need(boolean holds, String setting, double value) {
         if (!holds || Double.isNaN(value)) {
--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -8,6 +8,8 @@
 import crankspar.core.Pooler;
 import crankspar.discovery.MemberList;
 import crankspar.discovery.Watch;
+import crankspar.mgmt.Calls;
+import crankspar.mgmt.Operations;
 import crankspar.net.Loop;
 import crankspar.net.Pool;
 import crankspar.pg.PgAnswer;
@@ -20,12 +22,16 @@
 import crankspar.store.StoreResource;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 
 /** Puts the parts together on one loop: the store, and a core for each front that is set up. */
-public final class Daemon implements AutoCloseable {
+public final class Daemon implements AutoCloseable, Operations {
     private static final Logger LOG = Logger.getLogger(Daemon.class.getName());
     /** A stop is followed by a kill no sooner than the longest deadline, or this (ms), ... */
     private static final double KILL_MOST = 3000;
@@ -34,6 +40,11 @@
     /** How long before the kill the last answer is out, and how long before that the last request is taken (ms). */
     private static final double SPARE = 300;
     private static final double LAST_REQUEST = 700;
+    /**
+     * After the call to drain (ms): the front asks every 0.1 s, and new connections come for 0.2 s after it
+     * has heard the first no. What a busy machine adds is allowed for.
+     */
+    private static final double STILL_OPEN = 700;
     /** Shares of the sockets for clients and for servers; the rest is for the runtime's own files. */
     private static final double CLIENTS = 0.55;
     private static final double SERVERS = 0.35;
@@ -48,9 +59,17 @@
     private RestFront.Parts rest;
     private Watch pgWatch;
     private Watch restWatch;
+    private Directory pgMembers;
+    private Directory restMembers;
+    private Router.Settings pgSettings;
+    private Router.Settings restSettings;
+    private InetSocketAddress mgmtAddress;
     private InetSocketAddress pgAddress;
     private InetSocketAddress restAddress;
     private double longest;
+    /** On the loop: both fronts stand. */
+    private boolean serving, leaving;
+    private int drains;
 
     /** Either may be null, not both: the platform's front needs the one, the REST front the other. */
     public Daemon(Config config, Operator operator) throws Config.Bad, IOException, InterruptedException {
@@ -63,14 +82,17 @@
         if (setup != null && restSettings == null) {
             throw new Config.Bad("settings", "not set");
         }
-        if (config != null) {
-            long began = System.nanoTime();
-            int answered = new Warmup().run(config.settings(), config.known().members());
-            LOG.info("warm after " + (System.nanoTime() - began) / 1_000_000 + " ms, " + answered + " served");
-        }
         loop = new Loop("loop");
         store = new Store(operator != null ? operator.name() : config.name());
         try {
+            if (config != null && config.mgmt() != null) {
+                mgmtAddress = new Calls(loop, counters, this).listen(config.mgmt());
+            }
+            if (config != null) {
+                long began = System.nanoTime();
+                int answered = new Warmup().run(config.settings(), config.known().members());
+                LOG.info("warm after " + (System.nanoTime() - began) / 1_000_000 + " ms, " + answered + " served");
+            }
             keepConfiguration(config, operator);
             double share = config != null && setup != null ? 0.5 : 1; // two fronts halve the sockets
             double sockets = share * (config != null ? config.sockets() : SOCKETS);
@@ -83,6 +105,7 @@
             if (operator != null && !operator.store().peers().isEmpty()) {
                 new Replication(loop, store, counters, operator.store().periodMs(), operator.store().peers());
             }
+            loop.run(() -> serving = true);
         } catch (IOException | RuntimeException e) {
             loop.close();
             throw e;
@@ -117,13 +140,15 @@
                 list -> later[0].listed(list), () -> pgCore.watchLost());
         pgCore = new Pooler<>(settings, loop, pool, pgWatch, counters, Balance::new);
         pg = new PgFront(loop, settings, counters, pgCore, clients);
+        pgSettings = settings;
         loop.runAndWait(() -> {
-            later[0] = new Directory(store, "pg", pool, pgCore);
+            pgMembers = later[0] = new Directory(loop, settings.rules().rampTime(), store, "pg", pool, pgCore);
             later[0].start(config.known());
         });
         pgAddress = pg.listen(config.listen());
         longest = settings.classes().stream().mapToDouble(Router.RequestClass::giveUp).max().orElse(0);
-        LOG.info(config.name() + " listens at " + pgAddress);
+        LOG.info(config.name() + " listens at " + pgAddress + ", calls at " + mgmtAddress + ", discovery at "
+                + config.discovery());
     }
 
     private void rest(Operator.Rest setup, Router.Settings settings, int clients, int servers)
@@ -132,10 +157,11 @@
         restWatch = setup.discovery() == null ? null : new Watch(loop, setup.discovery(), setup.members().revision(),
                 counters, list -> later[0].listed(list), () -> rest.pooler().watchLost());
         Pooler.Discovery discovery = restWatch == null ? on -> { } : restWatch;
+        restSettings = settings;
         rest = RestFront.build(loop, settings, counters, discovery, Balance::new, clients, servers);
         rest.front().add(StoreResource.PATH, new StoreResource(store, counters));
         loop.runAndWait(() -> {
-            later[0] = new Directory(store, "rest", rest.pool(), rest.pooler());
+            restMembers = later[0] = new Directory(loop, settings.rules().rampTime(), store, "rest", rest.pool(), rest.pooler());
             later[0].start(setup.members());
             if (setup.discovery() == null) {
                 later[0].listed(setup.members()); // a fixed list is the present one
@@ -149,6 +175,7 @@
 
     public InetSocketAddress pgAddress() { return pgAddress; }
     public InetSocketAddress restAddress() { return restAddress; }
+    public InetSocketAddress mgmtAddress() { return mgmtAddress; }
 
     /**
      * Takes over what has changed in files read anew: where each front's discovery is. Everything else of
@@ -200,5 +227,119 @@
         loop.runAndWait(() -> System.err.println("counters " + counters));
     }
 
+    // ---- What operators ask, on the loop.
+    @Override public boolean ready() { return serving && !leaving; }
+
+    @Override public List<Figure> figures() {
+        var all = new ArrayList<Figure>();
+        if (!serving) {
+            return all;
+        }
+        var classes = new java.util.LinkedHashMap<String, long[]>();
+        long tries = 0;
+        long active = 0;
+        Set<String> listed = new HashSet<>();
+        Set<String> avoided = new HashSet<>();
+        if (pg != null) {
+            tries += count(classes, pgSettings, pgCore);
+            active += pgCore.owing();
+            listed.addAll(pgMembers.ids());
+            avoided.addAll(pgCore.avoided());
+        }
+        if (rest != null) {
+            tries += count(classes, restSettings, rest.pooler());
+            active += rest.pooler().owing();
+            listed.addAll(restMembers.ids());
+            avoided.addAll(rest.pooler().avoided());
+        }
+        classes.forEach((name, n) -> {
+            all.add(Figure.count("ok." + name, n[0]));
+            all.add(Figure.count("shed." + name, n[1]));
+            all.add(Figure.count("errors." + name, n[2]));
+        });
+        all.add(Figure.count("tries", tries));
+        all.add(Figure.gauge("active", active));
+        all.add(Figure.gauge("pool_size", listed.size()));
+        avoided.retainAll(listed);
+        all.add(Figure.gauge("pool_ejected", avoided.size()));
+        return all;
+    }
+
+    private static long count(java.util.Map<String, long[]> classes, Router.Settings settings, Pooler<?, ?> core) {
+        for (int i = 0; i < settings.classes().size(); i++) {
+            long[] n = classes.computeIfAbsent(settings.classes().get(i).name(), k -> new long[3]);
+            n[0] += core.figures().ok(i);
+            n[1] += core.figures().shed(i);
+            n[2] += core.figures().errors(i);
+        }
+        return core.figures().tries();
+    }
+
+    @Override public Done disable(String id) { return marked(id, "by hand"); }
+
+    @Override public Done enable(String id) { return marked(id, null); }
+
+    /** The operator's mark is the store's, whoever sets it; an id is known while it is listed or marked. */
+    private Done marked(String id, String why) {
+        if (!serving) {
+            return Done.NOT_NOW;
+        }
+        if (store.get(Directory.DRAIN + id) == null && (pgMembers == null || !pgMembers.lists(id))
+                && (restMembers == null || !restMembers.lists(id))) {
+            return Done.UNKNOWN_ID;
+        }
+        try {
+            store.put(Directory.DRAIN + id, why);
+            return Done.YES;
+        } catch (Store.Refused e) {
+            LOG.warning("no mark: " + e.getMessage());
+            return Done.NOT_NOW;
+        }
+    }
+
+    /** Who asks is told no at once; the doors stay open until nobody is sent here any more. */
+    @Override public Done drain() {
+        if (!serving) {
+            return Done.NOT_NOW;
+        }
+        if (!leaving) {
+            LOG.info("an operator drains this pooler");
+            leaving = true;
+            int mine = ++drains;
+            if (pg != null) {
+                pg.leaving(true);
+            }
+            loop.after(STILL_OPEN, () -> {
+                if (leaving && mine == drains) {
+                    if (pg != null) {
+                        pg.drain();
+                    }
+                    if (rest != null) {
+                        rest.front().drain();
+                    }
+                }
+            });
+        }
+        return Done.YES;
+    }
+
+    @Override public Done resume() {
+        if (!serving) {
+            return Done.NOT_NOW;
+        }
+        if (leaving) {
+            LOG.info("an operator has this pooler serve again");
+            leaving = false;
+            if (pg != null) {
+                pg.leaving(false);
+                pg.resume();
+            }
+            if (rest != null) {
+                rest.front().resume();
+            }
+        }
+        return Done.YES;
+    }
+
     @Override public void close() { loop.close(); }
 }
--- a/src/main/java/crankspar/cli/Directory.java
+++ b/src/main/java/crankspar/cli/Directory.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,14 +26,20 @@
     static final String DRAIN = "drain/";
     private static final Logger LOG = Logger.getLogger(Directory.class.getName());
 
+    private final Pooler.Time clock;
+    private final double ramp;
     private final Store store;
     private final String key;
     private final Pool<?, ?> pool;
     private final Pooler<?, ?> pooler;
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+    /** When a member's mark was taken back (Unix ms), while that matters. */
+    private final Map<String, Double> returned = new LinkedHashMap<>();
 
-    Directory(Store store, String front, Pool<?, ?> pool, Pooler<?, ?> pooler) {
+    Directory(Pooler.Time clock, double ramp, Store store, String front, Pool<?, ?> pool, Pooler<?, ?> pooler) {
+        this.clock = clock;
+        this.ramp = ramp;
         this.store = store;
         this.key = "members/" + store.node() + "/" + front;
         this.pool = pool;
@@ -61,6 +68,11 @@
         keep(list.revision());
     }
 
+    /** Whether discovery lists it. */
+    boolean lists(String id) { return members.containsKey(id); }
+
+    Collection<String> ids() { return members.keySet(); }
+
     private void take(MemberList list) {
         if (list.complete()) {
             members.keySet().stream().filter(id -> !list.addresses().containsKey(id)).forEach(pool::forget);
@@ -76,7 +88,7 @@
             } else {
                 members.put(m.id(), m);
             }
-            if (m.health() != Health.RUNNING) {
+            if (m.health() != Health.RUNNING || banned(m.id())) {
                 pool.forget(m.id());
             }
         }
@@ -88,16 +100,36 @@
         return all;
     }
 
+    private boolean banned(String id) { return store.get(DRAIN + id) != null; }
+
+    /**
+     * A member that an operator has put back counts as started then. Guards against pushing it over: it was
+     * restarted meanwhile, and discovery tells that late or not at all.
+     */
     private Member mark(Member m) {
-        return m.health() != Health.RUNNING || store.get(DRAIN + m.id()) == null ? m : new Member(m.id(), m.zone(),
-                m.listedPrimary(), m.capacityHint(), Health.DRAINING, m.group(), m.machine(), m.lastStart());
+        returned.values().removeIf(at -> clock.now() - at > ramp);
+        return m.health() != Health.RUNNING ? m : new Member(m.id(), m.zone(), m.listedPrimary(), m.capacityHint(),
+                banned(m.id()) ? Health.DRAINING : Health.RUNNING, m.group(), m.machine(),
+                Math.max(m.lastStart(), returned.getOrDefault(m.id(), 0.0)));
     }
 
     private void changed(Store.Entry e) {
-        Member m = e.key().startsWith(DRAIN) ? members.get(e.key().substring(DRAIN.length())) : null;
+        if (!e.key().startsWith(DRAIN)) {
+            return;
+        }
+        String id = e.key().substring(DRAIN.length());
+        if (e.value() == null) {
+            returned.put(id, clock.now());
+        }
+        Member m = members.get(id);
         if (m != null) {
             LOG.log(Level.INFO, "operator's mark: " + m.id() + (e.value() == null ? " may serve" : " drains"),
                     StructuredData.of("member", "id", m.id(), "drain", e.value() != null, "by", e.node()));
+            if (e.value() != null) {
+                pool.forget(m.id());
+            } else if (m.health() == Health.RUNNING && addresses.containsKey(m.id())) {
+                pool.locate(m.id(), addresses.get(m.id()));
+            }
             pooler.members(ListKind.CHANGES, List.of(mark(m)));
         }
     }
--- a/src/main/java/crankspar/cli/Warmup.java
+++ b/src/main/java/crankspar/cli/Warmup.java
@@ -113,7 +113,7 @@
     @Override public void watch(boolean on) { }
 
     @Override public Pooler.Call send(String member, Statement query, double left, double within,
-                                      Consumer<AttemptEnd<PgAnswer>> end) {
+                                      Pooler.Hearer<PgAnswer> hearer) {
         boolean load = query.equals(PgFront.probe());
         Carrier<Statement, PgAnswer> carrier = PgFront.dial(counters);
         carrier.keeper(new Carrier.Keeper() {
@@ -123,7 +123,7 @@
         carrier.opened(new Sink(bytes -> { }));
         carrier.received(ByteBuffer.wrap(new PgEncoder().add(new PgMessage.AuthenticationOk())
                 .add(new PgMessage.ReadyForQuery()).bytes()));
-        carrier.carry(query, left, end);
+        carrier.carry(query, left, hearer);
         boolean primary = member.equals("w0");
         double position = Math.floor(now);
         byte[] value = load ? ("x0=" + position / 1000 + ",x1=" + (primary ? 1 : 0)).getBytes() : new byte[64];
@@ -146,6 +146,6 @@
     }
 
     @Override public Pooler.Call probe(String member, Consumer<AttemptEnd<PgAnswer>> end) {
-        return send(member, PgFront.probe(), 250, 250, end);
+        return send(member, PgFront.probe(), 250, 250, end::accept);
     }
 }
--- a/src/main/java/crankspar/config/Config.java
+++ b/src/main/java/crankspar/config/Config.java
@@ -9,8 +9,9 @@
 import java.nio.file.Path;
 import java.util.Map;
 
-/** What one pooler is told by the platform. */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+/** What one pooler is told by the platform; {@code mgmt} is null where operators do not call. */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress mgmt,
+                     InetSocketAddress discovery, long seed, int sockets,
                      MemberList known, Router.Settings settings, String text) {
     /** A configuration that cannot be used; the message names the key. */
     public static final class Bad extends Exception {
@@ -39,8 +40,11 @@
         if (sockets < 64) {
             throw new Bad("limits.sockets", "fewer than 64: " + sockets);
         }
+        String mgmt = env.get("BALANCER_MGMT") != null ? env.get("BALANCER_MGMT")
+                : object.get("mgmt") == null ? null : String.valueOf(object.get("mgmt"));
         return new Config(text(env.get("BALANCER_NAME"), object, "name"),
                 address(env.get("BALANCER_LISTEN"), object, "listen"),
+                mgmt == null || mgmt.isEmpty() ? null : address(mgmt, object, "mgmt"),
                 address(env.get("BALANCER_DISCOVERY"), object, "discovery"), seed, sockets, known, settings, text);
     }
 
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -37,13 +37,20 @@
         Reach abandon();
     }
 
+    /** What an attempt tells of itself, each thing once at most. */
+    public interface Hearer<A> {
+        /** Its last byte has left. */
+        default void written() { }
+        void ended(AttemptEnd<A> end);
+    }
+
     /** Where attempts go. An end may be told before {@code send} has returned. */
     public interface Backends<Q, A> {
         /**
          * Sends once, whole, or not at all; {@code left} ms will be waited. A connection that takes longer than
          * {@code within} ms to come up is too late for it.
          */
-        Call send(String member, Q query, double left, double within, Consumer<AttemptEnd<A>> end);
+        Call send(String member, Q query, double left, double within, Hearer<A> hearer);
         Call probe(String member, Consumer<AttemptEnd<A>> end);
     }
 
@@ -83,14 +90,14 @@
         }
     }
 
-    private final class Attempt {
+    private final class Attempt implements Hearer<A> {
         final String request;
         final Owed owed;
         final int number;
         final String member;
         final double sent = now();
         Call call;
-        boolean ended;
+        boolean ended, written;
 
         Attempt(String request, Owed owed, String member) {
             this.request = request;
@@ -98,6 +105,16 @@
             this.member = member;
             number = owed.sent++;
         }
+
+        /** Told by the wire or, where an answer overtakes that, known from how it ended. */
+        @Override public void written() {
+            if (!written) {
+                written = true;
+                figures.written();
+            }
+        }
+
+        @Override public void ended(AttemptEnd<A> end) { Pooler.this.ended(this, end); }
     }
 
     private final Router.Settings settings;
@@ -108,6 +125,7 @@
     private final Router module;
     private final Map<String, Owed> owed = new HashMap<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
+    private final Figures figures;
     private boolean busy;
     private long ids;
     private int owing;
@@ -121,6 +139,7 @@
         this.backends = backends;
         this.discovery = discovery;
         this.counters = counters;
+        figures = new Figures(settings.classes().size());
         module = maker.apply(settings, this);
     }
 
@@ -181,6 +200,11 @@
 
     public int owing() { return owing; }
 
+    public Figures figures() { return figures; }
+
+    /** The listed members that the module keeps work from. */
+    public java.util.Set<String> avoided() { return module.avoided(); }
+
     /** Calls back once nothing is owed: at once, or when the last answer is out. */
     public void whenQuiet(Runnable what) {
         whenQuiet = what;
@@ -232,14 +256,17 @@
         }
         o.out = a;
         counters.add("sent");
-        a.call = backends.send(member, o.ask.query(), left, within(o), end -> ended(a, end));
+        a.call = backends.send(member, o.ask.query(), left, within(o), a);
         if (a.ended) {
             return;
         }
         time.after(left, () -> {
             if (!a.ended) {
                 Reach reach = a.call.abandon();
-                o.mayHaveRun |= reach.mayHaveRun();
+                if (reach.mayHaveRun()) {
+                    o.mayHaveRun = true;
+                    a.written();
+                }
                 end(a, reach.mayHaveRun() ? Status.TIMEOUT : Status.MOOT, AttemptEnd.Note.NONE);
             }
         });
@@ -266,6 +293,9 @@
         if (a.ended) {
             return;
         }
+        if (!(end instanceof AttemptEnd.Broken<A> b) || b.reach().mayHaveRun()) {
+            a.written();
+        }
         if (end instanceof AttemptEnd.Served<A> s) {
             AttemptEnd.Note note = plausible(s.note());
             if (!a.owed.over) {
@@ -318,6 +348,7 @@
 
     private void answer(String id, Owed o, FinalAnswer<A> answer) {
         conclude(id, o);
+        figures.answered(o.ask.requestClass(), answer);
         counters.add("answered_" + answer.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT));
         o.reply.accept(answer);
         quiet();
@@ -338,8 +369,9 @@
         Owed o = owed.get(request);
         if (o != null && o.out != null && o.out.number == number) {
             Attempt a = o.out;
-            if (a.call != null) {
-                o.mayHaveRun |= a.call.abandon().mayHaveRun();
+            if (a.call != null && a.call.abandon().mayHaveRun()) {
+                o.mayHaveRun = true;
+                a.written();
             }
             end(a, Status.CANCELLED, AttemptEnd.Note.NONE);
         }
--- /dev/null
+++ b/src/main/java/crankspar/mgmt/Calls.java
@@ -0,0 +1,113 @@
+package crankspar.mgmt;
+
+import crankspar.core.Counters;
+import crankspar.http.HttpHead;
+import crankspar.http.HttpText;
+import crankspar.net.Loop;
+import crankspar.net.Machine;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Map;
+
+/**
+ * Where operators call: HTTP/1.1, one call a connection. Its sockets are apart from the clients', so that a
+ * pooler that is full of these still answers.
+ */
+public final class Calls {
+    private static final String PREFIX = "edge_balancer.";
+    private static final String MEMBERS = "/-/league-databases/";
+    /** Guards against callers that connect and finish no call: the oldest of them makes room. */
+    private static final int MOST = 16;
+    /** A caller waits 1 s, so that a call which is not whole after this long (ms) is nobody's. */
+    private static final double HALF_MOST = 2000;
+
+    private final Loop loop;
+    private final Counters counters;
+    private final Operations operations;
+    private final LinkedHashSet<Call> open = new LinkedHashSet<>();
+
+    public Calls(Loop loop, Counters counters, Operations operations) {
+        this.loop = loop;
+        this.counters = counters;
+        this.operations = operations;
+    }
+
+    public InetSocketAddress listen(InetSocketAddress address) throws IOException {
+        return loop.listen(address, this::admit).address();
+    }
+
+    private Machine admit() {
+        if (open.size() >= MOST) {
+            counters.add("calls_closed_for_room");
+            open.iterator().next().drop();
+        }
+        var call = new Call(this);
+        open.add(call);
+        loop.after(HALF_MOST, call::late);
+        return call;
+    }
+
+    void closed(Call call) { open.remove(call); }
+
+    /** The answer to a whole call. */
+    byte[] answer(HttpHead.Request head) {
+        counters.add("calls");
+        String path = head.target().split("\\?", 2)[0];
+        boolean member = path.startsWith(MEMBERS) && path.substring(MEMBERS.length()).matches("[^/]+/(disable|enable)");
+        String method = switch (path) {
+            case "/-/ready", "/-/metrics" -> "GET";
+            case "/-/drain", "/-/resume" -> "POST";
+            default -> member ? "POST" : null;
+        };
+        if (method == null) {
+            return said(404, "nothing is here");
+        }
+        if (!head.method().equals(method)) {
+            return said(405, "only " + method);
+        }
+        return switch (path) {
+            case "/-/ready" -> operations.ready() ? said(200, "ready") : said(503, "not ready");
+            case "/-/metrics" -> said(200, metrics());
+            case "/-/drain" -> said(operations.drain(), "drains");
+            case "/-/resume" -> said(operations.resume(), "serves");
+            default -> member(path.substring(MEMBERS.length()).split("/"));
+        };
+    }
+
+    private byte[] member(String[] words) {
+        String id;
+        try {
+            id = URLDecoder.decode(words[0].replace("+", "%2B"), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            return said(404, "no league database has such an id");
+        }
+        return words[1].equals("disable") ? said(operations.disable(id), id + " is out")
+                : said(operations.enable(id), id + " may serve");
+    }
+
+    private String metrics() {
+        var text = new StringBuilder();
+        for (Operations.Figure f : operations.figures()) {
+            text.append(PREFIX).append(f.name()).append(':').append(f.value()).append(f.count() ? "|c\n" : "|g\n");
+        }
+        return text.toString();
+    }
+
+    private static byte[] said(Operations.Done done, String yes) {
+        return switch (done) {
+            case YES -> said(200, yes);
+            case UNKNOWN_ID -> said(404, "no league database has this id");
+            case NOT_NOW -> said(503, "not now");
+        };
+    }
+
+    static byte[] said(int status, String text) {
+        return HttpText.response(status, Map.of("Content-Type", "text/plain; charset=utf-8", "Connection", "close"),
+                (text.endsWith("\n") ? text : text + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    Counters counters() { return counters; }
+}
--- /dev/null
+++ b/src/main/java/crankspar/mgmt/Operations.java
@@ -0,0 +1,23 @@
+package crankspar.mgmt;
+
+import java.util.List;
+
+/** What operators may ask of the pooler, whatever fronts it has. Called on the loop. */
+public interface Operations {
+    /** What a call comes to; each stands for one status. */
+    enum Done { YES, UNKNOWN_ID, NOT_NOW }
+
+    /** One figure: a count since the start of the process, or a present value. */
+    record Figure(String name, long value, boolean count) {
+        public static Figure count(String name, long value) { return new Figure(name, value, true); }
+        public static Figure gauge(String name, long value) { return new Figure(name, value, false); }
+    }
+
+    /** Whether this process can serve. */
+    boolean ready();
+    List<Figure> figures();
+    Done disable(String id);
+    Done enable(String id);
+    Done drain();
+    Done resume();
+}
--- a/src/main/java/crankspar/net/Carrier.java
+++ b/src/main/java/crankspar/net/Carrier.java
@@ -1,8 +1,7 @@
 package crankspar.net;
 
-import crankspar.core.AttemptEnd;
+import crankspar.core.Pooler;
 import crankspar.core.Reach;
-import java.util.function.Consumer;
 
 /**
  * A machine for one connection to a server, which carries one request at a time. Its end is told exactly
@@ -18,7 +17,7 @@
 
     void keeper(Keeper keeper);
     /** Writes the request; called only when ready and idle. */
-    void carry(Q query, double left, Consumer<AttemptEnd<A>> end);
+    void carry(Q query, double left, Pooler.Hearer<A> hearer);
     /** How far the request at hand has come. */
     Reach reach();
     /** Whether the request before was answered whole, and another may follow on this connection. */
--- a/src/main/java/crankspar/net/Clients.java
+++ b/src/main/java/crankspar/net/Clients.java
@@ -32,7 +32,10 @@
     private final int kept;
     private final Supplier<S> maker;
     private final Map<S, Place> places = new LinkedHashMap<>();
+    private InetSocketAddress address;
     private Loop.Listener listener;
+    /** A bind that fails after a drain is tried again after this long (ms). */
+    private static final double REOPEN = 50;
     private boolean stopping, draining;
 
     /** How long a session has stood as it stands, to the nearest sweep. */
@@ -56,7 +59,8 @@
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
         listener = loop.listen(address, this::admit);
         loop.after(SWEEP, this::sweep);
-        return listener.address();
+        this.address = listener.address();
+        return this.address;
     }
 
     private double now() { return loop == null ? 0 : loop.now(); }
@@ -164,4 +168,18 @@
         listener.close();
         new ArrayList<>(places.keySet()).forEach(Visitor::closeIfIdle);
     }
+
+    /** The end of a drain: new connections are taken again, at the same address. */
+    public void resume() {
+        if (!draining) {
+            return;
+        }
+        try {
+            listener = loop.listen(address, this::admit);
+            draining = false;
+        } catch (IOException e) {
+            counters.add("client_listener_failures");
+            loop.after(REOPEN, this::resume);
+        }
+    }
 }
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -39,7 +39,7 @@
     }
 
     /** One connection with what it carries. */
-    private final class Link implements Carrier.Keeper, Pooler.Call {
+    private final class Link implements Carrier.Keeper, Pooler.Call, Pooler.Hearer<A> {
         final Member member;
         final InetSocketAddress address;
         final Carrier<Q, A> carrier = dialect.get();
@@ -47,7 +47,7 @@
         boolean up, settling, closed;
         double idleSince;
         Runnable first;
-        Consumer<AttemptEnd<A>> end;
+        Pooler.Hearer<A> hearer;
 
         Link(Member member) {
             this.member = member;
@@ -66,24 +66,30 @@
             });
         }
 
-        void carry(Q query, double left, Consumer<AttemptEnd<A>> whenOver) {
-            end = whenOver;
+        void carry(Q query, double left, Pooler.Hearer<A> told) {
+            hearer = told;
             if (up) {
-                carrier.carry(query, left, this::over);
+                carrier.carry(query, left, this);
             } else {
                 double dialled = loop.now();
-                first = () -> carrier.carry(query, left - (loop.now() - dialled), this::over);
+                first = () -> carrier.carry(query, left - (loop.now() - dialled), this);
             }
         }
 
-        private void over(AttemptEnd<A> how) {
-            Consumer<AttemptEnd<A>> told = end;
-            end = null;
+        @Override public void written() {
+            if (hearer != null) {
+                hearer.written();
+            }
+        }
+
+        @Override public void ended(AttemptEnd<A> how) {
+            Pooler.Hearer<A> told = hearer;
+            hearer = null;
             if (!closed && carrier.reusable()) {
                 settle();
             }
             if (told != null) {
-                told.accept(how);
+                told.ended(how);
             }
         }
 
@@ -127,7 +133,7 @@
             if (!closed) {
                 Reach reach = up ? carrier.reach() : Reach.NOT_CONNECTED;
                 drop();
-                over(new AttemptEnd.Broken<>(reach, why));
+                ended(new AttemptEnd.Broken<>(reach, why));
             }
         }
 
@@ -141,7 +147,7 @@
 
         @Override public Reach abandon() {
             Reach reach = up ? carrier.reach() : Reach.NOT_CONNECTED;
-            end = null;
+            hearer = null;
             if (!closed) {
                 drop();
             }
@@ -181,32 +187,32 @@
     }
 
     @Override public Pooler.Call send(String member, Q query, double left, double within,
-                                      Consumer<AttemptEnd<A>> end) {
+                                      Pooler.Hearer<A> hearer) {
         Member m = members.get(member);
         if (m == null) {
-            return refuse(end, "no address is known");
+            return refuse(hearer, "no address is known");
         }
         Link link = m.idle.poll();
         if (link == null) {
             if (open >= most && !closeOldest()) {
-                return refuse(end, "no socket is left");
+                return refuse(hearer, "no socket is left");
             }
             link = new Link(m);
-            link.carry(query, left, end);
+            link.carry(query, left, hearer);
             link.dial(within);
         } else {
-            link.carry(query, left, end);
+            link.carry(query, left, hearer);
         }
         return link;
     }
 
-    private Pooler.Call refuse(Consumer<AttemptEnd<A>> end, String why) {
-        end.accept(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, why));
+    private Pooler.Call refuse(Pooler.Hearer<A> hearer, String why) {
+        hearer.ended(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, why));
         return () -> Reach.NOT_CONNECTED;
     }
 
     @Override public Pooler.Call probe(String member, Consumer<AttemptEnd<A>> end) {
-        return send(member, probe, dialTimeout, dialTimeout, end);
+        return send(member, probe, dialTimeout, dialTimeout, end::accept);
     }
 
     /** Frees a socket for a member that needs one: the longest idle goes first. */
--- a/src/main/java/crankspar/pg/ClientSession.java
+++ b/src/main/java/crankspar/pg/ClientSession.java
@@ -20,6 +20,8 @@
         boolean hold(int more);
         void closed(ClientSession session);
         boolean draining();
+        /** Whether who asks is told to go elsewhere. */
+        boolean leaving();
         Counters counters();
     }
 
@@ -125,7 +127,10 @@
         asked = true;
         String bare = sql.strip();
         String word = bare.split("[\\s;]", 2)[0].toUpperCase(java.util.Locale.ROOT);
-        if (bare.isEmpty() || bare.equals(";")) {
+        if (desk.leaving() && bare.isEmpty()) {
+            out.write(new PgEncoder().add(PgMessage.Report.error("ERROR", "57P03", "draining"))
+                    .add(new PgMessage.ReadyForQuery()).bytes());
+        } else if (bare.isEmpty() || bare.equals(";")) {
             out.write(new PgEncoder().add(new PgMessage.EmptyQueryResponse())
                     .add(new PgMessage.ReadyForQuery()).bytes());
         } else if (word.equals("SET") || word.equals("RESET") || word.equals("DISCARD")) {
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -26,6 +26,7 @@
     private final Map<String, String> open = new HashMap<>();
     private final Clients<ClientSession> clients;
     private long held;
+    private boolean leaving;
 
     public PgFront(Loop loop, Router.Settings settings, Counters counters, Pooler<Statement, PgAnswer> pooler,
                    int most) {
@@ -86,6 +87,14 @@
 
     public void stopping() { clients.stopping(); }
 
+    /** What an empty query is answered from now on: no while an operator has this pooler leave. */
+    public void leaving(boolean on) { leaving = on; }
+
+    @Override public boolean leaving() { return leaving; }
+
     /** Takes no new connections, and closes each that it has between two requests. */
     public void drain() { clients.drain(); }
+
+    /** The end of a drain. */
+    public void resume() { clients.resume(); }
 }
--- a/src/main/java/crankspar/pg/ServerSession.java
+++ b/src/main/java/crankspar/pg/ServerSession.java
@@ -4,12 +4,12 @@
 import crankspar.core.AttemptEnd;
 import crankspar.core.AttemptEnd.Note;
 import crankspar.core.Counters;
+import crankspar.core.Pooler;
 import crankspar.core.Reach;
 import crankspar.net.Carrier;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
-import java.util.function.Consumer;
 
 /**
  * The pooler's side of a connection to a server. The first request waits for the server's welcome: what has
@@ -41,7 +41,7 @@
     private Phase phase = Phase.DIALLED;
     private Reach reach = Reach.NOT_CONNECTED;
     private Statement statement;
-    private Consumer<AttemptEnd<PgAnswer>> end;
+    private Pooler.Hearer<PgAnswer> hearer;
     private PgMessage.RowDescription columns;
     private PgMessage.DataRow row;
     private PgMessage.CommandComplete complete;
@@ -60,15 +60,20 @@
         out.write(STARTUP);
     }
 
-    @Override public void carry(Statement statement, double left, Consumer<AttemptEnd<PgAnswer>> end) {
+    @Override public void carry(Statement statement, double left, Pooler.Hearer<PgAnswer> hearer) {
         this.statement = statement;
-        this.end = end;
+        this.hearer = hearer;
         phase = Phase.ASKED;
         role = Role.UNKNOWN;
         position = Double.NaN;
         reach = Reach.PARTLY_WRITTEN;
         byte[] bytes = new PgEncoder().add(new PgMessage.Query(statement.withTimeLeft(left))).bytes();
-        out.write(bytes, bytes.length, () -> reach = reach == Reach.PARTLY_WRITTEN ? Reach.WHOLLY_WRITTEN : reach);
+        out.write(bytes, bytes.length, () -> {
+            if (reach == Reach.PARTLY_WRITTEN) {
+                reach = Reach.WHOLLY_WRITTEN;
+                hearer.written();
+            }
+        });
     }
 
     /**
@@ -88,7 +93,7 @@
                 on(m);
             }
         } catch (PgDecoder.Malformed e) {
-            counters.add(end == null ? "server_unasked_bytes" : "server_malformed");
+            counters.add(hearer == null ? "server_unasked_bytes" : "server_malformed");
             out.close();
             keeper.gone("malformed: " + e.getMessage());
             return;
@@ -160,12 +165,12 @@
 
     /** ReadyForQuery, or the connection's end after an error, ends the request, and with it its notes. */
     private void over() {
-        Consumer<AttemptEnd<PgAnswer>> told = end;
+        Pooler.Hearer<PgAnswer> told = hearer;
         AttemptEnd<PgAnswer> how = how();
-        end = null;
+        hearer = null;
         phase = Phase.IDLE;
         reach = Reach.ANSWERED;
-        told.accept(how);
+        told.ended(how);
     }
 
     private AttemptEnd<PgAnswer> how() {
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -339,4 +339,7 @@
 
     /** Takes no new connections, and closes each that it has between two requests. */
     public void drain() { clients.drain(); }
+
+    /** The end of a drain. */
+    public void resume() { clients.resume(); }
 }
--- a/src/main/java/crankspar/rest/RestServerSession.java
+++ b/src/main/java/crankspar/rest/RestServerSession.java
@@ -19,7 +19,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
-import java.util.function.Consumer;
 
 /** The pooler's side of a connection to a server that speaks REST: one request at a time, HTTP/1.1. */
 final class RestServerSession implements Carrier<RestQuery, RestAnswer>, HttpParser.Handler {
@@ -37,7 +36,7 @@
     private RestQuery query;
     private double least;
     private HttpHead.Response head;
-    private Consumer<AttemptEnd<RestAnswer>> end;
+    private Pooler.Hearer<RestAnswer> hearer;
     private boolean keepAlive = true;
     private boolean surplus;
 
@@ -55,9 +54,9 @@
         keeper.ready();
     }
 
-    @Override public void carry(RestQuery q, double left, Consumer<AttemptEnd<RestAnswer>> whenOver) {
+    @Override public void carry(RestQuery q, double left, Pooler.Hearer<RestAnswer> told) {
         query = q;
-        end = whenOver;
+        hearer = told;
         reach = Reach.PARTLY_WRITTEN;
         least = q.least(clock.now());
         var headers = new LinkedHashMap<String, String>();
@@ -72,7 +71,12 @@
         }
         byte[] bytes = HttpText.request(q.write() ? "POST" : "GET", target(q), headers,
                 q.body() == null ? new byte[0] : q.body());
-        out.write(bytes, bytes.length, () -> reach = reach == Reach.PARTLY_WRITTEN ? Reach.WHOLLY_WRITTEN : reach);
+        out.write(bytes, bytes.length, () -> {
+            if (reach == Reach.PARTLY_WRITTEN) {
+                reach = Reach.WHOLLY_WRITTEN;
+                hearer.written();
+            }
+        });
     }
 
     @Override public void settle() {
@@ -106,7 +110,7 @@
 
     @Override public void received(ByteBuffer in) {
         try {
-            while (end != null && in.hasRemaining()) {
+            while (hearer != null && in.hasRemaining()) {
                 parser.feedMessage(in);
             }
         } catch (HttpParser.Malformed e) {
@@ -145,14 +149,14 @@
             return;                           // an interim answer
         }
         keepAlive = head.keepAlive();
-        Consumer<AttemptEnd<RestAnswer>> told = end;
-        end = null;
+        Pooler.Hearer<RestAnswer> told = hearer;
+        hearer = null;
         if (told == null || surplus) {
             return;                           // it was too long, and is given up already
         }
         AttemptEnd<RestAnswer> how = how();
         reach = Reach.ANSWERED;
-        told.accept(how);
+        told.ended(how);
         if (!keepAlive) {
             out.close();
             keeper.gone("closed by the server's wish");
--- a/src/test/java/crankspar/BenchLinkTest.java
+++ b/src/test/java/crankspar/BenchLinkTest.java
@@ -25,6 +25,7 @@
 
     /** Keeps what it was told, and answers requests by sending them to x:1. */
     private static final class Told implements Router {
+        @Override public java.util.Set<String> avoided() { return java.util.Set.of(); }
         final List<String> seen;
         final Actions actions;
 
--- a/src/test/java/crankspar/core/PoolerTest.java
+++ b/src/test/java/crankspar/core/PoolerTest.java
@@ -70,6 +70,7 @@
         @Override public void onProbe(double now, ProbeResult r) { }
         @Override public void onGone(double now, String request) { enter("gone"); }
         @Override public void onTimer(double now, long cookie) { }
+        @Override public java.util.Set<String> avoided() { return java.util.Set.of(); }
     }
 
     private final Pooler<String, String> pooler = new Pooler<>(TestSettings.platform(), this, this, on -> { }, counters,
@@ -79,10 +80,10 @@
     @Override public void after(double ms, Runnable what) { timers.add(new Timer(now + ms, what)); }
 
     @Override public Pooler.Call send(String member, String query, double left, double within,
-                                      Consumer<AttemptEnd<String>> whenOver) {
-        end = whenOver;
+                                      Pooler.Hearer<String> hearer) {
+        end = hearer::ended;
         if (query.equals("inline")) {
-            whenOver.accept(new AttemptEnd.Served<>("now", AttemptEnd.Note.NONE));
+            end.accept(new AttemptEnd.Served<>("now", AttemptEnd.Note.NONE));
         }
         return () -> reach;
     }
--- a/src/test/java/crankspar/pg/PgFrontTest.java
+++ b/src/test/java/crankspar/pg/PgFrontTest.java
@@ -43,83 +43,20 @@
         }
     }
 
-    /** A wire with messages instead of bytes. */
-    private static final class Pg {
-        final Wire wire;
-        private final PgDecoder decoder;
-
-        Pg(Wire wire, boolean fromClient) {
-            this.wire = wire;
-            decoder = new PgDecoder(fromClient);
-        }
-
-        void send(PgMessage... messages) throws IOException {
-            var e = new PgEncoder();
-            for (PgMessage m : messages) {
-                e.add(m);
-            }
-            wire.send(e.bytes());
-        }
-
-        PgMessage next() throws IOException {
-            try {
-                for (PgMessage m = decoder.next(); ; m = decoder.next()) {
-                    if (m != null) {
-                        return m;
-                    }
-                    decoder.feed(ByteBuffer.wrap(wire.read(1)));
-                }
-            } catch (PgDecoder.Malformed e) {
-                throw new IOException(e);
-            }
-        }
-
-        /** What comes before ReadyForQuery, without the notes. */
-        List<PgMessage> answer() throws IOException {
-            var all = new ArrayList<PgMessage>();
-            for (PgMessage m = next(); !(m instanceof PgMessage.ReadyForQuery); m = next()) {
-                if (!(m instanceof PgMessage.ParameterStatus)) {
-                    all.add(m);
-                }
-            }
-            return all;
-        }
-
-        List<PgMessage> ask(String sql) throws IOException {
-            send(new PgMessage.Query(sql));
-            return answer();
-        }
-    }
-
-    private interface Query { void play(Pg pg, String sql) throws IOException, InterruptedException; }
-
-    /** A server: it welcomes, reports itself as primary when probed, and plays the script for each query. */
-    private ScriptedPeer server(Query script) throws Exception {
-        var peer = new ScriptedPeer(wire -> {
-            var pg = new Pg(wire, true);
-            pg.next();
-            pg.send(new PgMessage.AuthenticationOk(), new PgMessage.ReadyForQuery());
-            while (true) {
-                String sql = ((PgMessage.Query) pg.next()).sql();
-                if (sql.isEmpty()) {
-                    pg.send(new PgMessage.EmptyQueryResponse(), new PgMessage.ReadyForQuery());
-                } else if (sql.equals("SHOW load")) {
-                    row(pg, "x0=" + loop.now() / 1000 + ",x1=1");
-                } else {
-                    script.play(pg, sql);
-                }
+    /** A server: it reports itself as primary when probed, and plays the script for each query. */
+    private ScriptedPeer server(Pg.Query script) throws Exception {
+        var peer = new ScriptedPeer(wire -> Pg.serve(wire, (pg, sql) -> {
+            if (sql.equals("SHOW load")) {
+                row(pg, "x0=" + loop.now() / 1000 + ",x1=1");
+            } else {
+                script.play(pg, sql);
             }
-        });
+        }));
         open.add(peer);
         return peer;
     }
 
-    private void row(Pg pg, String value) throws IOException {
-        pg.send(PgEncoder.textColumns("val"), new PgMessage.DataRow(List.of(value.getBytes())),
-                new PgMessage.CommandComplete("SELECT 1"), new PgMessage.ParameterStatus("role", "primary"),
-                new PgMessage.ParameterStatus("applied_ms", Long.toString((long) loop.now())),
-                new PgMessage.ReadyForQuery());
-    }
+    private void row(Pg pg, String value) throws IOException { pg.row(value, loop.now()); }
 
     private void pooler(InetSocketAddress... servers) throws Exception {
         var settings = TestSettings.platform();
@@ -147,10 +84,9 @@
     }
 
     private Pg welcomed() throws Exception {
-        Pg pg = client();
-        pg.send(new PgMessage.Startup(Map.of("user", "client", "database", "core")));
-        pg.answer();
-        return pg;
+        Wire wire = Wire.to(address);
+        open.add(wire);
+        return Pg.welcomed(wire);
     }
 
     private static String read(String id) {
