One process replaces another under load: shared port, locked presence files, shared marks

With SO_REUSEPORT alone the marks' file went round and round: both processes signed their versions alike, so that two notes of a return tied and each was written again (Store.put); a writer's own signature per process ends that.

--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -57,7 +57,8 @@
             Operator operator = operator(file);
             Config config = file == null ? Config.read(System.getenv()) : platform();
             Logging.set(operator);
-            daemon = new Daemon(config, operator);
+            String shared = System.getenv("TMPDIR");
+            daemon = new Daemon(config, operator, shared == null || shared.isEmpty() ? null : Path.of(shared));
         } catch (Config.Bad e) {
             return bad(e);
         } catch (IOException e) {             // an address in use, a snapshot that cannot be read
--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -17,16 +17,19 @@
 import crankspar.pg.Statement;
 import crankspar.rest.RestFront;
 import crankspar.store.Replication;
+import crankspar.store.SharedEntries;
 import crankspar.store.Snapshots;
 import crankspar.store.Store;
 import crankspar.store.StoreResource;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 
@@ -45,6 +48,11 @@
      * has heard the first no. What a busy machine adds is allowed for.
      */
     private static final double STILL_OPEN = 700;
+    /** A successor waits so long (ms) for discovery's list, and then for the first probes' answers. */
+    private static final double LIST_MOST = 1500;
+    private static final double LOOK_ROUND = 400;
+    /** How often an end looks whether all is answered (ms). */
+    private static final double END_LOOK = 20;
     /** Shares of the sockets for clients and for servers; the rest is for the runtime's own files. */
     private static final double CLIENTS = 0.55;
     private static final double SERVERS = 0.35;
@@ -54,6 +62,7 @@
     private final Loop loop;
     private final Counters counters = new Counters();
     private final Store store;
+    private final Presence presence;
     private Pooler<Statement, PgAnswer> pgCore;
     private PgFront pg;
     private RestFront.Parts rest;
@@ -61,8 +70,10 @@
     private Watch restWatch;
     private Directory pgMembers;
     private Directory restMembers;
-    private Router.Settings pgSettings;
-    private Router.Settings restSettings;
+    private final Router.Settings pgSettings;
+    private final Router.Settings restSettings;
+    /** Members to start from: what a call may name before discovery's list is here. */
+    private final Set<String> known = new HashSet<>();
     private InetSocketAddress mgmtAddress;
     private InetSocketAddress pgAddress;
     private InetSocketAddress restAddress;
@@ -73,6 +84,11 @@
 
     /** Either may be null, not both: the platform's front needs the one, the REST front the other. */
     public Daemon(Config config, Operator operator) throws Config.Bad, IOException, InterruptedException {
+        this(config, operator, null);
+    }
+
+    /** {@code shared} is where processes of this pooler meet while one replaces the other; it may be null. */
+    public Daemon(Config config, Operator operator, Path shared) throws Config.Bad, IOException, InterruptedException {
         Operator.Rest setup = operator == null ? null : operator.rest();
         if (config == null && setup == null) {
             throw new Config.Bad("rest", "nothing to serve: no platform configuration and no REST front");
@@ -82,9 +98,24 @@
         if (setup != null && restSettings == null) {
             throw new Config.Bad("settings", "not set");
         }
+        pgSettings = config == null ? null : config.settings();
+        this.restSettings = setup == null ? null : restSettings;
+        if (config != null) {
+            config.known().members().forEach(m -> known.add(m.id()));
+        }
+        if (setup != null) {
+            setup.members().members().forEach(m -> known.add(m.id()));
+        }
         loop = new Loop("loop");
-        store = new Store(operator != null ? operator.name() : config.name());
+        String node = operator != null ? operator.name() : config.name();
+        store = new Store(node, node + "#" + Long.toHexString(ThreadLocalRandom.current().nextLong()));
+        presence = new Presence(shared, store.node());
         try {
+            if (shared != null) {
+                loop.runAndWait(() -> new SharedEntries(loop, store,
+                        shared.resolve("crankspar-" + Integer.toHexString(store.node().hashCode()) + ".marks"),
+                        List.of(Directory.DRAIN, Directory.RETURNED)));
+            }
             if (config != null && config.mgmt() != null) {
                 mgmtAddress = new Calls(loop, counters, this).listen(config.mgmt());
             }
@@ -105,6 +136,7 @@
             if (operator != null && !operator.store().peers().isEmpty()) {
                 new Replication(loop, store, counters, operator.store().periodMs(), operator.store().peers());
             }
+            presence.announce();
             loop.run(() -> serving = true);
         } catch (IOException | RuntimeException e) {
             loop.close();
@@ -136,15 +168,22 @@
         var pool = new Pool<Statement, PgAnswer>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(),
                 settings.limits().dialTimeout(), settings.limits().connIdle(), servers);
         var later = new Directory[1];
-        pgWatch = new Watch(loop, config.discovery(), config.known().revision(), counters,
-                list -> later[0].listed(list), () -> pgCore.watchLost());
+        var listed = new CountDownLatch(1);
+        pgWatch = new Watch(loop, config.discovery(), config.known().revision(), counters, list -> {
+            later[0].listed(list);
+            listed.countDown();
+        }, () -> pgCore.watchLost());
         pgCore = new Pooler<>(settings, loop, pool, pgWatch, counters, Balance::new);
         pg = new PgFront(loop, settings, counters, pgCore, clients);
-        pgSettings = settings;
         loop.runAndWait(() -> {
             pgMembers = later[0] = new Directory(loop, settings.rules().rampTime(), store, "pg", pool, pgCore);
             later[0].start(config.known());
         });
+        if (presence.another()) {
+            LOG.info("another process serves here: this one takes over once it has the list");
+            listed.await((long) LIST_MOST, TimeUnit.MILLISECONDS);
+            Thread.sleep((long) LOOK_ROUND);
+        }
         pgAddress = pg.listen(config.listen());
         longest = settings.classes().stream().mapToDouble(Router.RequestClass::giveUp).max().orElse(0);
         LOG.info(config.name() + " listens at " + pgAddress + ", calls at " + mgmtAddress + ", discovery at "
@@ -157,7 +196,6 @@
         restWatch = setup.discovery() == null ? null : new Watch(loop, setup.discovery(), setup.members().revision(),
                 counters, list -> later[0].listed(list), () -> rest.pooler().watchLost());
         Pooler.Discovery discovery = restWatch == null ? on -> { } : restWatch;
-        restSettings = settings;
         rest = RestFront.build(loop, settings, counters, discovery, Balance::new, clients, servers);
         rest.front().add(StoreResource.PATH, new StoreResource(store, counters));
         loop.runAndWait(() -> {
@@ -201,6 +239,10 @@
      */
     public void stop() throws InterruptedException {
         double answered = Math.min(longest, KILL_MOST) + KILL_AFTER - SPARE;
+        if (presence.another()) {
+            handOver(answered);
+            return;
+        }
         double open = Math.max(KILL_AFTER - SPARE, answered - LAST_REQUEST);
         var quiet = new CountDownLatch((pg == null ? 0 : 1) + (rest == null ? 0 : 1));
         loop.run(() -> {
@@ -224,6 +266,7 @@
             }
         });
         quiet.await((long) (open + longest + 500), TimeUnit.MILLISECONDS);
+        presence.close();
         loop.runAndWait(() -> System.err.println("counters " + counters));
     }
 
@@ -232,22 +275,27 @@
 
     @Override public List<Figure> figures() {
         var all = new ArrayList<Figure>();
-        if (!serving) {
-            return all;
-        }
         var classes = new java.util.LinkedHashMap<String, long[]>();
         long tries = 0;
         long active = 0;
         Set<String> listed = new HashSet<>();
         Set<String> avoided = new HashSet<>();
-        if (pg != null) {
-            tries += count(classes, pgSettings, pgCore);
+        if (pgSettings != null) {
+            tries += count(classes, pgSettings, serving ? pgCore : null);
+        }
+        if (restSettings != null) {
+            tries += count(classes, restSettings, serving ? rest.pooler() : null);
+        }
+        if (!serving) {                       // all there is to come, at nought
+            listed.addAll(known);
+            avoided.addAll(store.under(Directory.DRAIN).keySet());
+        }
+        if (serving && pg != null) {
             active += pgCore.owing();
             listed.addAll(pgMembers.ids());
             avoided.addAll(pgCore.avoided());
         }
-        if (rest != null) {
-            tries += count(classes, restSettings, rest.pooler());
+        if (serving && rest != null) {
             active += rest.pooler().owing();
             listed.addAll(restMembers.ids());
             avoided.addAll(rest.pooler().avoided());
@@ -268,25 +316,25 @@
     private static long count(java.util.Map<String, long[]> classes, Router.Settings settings, Pooler<?, ?> core) {
         for (int i = 0; i < settings.classes().size(); i++) {
             long[] n = classes.computeIfAbsent(settings.classes().get(i).name(), k -> new long[3]);
-            n[0] += core.figures().ok(i);
-            n[1] += core.figures().shed(i);
-            n[2] += core.figures().errors(i);
+            n[0] += core == null ? 0 : core.figures().ok(i);
+            n[1] += core == null ? 0 : core.figures().shed(i);
+            n[2] += core == null ? 0 : core.figures().errors(i);
         }
-        return core.figures().tries();
+        return core == null ? 0 : core.figures().tries();
     }
 
     @Override public Done disable(String id) { return marked(id, "by hand"); }
 
     @Override public Done enable(String id) { return marked(id, null); }
 
-    /** The operator's mark is the store's, whoever sets it; an id is known while it is listed or marked. */
+    /**
+     * The operator's mark is the store's, whoever sets it; an id is known while it is listed or marked. A
+     * process that is still starting takes it too: operators call the new one as soon as it is there, and the
+     * one that serves hears of it through the shared file.
+     */
     private Done marked(String id, String why) {
-        if (!serving) {
-            return Done.NOT_NOW;
-        }
-        if (store.get(Directory.DRAIN + id) == null && (pgMembers == null || !pgMembers.lists(id))
-                && (restMembers == null || !restMembers.lists(id))) {
-            return Done.UNKNOWN_ID;
+        if (store.get(Directory.DRAIN + id) == null && !(serving ? listed(id) : known.contains(id))) {
+            return serving ? Done.UNKNOWN_ID : Done.NOT_NOW;
         }
         try {
             store.put(Directory.DRAIN + id, why);
@@ -297,6 +345,10 @@
         }
     }
 
+    private boolean listed(String id) {
+        return pgMembers != null && pgMembers.lists(id) || restMembers != null && restMembers.lists(id);
+    }
+
     /** Who asks is told no at once; the doors stay open until nobody is sent here any more. */
     @Override public Done drain() {
         if (!serving) {
@@ -341,5 +393,50 @@
         return Done.YES;
     }
 
-    @Override public void close() { loop.close(); }
+    /**
+     * Ends in favour of a process that serves already: nothing new, idle clients are closed gently, and the end
+     * comes with the last answer. Guards against requests that end at the door, and against the kill.
+     */
+    private void handOver(double answered) throws InterruptedException {
+        LOG.info("another process serves: this one ends");
+        var done = new CountDownLatch(1);
+        loop.run(() -> {
+            double until = loop.now() + answered;
+            if (pg != null) {
+                pgCore.answerBy(until);
+                pg.drain();
+            }
+            if (rest != null) {
+                rest.pooler().answerBy(until);
+                rest.front().drain();
+            }
+            look(until, done);
+        });
+        done.await((long) (answered + SPARE), TimeUnit.MILLISECONDS);
+        presence.close();
+        loop.runAndWait(() -> System.err.println("counters " + counters));
+    }
+
+    private void look(double until, CountDownLatch done) {
+        boolean late = loop.now() >= until;
+        if (late) {
+            if (pg != null) {
+                pgCore.giveUp();
+            }
+            if (rest != null) {
+                rest.pooler().giveUp();
+            }
+        }
+        if (late || (pg == null || pgCore.owing() == 0 && pg.left())
+                && (rest == null || rest.pooler().owing() == 0 && rest.front().left())) {
+            loop.after(100, done::countDown); // the last bytes leave
+        } else {
+            loop.after(END_LOOK, () -> look(until, done));
+        }
+    }
+
+    @Override public void close() {
+        presence.close();
+        loop.close();
+    }
 }
--- a/src/main/java/crankspar/cli/Directory.java
+++ b/src/main/java/crankspar/cli/Directory.java
@@ -24,6 +24,8 @@
  */
 final class Directory {
     static final String DRAIN = "drain/";
+    /** When a mark was taken back (Unix ms). */
+    static final String RETURNED = "returned/";
     private static final Logger LOG = Logger.getLogger(Directory.class.getName());
 
     private final Pooler.Time clock;
@@ -34,8 +36,6 @@
     private final Pooler<?, ?> pooler;
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
-    /** When a member's mark was taken back (Unix ms), while that matters. */
-    private final Map<String, Double> returned = new LinkedHashMap<>();
 
     Directory(Pooler.Time clock, double ramp, Store store, String front, Pool<?, ?> pool, Pooler<?, ?> pooler) {
         this.clock = clock;
@@ -107,10 +107,15 @@
      * restarted meanwhile, and discovery tells that late or not at all.
      */
     private Member mark(Member m) {
-        returned.values().removeIf(at -> clock.now() - at > ramp);
         return m.health() != Health.RUNNING ? m : new Member(m.id(), m.zone(), m.listedPrimary(), m.capacityHint(),
                 banned(m.id()) ? Health.DRAINING : Health.RUNNING, m.group(), m.machine(),
-                Math.max(m.lastStart(), returned.getOrDefault(m.id(), 0.0)));
+                Math.max(m.lastStart(), returned(m.id())));
+    }
+
+    private double returned(String id) {
+        String at = store.get(RETURNED + id);
+        return at != null && at.matches("[0-9]{1,15}") && clock.now() - Long.parseLong(at) < ramp
+                ? Long.parseLong(at) : 0;
     }
 
     private void changed(Store.Entry e) {
@@ -119,7 +124,11 @@
         }
         String id = e.key().substring(DRAIN.length());
         if (e.value() == null) {
-            returned.put(id, clock.now());
+            try {
+                store.put(RETURNED + id, Long.toString((long) clock.now()));
+            } catch (Store.Refused refused) {
+                LOG.warning("not noted when it came back: " + refused.getMessage());
+            }
         }
         Member m = members.get(id);
         if (m != null) {
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -211,6 +211,17 @@
         quiet();
     }
 
+    /** The process ends: what is still owed gets its answer now. */
+    public void giveUp() {
+        new ArrayList<>(owed.entrySet()).forEach(e -> {
+            Owed o = e.getValue();
+            if (!o.over) {
+                event(() -> module.onGone(now(), e.getKey()));
+                answer(e.getKey(), o, new FinalAnswer.Failed<>(o.mayHaveRun || o.out != null, "this pooler ends"));
+            }
+        });
+    }
+
     private void quiet() {
         if (owing == 0) {
             Runnable what = whenQuiet;
--- a/src/main/java/crankspar/net/Clients.java
+++ b/src/main/java/crankspar/net/Clients.java
@@ -169,6 +169,9 @@
         new ArrayList<>(places.keySet()).forEach(Visitor::closeIfIdle);
     }
 
+    /** Whether none is left that might still be answered. */
+    public boolean left() { return places.keySet().stream().allMatch(s -> s.standing() == Standing.LEAVING); }
+
     /** The end of a drain: new connections are taken again, at the same address. */
     public void resume() {
         if (!draining) {
--- a/src/main/java/crankspar/net/Loop.java
+++ b/src/main/java/crankspar/net/Loop.java
@@ -101,6 +101,7 @@
         var server = AsynchronousServerSocketChannel.open(group);
         try {
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            server.setOption(StandardSocketOptions.SO_REUSEPORT, true); // one process replaces another under load
             server.bind(address, BACKLOG);
         } catch (IOException | RuntimeException e) {
             server.close();
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -95,6 +95,9 @@
     /** Takes no new connections, and closes each that it has between two requests. */
     public void drain() { clients.drain(); }
 
+    /** Whether no client is left that might still be answered. */
+    public boolean left() { return clients.left(); }
+
     /** The end of a drain. */
     public void resume() { clients.resume(); }
 }
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -340,6 +340,9 @@
     /** Takes no new connections, and closes each that it has between two requests. */
     public void drain() { clients.drain(); }
 
+    /** Whether no client is left that might still be answered. */
+    public boolean left() { return clients.left(); }
+
     /** The end of a drain. */
     public void resume() { clients.resume(); }
 }
--- a/src/main/java/crankspar/store/Store.java
+++ b/src/main/java/crankspar/store/Store.java
@@ -38,6 +38,7 @@
     static final long COUNTER_MOST = 1L << 53;
 
     private final String node;
+    private final String writer;
     private final Map<String, Entry> entries = new TreeMap<>();
     /** The local order of changes: a peer asks for what came after a place in it. */
     private final TreeMap<Long, String> order = new TreeMap<>();
@@ -47,7 +48,13 @@
     private long counter;
     private long bytes;
 
-    public Store(String node) { this.node = node; }
+    public Store(String node) { this(node, node); }
+
+    /** Two processes of one node, while one replaces the other, sign their versions apart: else some would tie. */
+    public Store(String node, String writer) {
+        this.node = node;
+        this.writer = writer;
+    }
 
     public String node() { return node; }
 
@@ -78,7 +85,7 @@
         if (old == null && value == null || old != null && java.util.Objects.equals(old.value(), value)) {
             return;
         }
-        take(new Entry(key, value, counter + 1, node));
+        take(new Entry(key, value, counter + 1, writer));
     }
 
     /** Takes an entry, from here or a peer, if it is newer than what is held. */
