--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -41,9 +41,21 @@
     public interface Hearer<A> {
         /** Its last byte has left. */
         default void written() { }
+        /**
+         * An answer too long to hold has begun: it is passed on as it comes, and its end is told as any other.
+         * False where nobody waits for it any more.
+         */
+        default boolean began(A answer) { return false; }
         void ended(AttemptEnd<A> end);
     }
 
+    /** Where a request's one final answer goes. */
+    public interface Reply<A> {
+        /** The answer has begun, and the rest comes as the server gives it; the final answer tells how it ended. */
+        default void began(A answer) { throw new UnsupportedOperationException("answers are taken whole here"); }
+        void answer(FinalAnswer<A> answer);
+    }
+
     /** Where attempts go. An end may be told before {@code send} has returned. */
     public interface Backends<Q, A> {
         /**
@@ -75,14 +87,14 @@
 
     private final class Owed {
         final Ask<Q> ask;
-        final Consumer<FinalAnswer<A>> reply;
+        final Reply<A> reply;
         final double taken;
         final double deadline;
         int sent;
-        boolean mayHaveRun, over;
+        boolean mayHaveRun, over, begun;
         Attempt out;
 
-        Owed(Ask<Q> ask, Consumer<FinalAnswer<A>> reply, double now) {
+        Owed(Ask<Q> ask, Reply<A> reply, double now) {
             this.ask = ask;
             this.reply = reply;
             taken = now;
@@ -97,7 +109,7 @@
         final String member;
         final double sent = now();
         Call call;
-        boolean ended, written;
+        boolean ended, written, told;
 
         Attempt(String request, Owed owed, String member) {
             this.request = request;
@@ -114,6 +126,8 @@
             }
         }
 
+        @Override public boolean began(A answer) { return Pooler.this.began(this, answer); }
+
         @Override public void ended(AttemptEnd<A> end) { Pooler.this.ended(this, end); }
     }
 
@@ -161,7 +175,7 @@
     public void answerBy(double time) { lastAnswer = time; }
 
     /** Takes a request; its reply is called exactly once unless {@link #gone} comes first. */
-    public String take(Ask<Q> asked, Consumer<FinalAnswer<A>> reply) {
+    public String take(Ask<Q> asked, Reply<A> reply) {
         String id = Long.toString(++ids, 36);
         counters.add("taken");
         double now = now();
@@ -175,7 +189,7 @@
         event(() -> module.onRequest(now, new Router.Request(id, ask.requestClass(), ask.ttl(), ask.session(),
                 age, ask.group())));
         time.after(ask.ttl() + settings.rules().answerSlack() * LAST, () -> {
-            if (!o.over) {
+            if (!o.over && !o.begun) {
                 counters.add("overdue");
                 event(() -> module.onGone(now(), id));
                 answer(id, o, new FinalAnswer.Failed<>(o.mayHaveRun || o.out != null, "deadline"));
@@ -192,7 +206,7 @@
             event(() -> module.onGone(now(), id));
             conclude(id, o);
             if (o.out != null) {
-                cancel(id, o.out.number);
+                callOff(o);
             }
             quiet();
         }
@@ -218,6 +232,9 @@
             if (!o.over) {
                 event(() -> module.onGone(now(), e.getKey()));
                 answer(e.getKey(), o, new FinalAnswer.Failed<>(o.mayHaveRun || o.out != null, "this pooler ends"));
+                if (o.begun && o.out != null) {
+                    callOff(o);
+                }
             }
         });
     }
@@ -272,7 +289,7 @@
             return;
         }
         time.after(left, () -> {
-            if (!a.ended) {
+            if (!a.ended && !o.begun) {
                 Reach reach = a.call.abandon();
                 if (reach.mayHaveRun()) {
                     o.mayHaveRun = true;
@@ -300,6 +317,28 @@
         return AttemptEnd.Note.NONE;
     }
 
+    /**
+     * From its first bytes on an answer belongs to its client: no time-out, no other attempt, no other answer.
+     * A read's member has done its work by then, and slow readers must not make it look silent; a write's
+     * outcome waits for the note behind its answer.
+     */
+    private boolean began(Attempt a, A answer) {
+        Owed o = a.owed;
+        if (a.ended || o.over) {
+            return false;
+        }
+        a.written();
+        o.begun = true;
+        counters.add("begun");
+        o.reply.began(answer);
+        if (settings.classes().get(o.ask.requestClass()).freshness() != Router.Freshness.WRITE) {
+            a.told = true;
+            event(() -> module.onOutcome(now(), new Outcome(a.request, a.number, a.member, Status.OK, now() - a.sent,
+                    true, Role.UNKNOWN, Double.NaN)));
+        }
+        return true;
+    }
+
     private void ended(Attempt a, AttemptEnd<A> end) {
         if (a.ended) {
             return;
@@ -307,6 +346,10 @@
         if (!(end instanceof AttemptEnd.Broken<A> b) || b.reach().mayHaveRun()) {
             a.written();
         }
+        if (a.owed.begun && !a.owed.over && !(end instanceof AttemptEnd.Served)) {
+            counters.add("begun_broken");
+            answer(a.request, a.owed, new FinalAnswer.Failed<>(true, "the answer broke off"));
+        }
         if (end instanceof AttemptEnd.Served<A> s) {
             AttemptEnd.Note note = plausible(s.note());
             if (!a.owed.over) {
@@ -335,8 +378,10 @@
         counters.add("sent_" + status.name().toLowerCase(java.util.Locale.ROOT));
         event(() -> {
             double now = now();
-            module.onOutcome(now, new Outcome(a.request, a.number, a.member, status, now - a.sent, a.owed.over,
-                    note.role(), note.position()));
+            if (!a.told) {
+                module.onOutcome(now, new Outcome(a.request, a.number, a.member, status, now - a.sent, a.owed.over,
+                        note.role(), note.position()));
+            }
             if (a.owed.over && a.owed.out == null) {
                 owed.remove(a.request);
             }
@@ -345,14 +390,14 @@
 
     @Override public void refuse(String request, double retryIn) {
         Owed o = owed.get(request);
-        if (o != null && !o.over) {
+        if (o != null && !o.over && !o.begun) {
             answer(request, o, new FinalAnswer.Refused<>(retryIn));
         }
     }
 
     @Override public void fail(String request) {
         Owed o = owed.get(request);
-        if (o != null && !o.over) {
+        if (o != null && !o.over && !o.begun) {
             answer(request, o, new FinalAnswer.Failed<>(o.mayHaveRun || o.out != null, "given up"));
         }
     }
@@ -361,7 +406,7 @@
         conclude(id, o);
         figures.answered(o.ask.requestClass(), answer);
         counters.add("answered_" + answer.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT));
-        o.reply.accept(answer);
+        o.reply.answer(answer);
         quiet();
     }
 
@@ -378,14 +423,18 @@
 
     @Override public void cancel(String request, int number) {
         Owed o = owed.get(request);
-        if (o != null && o.out != null && o.out.number == number) {
-            Attempt a = o.out;
-            if (a.call != null && a.call.abandon().mayHaveRun()) {
-                o.mayHaveRun = true;
-                a.written();
-            }
-            end(a, Status.CANCELLED, AttemptEnd.Note.NONE);
+        if (o != null && o.out != null && o.out.number == number && !o.begun) {
+            callOff(o);
+        }
+    }
+
+    private void callOff(Owed o) {
+        Attempt a = o.out;
+        if (a.call != null && a.call.abandon().mayHaveRun()) {
+            o.mayHaveRun = true;
+            a.written();
         }
+        end(a, Status.CANCELLED, AttemptEnd.Note.NONE);
     }
 
     @Override public void setTimer(double delay, long cookie) {
--- a/src/main/java/crankspar/net/Clients.java
+++ b/src/main/java/crankspar/net/Clients.java
@@ -19,9 +19,12 @@
     /** From connecting to a greeting (ms): guards against hundreds that connect and say nothing. */
     private static final double SILENT_MOST = 1000;
     /** From connecting to a first request (ms). */
-    private static final double UNASKED_MOST = 2000;
-    /** For one message, from its first byte to its last (ms): guards against lines that never end. */
-    private static final double HALF_MOST = 1800;
+    private static final double UNASKED_MOST = 2600;
+    /**
+     * For one message, from its first byte to its last (ms): guards against lines that never end. Slow clients
+     * of ours need 2 s for one; rude ones are owed their end within 3 s of connecting.
+     */
+    private static final double HALF_MOST = 2400;
 
     /** The share of the places up to which idle connections are kept. */
     private static final double KEPT = 0.4;
@@ -140,7 +143,7 @@
                 place.progress = session.progress();
                 place.since = now;
             }
-            if (place.standing == Standing.NEW && now - place.opened > SILENT_MOST) {
+            if (place.standing == Standing.NEW && now - place.opened > (session.begun() ? HALF_MOST : SILENT_MOST)) {
                 counters.add("client_connections_silent");
                 session.turnAway("nothing whole came in time");
             } else if (place.standing == Standing.HALF && now - place.since > HALF_MOST) {
--- a/src/main/java/crankspar/net/Machine.java
+++ b/src/main/java/crankspar/net/Machine.java
@@ -9,6 +9,8 @@
         /** Queues bytes; {@code written} runs once the last of them has left. */
         void write(byte[] bytes, int length, Runnable written);
         default void write(byte[] bytes) { write(bytes, bytes.length, null); }
+        /** Whether the peer is read: not while what it sends has nowhere to go. */
+        default void reading(boolean on) { }
         /** Ends what is sent once all that is queued has left, and still reads for a moment. */
         void finish();
         /** Ends the connection at once; the machine hears no more. */
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -21,6 +21,8 @@
     private static final double SWEEP = 1000;
     /** A member that is gone is forgotten after this long (ms), by when no attempt at it is out. */
     private static final double FORGET = 60_000;
+    /** A long answer may stand still for this long (ms): clients spend seconds reading. */
+    private static final double STALL = 15_000;
 
     private final Loop loop;
     private final Counters counters;
@@ -82,6 +84,27 @@
             }
         }
 
+        @Override public boolean began(A answer) {
+            boolean wanted = hearer != null && hearer.began(answer);
+            if (wanted) {
+                mind(stream.received());
+            }
+            return wanted;
+        }
+
+        /** Guards against a long answer that stands still, as its server gives or its client takes nothing more. */
+        private void mind(long seen) {
+            loop.after(STALL, () -> {
+                if (hearer != null && !closed) {
+                    if (stream.received() == seen) {
+                        lose("a long answer stood still");
+                    } else {
+                        mind(stream.received());
+                    }
+                }
+            });
+        }
+
         @Override public void ended(AttemptEnd<A> how) {
             Pooler.Hearer<A> told = hearer;
             hearer = null;
--- a/src/main/java/crankspar/net/Stream.java
+++ b/src/main/java/crankspar/net/Stream.java
@@ -27,7 +27,8 @@
     private final ArrayDeque<Chunk> queue = new ArrayDeque<>();
     private ByteBuffer in;
     private int queued, lingered;
-    private boolean open = true, reading, writing, finishing, finished;
+    private boolean open = true, reading, held, writing, finishing, finished;
+    private long received;
 
     Stream(Loop loop, AsynchronousSocketChannel channel, Machine machine) {
         this.loop = loop;
@@ -54,7 +55,7 @@
     }
 
     private void read() {
-        if (!open || reading) {
+        if (!open || reading || held) {
             return;
         }
         reading = true;
@@ -69,6 +70,7 @@
                     end("closed by the peer");
                     return;
                 }
+                received += count;
                 in.flip();
                 if (!finishing) {
                     guard(() -> machine.received(in));
@@ -135,8 +137,17 @@
         });
     }
 
+    @Override public void reading(boolean on) {
+        held = !on;
+        read();
+    }
+
+    /** Bytes that the peer has sent so far. */
+    long received() { return received; }
+
     @Override public void finish() {
         finishing = true;
+        held = false;
         flush();
     }
 
--- a/src/main/java/crankspar/net/Visitor.java
+++ b/src/main/java/crankspar/net/Visitor.java
@@ -19,6 +19,8 @@
     }
 
     Standing standing();
+    /** Whether a byte of what is not whole yet has come: it may be slow rather than silent. */
+    boolean begun();
     /** Counts whole messages, so that a standing that lasts is told from one that comes again. */
     long progress();
     /** Tells the client why it is ended, in the words of its protocol, and ends it. */
--- a/src/main/java/crankspar/pg/ClientSession.java
+++ b/src/main/java/crankspar/pg/ClientSession.java
@@ -35,7 +35,9 @@
     private int waitingChars;
     private int held;
     private Out out;
-    private boolean welcomed, asked, skipping, busy, taking, over;
+    private boolean welcomed, asked, skipping, busy, begun, taking, over;
+    /** Said once the long answer at hand is out. */
+    private Runnable parting;
     private long messages;
     private String id;
 
@@ -44,6 +46,10 @@
     @Override public void opened(Out out) { this.out = out; }
 
     @Override public void received(ByteBuffer in) {
+        if (parting != null) {
+            in.position(in.limit());
+            return;
+        }
         decoder.feed(in);
         try {
             for (PgMessage m = decoder.next(); m != null && !over; m = decoder.next()) {
@@ -160,13 +166,19 @@
 
     /** The final answer to the query at hand; the next one in line is taken after it. */
     void answer(FinalAnswer<PgAnswer> answer) {
-        busy = false;
+        boolean partly = begun;
+        busy = begun = false;
         id = null;
         if (over) {
             return;
         }
         var e = new PgEncoder();
-        if (answer instanceof FinalAnswer.Served<PgAnswer> s) {
+        if (partly && !(answer instanceof FinalAnswer.Served)) {
+            drop();                           // in the midst of a row, so that its client can tell
+            return;
+        } else if (partly && answer instanceof FinalAnswer.Served<PgAnswer> s) {
+            e.add(s.answer().complete());
+        } else if (answer instanceof FinalAnswer.Served<PgAnswer> s) {
             e.add(s.answer().columns()).add(s.answer().row()).add(s.answer().complete());
         } else if (answer instanceof FinalAnswer.Refused<PgAnswer> r) {
             PgMessage.Report refusal = PgMessage.Report.error("ERROR", "53300", "refused: trying again is harmless");
@@ -175,7 +187,18 @@
             e.add(PgMessage.Report.error("ERROR", f.mayHaveRun() ? "08007" : "58000", "failed: " + f.why()));
         }
         out.write(e.add(new PgMessage.ReadyForQuery()).bytes());
-        goOn();
+        if (parting != null) {
+            parting.run();
+        } else {
+            goOn();
+        }
+    }
+
+    /** A long answer has begun: what its server gives goes on as it comes. */
+    void began(PgAnswer answer) {
+        begun = true;
+        out.write(new PgEncoder().add(answer.columns()).add(new PgMessage.LongRow(answer.size())).bytes());
+        answer.passage().to(out);
     }
 
     /**
@@ -186,6 +209,10 @@
         if (over) {
             return;
         }
+        if (begun) {                          // no error fits into the midst of a row
+            parting = () -> fatal(code, message);
+            return;
+        }
         desk.counters().add("client_malformed");
         var e = new PgEncoder();
         if (busy) {
@@ -210,6 +237,8 @@
                 : !decoder.empty() ? Standing.HALF : asked ? Standing.IDLE : Standing.STARTED;
     }
 
+    @Override public boolean begun() { return !decoder.empty(); }
+
     @Override public long progress() { return messages; }
 
     @Override public void turnAway(String why) {
--- a/src/main/java/crankspar/pg/PgDecoder.java
+++ b/src/main/java/crankspar/pg/PgDecoder.java
@@ -9,11 +9,14 @@
 
 /** Cuts a byte stream into messages, however it was fragmented. It keeps at most one message. */
 public final class PgDecoder {
-    /**
-     * The platform's page says that values are at most 64 KiB; its servers were seen to send 392 KB, and each
-     * of these answers was thrown away six times over. No value is said to be longer than this and believed.
-     */
+    /** No statement is longer than this, nor said to be and believed. */
     static final int FRAME_MOST = 1088 * 1024;
+    /** Values up to this are held whole; longer ones come out in parts. */
+    static final int VALUE_WHOLE = 64 * 1024;
+    /** No value is said to be longer than this and believed: its head is refused. */
+    static final int VALUE_MOST = 4 << 20;
+    /** What a row of one value holds besides it: its length, the count of columns and the value's length. */
+    private static final int ROW = 10;
     private static final int STARTUP_MOST = 10_000;
     /** A server's short messages: longer ones are noise that happens to begin like a message. */
     private static final int SHORT_MOST = 1024;
@@ -35,6 +38,8 @@
     private boolean started;
     private byte[] kept = new byte[512];
     private int from, to;
+    /** Bytes of a long value that are still to come. */
+    private int left;
 
     public PgDecoder(boolean fromClient) {
         this.fromClient = fromClient;
@@ -63,6 +68,12 @@
 
     /** The next whole message, or null until more bytes have come. */
     public PgMessage next() throws Malformed {
+        if (left > 0) {
+            int n = Math.min(left, to - from);
+            left -= n;
+            from += n;
+            return n == 0 ? null : new PgMessage.Part(Arrays.copyOfRange(kept, from - n, from));
+        }
         int head = started ? 5 : 4;
         if (to - from < head) {
             return null;
@@ -73,6 +84,14 @@
         }
         if (started && !fromClient && kept[from] == 'D') {
             fits(length);
+            if (length > VALUE_WHOLE + ROW) {
+                if (to - from < head + ROW - 4) {
+                    return null;
+                }
+                from += head + ROW - 4;
+                left = length - ROW;
+                return new PgMessage.LongRow(left);
+            }
         }
         int whole = length + head - 4;
         if (to - from < whole) {
@@ -92,7 +111,7 @@
     int held() { return to - from; }
 
     /** Whether no byte of a next message has come. */
-    boolean empty() { return from == to; }
+    boolean empty() { return from == to && left == 0; }
 
     /**
      * The most that a message of this type may hold; none for a type that this side never sends. Guards
@@ -108,7 +127,7 @@
             };
         }
         return switch (type) {
-            case 'D' -> FRAME_MOST;
+            case 'D' -> VALUE_MOST + ROW;
             case 'E', 'N' -> ERROR_MOST;
             case 'R', 'S', 'T', 'C' -> SHORT_MOST;
             case 'K' -> 12;
--- a/src/main/java/crankspar/pg/PgEncoder.java
+++ b/src/main/java/crankspar/pg/PgEncoder.java
@@ -67,6 +67,15 @@
             body.write(0);
             return frame(m.notice() ? 'N' : 'E');
         }
+        if (message instanceof PgMessage.LongRow m) {  // its parts follow as they are
+            out.write('D');
+            int16((m.size() + 10) >>> 16);
+            int16(m.size() + 10);
+            int16(1);
+            int32(m.size());
+            out.writeBytes(body.toByteArray());
+            return this;
+        }
         throw new IllegalArgumentException("not for sending: " + message);
     }
 
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -3,6 +3,7 @@
 import crankspar.Router;
 import crankspar.Router.Freshness;
 import crankspar.core.Counters;
+import crankspar.core.FinalAnswer;
 import crankspar.core.Pooler;
 import crankspar.net.Carrier;
 import crankspar.net.Clients;
@@ -68,9 +69,13 @@
         if (open.putIfAbsent(id, "") != null) {
             throw new Statement.Malformed("a request with this id is open");
         }
-        String taken = pooler.take(ask, answer -> {
-            open.remove(id);
-            session.answer(answer);
+        String taken = pooler.take(ask, new Pooler.Reply<>() {
+            @Override public void began(PgAnswer answer) { session.began(answer); }
+
+            @Override public void answer(FinalAnswer<PgAnswer> answer) {
+                open.remove(id);
+                session.answer(answer);
+            }
         });
         open.replace(id, taken);              // unless the answer has come already
     }
--- a/src/main/java/crankspar/pg/PgMessage.java
+++ b/src/main/java/crankspar/pg/PgMessage.java
@@ -24,6 +24,9 @@
     record RowDescription(int columns, byte[] body) implements PgMessage { }
     /** A null value is a null. */
     record DataRow(List<byte[]> values) implements PgMessage { }
+    /** A row whose one value is too long to hold: its bytes follow as parts. */
+    record LongRow(int size) implements PgMessage { }
+    record Part(byte[] bytes) implements PgMessage { }
     record CommandComplete(String tag) implements PgMessage { }
     record EmptyQueryResponse() implements PgMessage { }
 
--- a/src/main/java/crankspar/pg/ServerSession.java
+++ b/src/main/java/crankspar/pg/ServerSession.java
@@ -7,6 +7,7 @@
 import crankspar.core.Pooler;
 import crankspar.core.Reach;
 import crankspar.net.Carrier;
+import crankspar.net.Passage;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
@@ -20,7 +21,7 @@
  * served to nobody, its notes count for nothing, and its connection is of no more use.
  */
 final class ServerSession implements Carrier<Statement, PgAnswer> {
-    private enum Phase { DIALLED, WELCOMING, IDLE, SETTLING, SETTLED, ASKED, COLUMNS, ROW, COMPLETE, ERROR }
+    private enum Phase { DIALLED, WELCOMING, IDLE, SETTLING, SETTLED, ASKED, COLUMNS, LONG, ROW, COMPLETE, ERROR }
 
     private static final byte[] STARTUP;
 
@@ -44,6 +45,8 @@
     private Pooler.Hearer<PgAnswer> hearer;
     private PgMessage.RowDescription columns;
     private PgMessage.DataRow row;
+    private Passage passage;
+    private int left;
     private PgMessage.CommandComplete complete;
     private PgMessage.Report error;
     private Role role = Role.UNKNOWN;
@@ -133,6 +136,12 @@
         } else if (phase == Phase.COLUMNS && m instanceof PgMessage.DataRow d) {
             row = d;
             phase = Phase.ROW;
+        } else if (phase == Phase.COLUMNS && m instanceof PgMessage.LongRow d && !statement.sql().equals(Statement.LOAD)) {
+            begin(d);
+        } else if (phase == Phase.LONG && m instanceof PgMessage.Part p) {
+            left -= p.bytes().length;
+            phase = left == 0 ? Phase.ROW : Phase.LONG;
+            passage.pass(p.bytes());
         } else if (phase == Phase.ROW && m instanceof PgMessage.CommandComplete c) {
             complete = c;
             phase = Phase.COMPLETE;
@@ -146,6 +155,17 @@
         }
     }
 
+    /** The row's head is here: its answer has begun, for whoever still waits for it. */
+    private void begin(PgMessage.LongRow d) throws PgDecoder.Malformed {
+        phase = Phase.LONG;
+        row = null;
+        left = d.size();
+        passage = new Passage(out);
+        if (!hearer.began(PgAnswer.begun(columns, d.size(), passage))) {
+            throw new PgDecoder.Malformed("a long answer that nobody waits for");
+        }
+    }
+
     private void note(PgMessage.ParameterStatus p) {
         if (p.name().equals("role")) {
             role = p.value().equals("primary") ? Role.PRIMARY : p.value().equals("replica") ? Role.REPLICA : Role.UNKNOWN;
