--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -116,8 +116,10 @@
                         shared.resolve("crankspar-" + Integer.toHexString(store.node().hashCode()) + ".marks"),
                         List.of(Directory.DRAIN, Directory.RETURNED)));
             }
-            if (config != null && config.mgmt() != null) {
-                mgmtAddress = new Calls(loop, counters, this).listen(config.mgmt());
+            InetSocketAddress mgmt = config != null && config.mgmt() != null ? config.mgmt()
+                    : operator != null ? operator.mgmt() : null;
+            if (mgmt != null) {
+                mgmtAddress = new Calls(loop, counters, this).listen(mgmt);
             }
             if (config != null) {
                 long began = System.nanoTime();
--- a/src/main/java/crankspar/config/Operator.java
+++ b/src/main/java/crankspar/config/Operator.java
@@ -12,9 +12,12 @@
 import java.util.Map;
 import java.util.logging.Level;
 
-/** What an operator's own file sets up besides the platform: the REST front, the store's peers, syslog. */
-public record Operator(String name, String text, Router.Settings settings, Rest rest, StoreSetup store,
-                       Syslog syslog) {
+/**
+ * What an operator's own file sets up besides the platform: the REST front, the store's peers, syslog and,
+ * where the platform names none, the address for operators' calls ({@code mgmt}, or null).
+ */
+public record Operator(String name, String text, Router.Settings settings, InetSocketAddress mgmt, Rest rest,
+                       StoreSetup store, Syslog syslog) {
     /** The REST front, with a discovery to watch, a fixed list of members, or both. */
     public record Rest(InetSocketAddress listen, InetSocketAddress discovery, MemberList members) { }
 
@@ -39,7 +42,7 @@
         String name = Config.text(null, o, "name");
         Router.Settings settings = o.get("settings") == null ? null
                 : Config.settings(o, java.util.concurrent.ThreadLocalRandom.current().nextLong());
-        return new Operator(name, text, settings, rest(o), store(o), syslog(o));
+        return new Operator(name, text, settings, o.get("mgmt") == null ? null : address(o, "", "mgmt"), rest(o), store(o), syslog(o));
     }
 
     private static Rest rest(Map<?, ?> o) throws Config.Bad {
