--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -36,46 +36,11 @@
         }
     }
 
-    private static int bad(Config.Bad e) {
-        System.err.println("crankspar: " + e.getMessage());
-        return BAD_CONFIG;
-    }
-
-    private static Config platform() throws Config.Bad {
-        return System.getenv("BALANCER_CONFIG") == null ? null : Config.read(System.getenv());
-    }
-
-    private static Operator operator(Path file) throws Config.Bad { return file == null ? null : Operator.read(file); }
-
     @Command(description = "Serves, as the environment and an operator's file say.")
     int serve(@Option(names = "--operator", paramLabel = "FILE",
             description = "sets up the REST front, the store and syslog") Path file)
             throws IOException, InterruptedException {
-        var reloads = new Reloads(file);
-        Daemon daemon;
-        try {
-            Operator operator = operator(file);
-            Config config = file == null ? Config.read(System.getenv()) : platform();
-            Logging.set(operator);
-            String shared = System.getenv("TMPDIR");
-            daemon = new Daemon(config, operator, shared == null || shared.isEmpty() ? null : Path.of(shared));
-        } catch (Config.Bad e) {
-            return bad(e);
-        } catch (IOException e) {             // an address in use, a snapshot that cannot be read
-            System.err.println("crankspar: " + e.getMessage());
-            return 1;
-        }
-        reloads.serve(daemon);
-        // The runtime ends when its hooks have: SIGTERM is answered by finishing what is owed.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                daemon.stop();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "stop"));
-        Thread.currentThread().join();
-        return 0;
+        return Serve.run(file);
     }
 
     @Command(description = "Hosts the decisions on the simulator's wire, on standard input and output.")
@@ -99,15 +64,15 @@
     @Command(name = "check-config", description = "Reads the configuration as serve would, and says what is wrong.")
     int checkConfig(@Option(names = "--operator", paramLabel = "FILE") Path file) {
         try {
-            Operator operator = operator(file);
-            Config config = file == null ? Config.read(System.getenv()) : platform();
+            Operator operator = Serve.operator(file);
+            Config config = file == null ? Config.read(System.getenv()) : Serve.platform();
             System.out.println("good: " + (config == null ? "" : "the platform's front as " + config.name() + ", "
                     + config.known().members().size() + " members known")
                     + (config != null && operator != null ? "; " : "")
                     + (operator == null ? "" : "the operator's file of " + operator.name()));
             return 0;
         } catch (Config.Bad e) {
-            return bad(e);
+            return Serve.bad(e);
         }
     }
 }
--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -49,8 +49,8 @@
      */
     private static final double STILL_OPEN = 700;
     /** A successor waits so long (ms) for discovery's list, and then for the first probes' answers. */
-    private static final double LIST_MOST = 1500;
-    private static final double LOOK_ROUND = 400;
+    private static final double LIST_MOST = 1000;
+    private static final double LOOK_ROUND = 300;
     /** How often an end looks whether all is answered (ms). */
     private static final double END_LOOK = 20;
     /** Shares of the sockets for clients and for servers; the rest is for the runtime's own files. */
@@ -123,7 +123,8 @@
             }
             if (config != null) {
                 long began = System.nanoTime();
-                int answered = new Warmup().run(config.settings(), config.known().members());
+                int answered = new Warmup().run(config.settings(), config.known().members(),
+                        presence.another() ? Warmup.SUCCESSOR_MOST : Warmup.MOST);
                 LOG.info("warm after " + (System.nanoTime() - began) / 1_000_000 + " ms, " + answered + " served");
             }
             keepConfiguration(config, operator);
--- a/src/main/java/crankspar/cli/Warmup.java
+++ b/src/main/java/crankspar/cli/Warmup.java
@@ -29,13 +29,18 @@
  * core, a module and a clock of its own, no sockets, and leaves nothing behind but loaded, compiled code.
  */
 final class Warmup implements Pooler.Time, Pooler.Backends<Statement, PgAnswer>, Pooler.Discovery {
-    /** Enough for every method of the path to be compiled by the first compiler (measured). */
-    private static final int REQUESTS = 4000;
+    /**
+     * Each class's path runs 200 times, at which the first compiler takes a method. Four times as many took 0.2 s
+     * more of a core, twice that at the half core that a pooler may have, and a restart is a gap all that time.
+     */
+    private static final int REQUESTS = 1000;
     private static final double STEP = 7;
     /** A server's work as a share of the shortest aim: more would have the module give the servers up. */
     private static final double WORK = 0.2;
-    /** The same for all starts: a slow machine is let in unready rather than late (ms). */
-    private static final double MOST = 4000;
+    /** A slow machine is let in unready rather than late (ms), ... */
+    static final double MOST = 2500;
+    /** ... and a successor sooner still: it shares its core, and has 6 s in all. */
+    static final double SUCCESSOR_MOST = 1200;
     private static final double START = 1_700_000_000_000.0;
 
     private record Timer(double at, long order, Runnable what) { }
@@ -64,7 +69,7 @@
     }
 
     /** Requests served, for the log and the test. */
-    int run(Router.Settings settings, List<Member> known) {
+    int run(Router.Settings settings, List<Member> known, double most) {
         long began = System.nanoTime();
         work = WORK * settings.classes().stream().mapToDouble(Router.RequestClass::aim).min().orElse(200);
         var members = new ArrayList<Member>();
@@ -77,7 +82,7 @@
         var front = new PgFront(null, settings, counters, pooler, Integer.MAX_VALUE);
         pooler.start(members);
         Machine client = null;
-        for (int i = 0; i < REQUESTS && (System.nanoTime() - began) / 1e6 < MOST; i++) {
+        for (int i = 0; i < REQUESTS && (System.nanoTime() - began) / 1e6 < most; i++) {
             if (i % 50 == 0) {
                 client = front.session();
                 client.opened(new Sink(bytes -> { }));
