--- a/src/test/java/crankspar/core/PoolerTest.java
+++ b/src/test/java/crankspar/core/PoolerTest.java
@@ -24,6 +24,7 @@
     private final List<String> heard = new ArrayList<>();
     private final List<FinalAnswer<String>> answers = new ArrayList<>();
     private final Counters counters = new Counters();
+    private Pooler.Hearer<String> hearer;
     private Consumer<AttemptEnd<String>> end;
     private Reach reach = Reach.WHOLLY_WRITTEN;
     private double heardPosition;
@@ -81,6 +82,7 @@
 
     @Override public Pooler.Call send(String member, String query, double left, double within,
                                       Pooler.Hearer<String> hearer) {
+        this.hearer = hearer;
         end = hearer::ended;
         if (query.equals("inline")) {
             end.accept(new AttemptEnd.Served<>("now", AttemptEnd.Note.NONE));
@@ -161,6 +163,38 @@
         assertThat(heardPosition).isEqualTo(now - 5);
     }
 
+    /** Guards against a cut-off, a retry or a second answer once the first bytes are with the client. */
+    @Test void anAnswerThatHasBegunHasNoTimeOutAndItsBreakIsItsEnd() {
+        var begun = new ArrayList<String>();
+        pooler.take(new Pooler.Ask<>(3, 500, "s", Double.NaN, 1, "q"), new Pooler.Reply<>() {
+            @Override public void began(String answer) { begun.add(answer); }
+            @Override public void answer(FinalAnswer<String> answer) { answers.add(answer); }
+        });
+        assertThat(hearer.began("head")).isTrue();
+        assertThat(begun).containsExactly("head");
+        at(5000);
+        assertThat(heard).as("a read is answered for the module").containsExactly("request", "OK over");
+        assertThat(answers).isEmpty();
+        assertThat(pooler.owing()).isEqualTo(1);
+        end.accept(new AttemptEnd.Broken<>(Reach.WHOLLY_WRITTEN, "test"));
+        assertThat(answers).containsExactly(new FinalAnswer.Failed<>(true, "the answer broke off"));
+        assertThat(heard).hasSize(2);
+        assertThat(pooler.figures().errors(3)).isEqualTo(1);
+        assertThat(pooler.figures().tries()).isEqualTo(1);
+        assertThat(hearer.began("late")).as("nobody waits any more").isFalse();
+    }
+
+    /** Guards against an end by the kill: what a handover cannot wait for is answered before it. */
+    @Test void givingUpAnswersAllThatIsOwedOnce() {
+        take("q");
+        take("q");
+        pooler.giveUp();
+        assertThat(answers).hasSize(2).allMatch(a -> a instanceof FinalAnswer.Failed<String>);
+        assertThat(pooler.owing()).isZero();
+        at(2000);
+        assertThat(answers).hasSize(2);
+    }
+
     /** Guards against a restart that loses what came late: its answer is due before the process ends. */
     @Test void whatIsTakenDuringAStopIsAnsweredByItsEnd() {
         pooler.answerBy(now + 200);
