The operator's file is HOCON: errors with file, line and key, print-config

Need: pooling brings dozens of settings with units and nested names; JSON read by hand had no comments, no lines in its errors, and took a misspelt key for none at all.

Change: the file is read with com.typesafe:config, JSON stays valid. Section reads key by key, notes each value with its origin for print-config, and names the nearest known key where one is unknown. Not taken: the library's own checking against a reference file, which knows no ranges and no units of ours.

The platform's start does not load it: serve without a file never touches the class.

--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -38,7 +38,7 @@
 
     @Command(description = "Serves, as the environment and an operator's file say.")
     int serve(@Option(names = "--operator", paramLabel = "FILE",
-            description = "sets up the REST front, the store and syslog") Path file)
+            description = "sets up the REST front, the pooling front, the store and syslog (HOCON or JSON)") Path file)
             throws IOException, InterruptedException {
         return Serve.run(file);
     }
@@ -75,4 +75,15 @@
             return Serve.bad(e);
         }
     }
+
+    @Command(name = "print-config", description = "Prints what is in force of an operator's file, a line a value with"
+            + " its origin: the file and line that set it, or the default.")
+    int printConfig(@Option(names = "--operator", paramLabel = "FILE", required = true) Path file) {
+        try {
+            Serve.operator(file).inForce().forEach(System.out::println);
+            return 0;
+        } catch (Config.Bad e) {
+            return Serve.bad(e);
+        }
+    }
 }
--- a/src/main/java/crankspar/config/Operator.java
+++ b/src/main/java/crankspar/config/Operator.java
@@ -2,7 +2,6 @@
 
 import crankspar.Router;
 import crankspar.discovery.MemberList;
-import crankspar.net.Addresses;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -10,14 +9,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.logging.Level;
 
 /**
- * What an operator's own file sets up besides the platform: the REST front, the store's peers, syslog and,
- * where the platform names none, the address for operators' calls ({@code mgmt}, or null).
+ * What an operator's own file sets up besides the platform: the REST front, the pooling front, the store's peers,
+ * syslog and, where the platform names none, the address for operators' calls ({@code mgmt}, or null). Every error
+ * is one line with file, line, key, what was found and what is allowed.
  */
 public record Operator(String name, String text, Router.Settings settings, InetSocketAddress mgmt, Rest rest,
-                       StoreSetup store, Syslog syslog) {
+                       StoreSetup store, Syslog syslog, List<String> inForce) {
     /** The REST front, with a discovery to watch, a fixed list of members, or both. */
     public record Rest(InetSocketAddress listen, InetSocketAddress discovery, MemberList members) { }
 
@@ -32,85 +33,83 @@
 
     public static Operator read(Path file) throws Config.Bad {
         String text;
-        Map<?, ?> o;
         try {
             text = Files.readString(file);
-            o = Json.object(text);
         } catch (IOException | RuntimeException e) {
-            throw new Config.Bad("operator", "cannot be read: " + Config.brief(e));
+            throw new Config.Bad(file + ": operator", "cannot be read: " + Config.brief(e));
         }
-        String name = Config.text(null, o, "name");
-        Router.Settings settings = o.get("settings") == null ? null
-                : Config.settings(o, java.util.concurrent.ThreadLocalRandom.current().nextLong());
-        return new Operator(name, text, settings, o.get("mgmt") == null ? null : address(o, "", "mgmt"), rest(o), store(o), syslog(o));
+        var inForce = new ArrayList<Section.InForce>();
+        Section o = OperatorFile.read(file, inForce);
+        String name = o.text("name");
+        InetSocketAddress mgmt = o.addressOrNull("mgmt");
+        Rest rest = rest(o.part("rest"));
+        StoreSetup store = store(o.partOrEmpty("store"));
+        Syslog syslog = syslog(o.part("syslog"));
+        Router.Settings settings = settings(o);
+        o.done();
+        return new Operator(name, text, settings, mgmt, rest, store, syslog, OperatorFile.lines(inForce));
     }
 
-    private static Rest rest(Map<?, ?> o) throws Config.Bad {
-        if (o.get("rest") == null) {
+    private static Router.Settings settings(Section o) throws Config.Bad {
+        Map<?, ?> raw = o.raw("settings");
+        if (raw == null) {
             return null;
         }
-        Map<?, ?> r = Config.part(o, "rest");
-        InetSocketAddress discovery = r.get("discovery") == null ? null : address(r, "rest.", "discovery");
-        MemberList members = Config.members(r, "members", "rest.");
-        if (discovery == null && members.members().isEmpty()) {
-            throw new Config.Bad("rest", "neither discovery nor members");
+        try {
+            return SettingsReader.read(raw, java.util.concurrent.ThreadLocalRandom.current().nextLong());
+        } catch (IllegalArgumentException e) {
+            throw o.badInside("settings", Config.brief(e));
         }
-        return new Rest(address(r, "rest.", "listen"), discovery, members);
     }
 
-    private static StoreSetup store(Map<?, ?> o) throws Config.Bad {
-        if (o.get("store") == null) {
-            return new StoreSetup(null, List.of(), 1000);
-        }
-        Map<?, ?> s = Config.part(o, "store");
-        Object snapshot = s.get("snapshot");
-        if (snapshot != null && !(snapshot instanceof String)) {
-            throw new Config.Bad("store.snapshot", "no path");
-        }
-        var peers = new ArrayList<InetSocketAddress>();
-        for (Object peer : s.get("peers") instanceof List<?> list ? list : List.of()) {
-            try {
-                peers.add(Addresses.parse(String.valueOf(peer)));
-            } catch (IllegalArgumentException e) {
-                throw new Config.Bad("store.peers", e.getMessage());
-            }
-        }
-        double period = s.get("period_ms") == null ? 1000
-                : s.get("period_ms") instanceof Number n ? n.doubleValue() : Double.NaN;
-        if (!(period >= 10 && period <= 3_600_000)) {
-            throw new Config.Bad("store.period_ms", "not from 10 to 3600000");
+    private static Rest rest(Section r) throws Config.Bad {
+        if (r == null) {
+            return null;
         }
-        return new StoreSetup(snapshot == null ? null : Path.of((String) snapshot), peers, period);
+        InetSocketAddress listen = r.address("listen");
+        InetSocketAddress discovery = r.addressOrNull("discovery");
+        MemberList members = members(r, discovery);
+        r.done();
+        return new Rest(listen, discovery, members);
     }
 
-    private static Syslog syslog(Map<?, ?> o) throws Config.Bad {
-        if (o.get("syslog") == null) {
-            return null;
-        }
-        Map<?, ?> s = Config.part(o, "syslog");
-        int facility = FACILITIES.indexOf(String.valueOf(s.get("facility") == null ? "daemon" : s.get("facility")));
-        if (facility < 0) {
-            throw new Config.Bad("syslog.facility", "unknown: " + s.get("facility"));
-        }
-        String transport = String.valueOf(s.get("transport") == null ? "udp" : s.get("transport"));
-        if (!transport.equals("udp") && !transport.equals("tcp")) {
-            throw new Config.Bad("syslog.transport", "neither udp nor tcp: " + transport);
-        }
-        Level level;
+    /** A front's fixed list; there is something to send to, from it or from discovery. */
+    static MemberList members(Section part, InetSocketAddress discovery) throws Config.Bad {
+        MemberList members;
         try {
-            level = Level.parse(String.valueOf(s.get("level") == null ? "INFO" : s.get("level")));
+            Map<?, ?> raw = part.raw("members");
+            members = raw == null ? MemberList.EMPTY : MemberList.read(raw);
         } catch (IllegalArgumentException e) {
-            throw new Config.Bad("syslog.level", "unknown: " + s.get("level"));
+            throw part.badInside("members", Config.brief(e));
         }
-        return new Syslog(address(s, "syslog.", "collector"), transport.equals("tcp"), facility, level,
-                s.get("enterprise") == null ? "32473" : String.valueOf(s.get("enterprise")));
+        if (discovery == null && members.members().isEmpty()) {
+            throw part.bad("members", "neither discovery nor members");
+        }
+        return members;
     }
 
-    private static InetSocketAddress address(Map<?, ?> part, String path, String key) throws Config.Bad {
-        try {
-            return Addresses.parse(String.valueOf(part.get(key)));
-        } catch (IllegalArgumentException e) {
-            throw new Config.Bad(path + key, e.getMessage());
+    private static StoreSetup store(Section s) throws Config.Bad {
+        String snapshot = s.text("snapshot", null);
+        List<InetSocketAddress> peers = s.addresses("peers");
+        double period = s.millis("period_ms", 1000, 10, 3_600_000);
+        s.done();
+        return new StoreSetup(snapshot == null ? null : Path.of(snapshot), peers, period);
+    }
+
+    private static Syslog syslog(Section s) throws Config.Bad {
+        if (s == null) {
+            return null;
         }
+        var facilities = new TreeMap<String, Integer>();
+        FACILITIES.forEach(f -> facilities.put(f, facilities.size()));
+        int facility = s.word("facility", "daemon", facilities);
+        boolean tcp = s.word("transport", "udp", Map.of("udp", false, "tcp", true));
+        Level level = s.word("level", "INFO", Map.of("ALL", Level.ALL, "FINEST", Level.FINEST, "FINER", Level.FINER,
+                "FINE", Level.FINE, "CONFIG", Level.CONFIG, "INFO", Level.INFO, "WARNING", Level.WARNING,
+                "SEVERE", Level.SEVERE, "OFF", Level.OFF));
+        InetSocketAddress collector = s.address("collector");
+        String enterprise = s.text("enterprise", "32473");
+        s.done();
+        return new Syslog(collector, tcp, facility, level, enterprise);
     }
 }
--- a/src/test/java/crankspar/cli/CommandsTest.java
+++ b/src/test/java/crankspar/cli/CommandsTest.java
@@ -42,7 +42,9 @@
                 .hasMessageStartingWith("settings: setting rampTime is out of range");
         Path operator = Files.writeString(dir.resolve("op.json"),
                 "{\"name\":\"p\",\"syslog\":{\"collector\":\"127.0.0.1:514\",\"facility\":\"local9\"}}");
-        assertThatThrownBy(() -> Operator.read(operator)).hasMessage("syslog.facility: unknown: local9");
+        assertThatThrownBy(() -> Operator.read(operator))
+                .hasMessageStartingWith(operator + ":1: syslog.facility: found \"local9\", allowed is one of ")
+                .hasMessageContaining("local7");
         assertThat(Commands.execute("check-config", "--operator", operator.toString())).isEqualTo(2);
         assertThat(Commands.execute("no-such-command")).isEqualTo(2);
         assertThat(Commands.execute("version")).isZero();
@@ -54,4 +56,43 @@
         assertThat(o.settings().classes()).hasSize(5);
         assertThat(o.syslog().tcp()).isFalse();
     }
+
+    private String complaint(String text) throws Exception {
+        Path file = Files.writeString(dir.resolve("a.conf"), text);
+        try {
+            Operator.read(file);
+            return "good";
+        } catch (Config.Bad e) {
+            assertThat(e.getMessage()).doesNotContain("\n");
+            return e.getMessage().replace(file.toString(), "FILE");
+        }
+    }
+
+    /** Guards against a setting that is misspelt, out of range or of the wrong unit, and silently not in force. */
+    @Test void anOperatorsFileIsHoconAndEachFaultNamesItsLine() throws Exception {
+        assertThat(complaint("name = p\nmgmt = \"127.0.0.1:9\" # calls\nstore { period_ms = 2 s, peers = [\"127.0.0.1:7\"] }"))
+                .isEqualTo("good");
+        assertThat(complaint("name = p\nstore {\n  perod_ms = 5s\n}"))
+                .isEqualTo("FILE:3: store.perod_ms: is no setting here; the nearest is period_ms");
+        assertThat(complaint("name = p\n\nstore.period_ms = 2 weeks"))
+                .startsWith("FILE:3: store.period_ms: found \"2 weeks\", allowed is a duration from 10ms to 3600000ms");
+        assertThat(complaint("name = p\nstor = {}")).isEqualTo("FILE:2: stor: is no setting here; the nearest is store");
+        assertThat(complaint("name = p\nmgmt = \"host:1\""))
+                .startsWith("FILE:2: mgmt: found \"host:1\", allowed is a literal address");
+        assertThat(complaint("name = p\nrest { listen = \"127.0.0.1:1\" }")).startsWith("FILE:2: rest.members: neither");
+        assertThat(complaint("name = p\nrest = 7")).isEqualTo("FILE:2: rest: found 7, allowed is an object");
+        assertThat(complaint("name = p\nmgmt = {")).startsWith("FILE:2: operator: cannot be read: ");
+        assertThat(complaint("name = ${NO_SUCH_VARIABLE}")).startsWith("FILE:1: operator: cannot be read: ");
+        assertThat(complaint("name = p\nsettings = " + TestSettings.JSON.replace("\"RampTime\": 15000.0", "\"RampTime\": -1")))
+                .startsWith("FILE:").contains("settings: setting rampTime is out of range");
+        assertThat(complaint("")).isEqualTo("FILE:1: name: found nothing, allowed is a text that is not empty");
+    }
+
+    @Test void whatIsInForceIsToldWithItsOrigin() throws Exception {
+        Path file = Files.writeString(dir.resolve("b.conf"), "name = p\nstore.period_ms = 1.5s");
+        assertThat(Operator.read(file).inForce())
+                .anyMatch(l -> l.matches("store.period_ms = 1.5s +# .*b.conf:2"))
+                .anyMatch(l -> l.matches("store.peers = \\[] +# default"));
+        assertThat(Commands.execute("print-config", "--operator", file.toString())).isZero();
+    }
 }
