Daemon: the fronts are a list, so that a further one is one entry

Cause: stop, drain, resume, hand-over and figures each named both fronts by hand; a third would have been nine more places.

Change: core.Front is what a daemon asks of a front; Daemon holds its fronts with core and members in one list.

--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -5,6 +5,7 @@
 import crankspar.config.Config;
 import crankspar.config.Operator;
 import crankspar.core.Counters;
+import crankspar.core.Front;
 import crankspar.core.Pooler;
 import crankspar.discovery.MemberList;
 import crankspar.discovery.Watch;
@@ -63,15 +64,11 @@
     private final Counters counters = new Counters();
     private final Store store;
     private final Presence presence;
-    private Pooler<Statement, PgAnswer> pgCore;
-    private PgFront pg;
-    private RestFront.Parts rest;
+    /** The fronts that are set up, in the order in which they were built. */
+    private final List<Served> fronts = new ArrayList<>();
+    private final List<Router.Settings> planned = new ArrayList<>();
     private Watch pgWatch;
     private Watch restWatch;
-    private Directory pgMembers;
-    private Directory restMembers;
-    private final Router.Settings pgSettings;
-    private final Router.Settings restSettings;
     /** Members to start from: what a call may name before discovery's list is here. */
     private final Set<String> known = new HashSet<>();
     private InetSocketAddress mgmtAddress;
@@ -82,6 +79,9 @@
     private boolean serving, leaving;
     private int drains;
 
+    /** A front with its core and its members. */
+    private record Served(Front front, Pooler<?, ?> core, Directory members) { }
+
     /** Either may be null, not both: the platform's front needs the one, the REST front the other. */
     public Daemon(Config config, Operator operator) throws Config.Bad, IOException, InterruptedException {
         this(config, operator, null);
@@ -98,12 +98,12 @@
         if (setup != null && restSettings == null) {
             throw new Config.Bad("settings", "not set");
         }
-        pgSettings = config == null ? null : config.settings();
-        this.restSettings = setup == null ? null : restSettings;
         if (config != null) {
+            planned.add(config.settings());
             config.known().members().forEach(m -> known.add(m.id()));
         }
         if (setup != null) {
+            planned.add(restSettings);
             setup.members().members().forEach(m -> known.add(m.id()));
         }
         loop = new Loop("loop");
@@ -175,11 +175,11 @@
         pgWatch = new Watch(loop, config.discovery(), config.known().revision(), counters, list -> {
             later[0].listed(list);
             listed.countDown();
-        }, () -> pgCore.watchLost());
-        pgCore = new Pooler<>(settings, loop, pool, pgWatch, counters, Balance::new);
-        pg = new PgFront(loop, settings, counters, pgCore, clients);
+        }, () -> later[0].watchLost());
+        var core = new Pooler<Statement, PgAnswer>(settings, loop, pool, pgWatch, counters, Balance::new);
+        var front = new PgFront(loop, settings, counters, core, clients);
         loop.runAndWait(() -> {
-            pgMembers = later[0] = new Directory(loop, settings.rules().rampTime(), store, "pg", pool, pgCore);
+            later[0] = new Directory(loop, settings.rules().rampTime(), store, "pg", pool, core);
             later[0].start(config.known());
         });
         if (presence.another()) {
@@ -187,8 +187,9 @@
             listed.await((long) LIST_MOST, TimeUnit.MILLISECONDS);
             Thread.sleep((long) LOOK_ROUND);
         }
-        pgAddress = pg.listen(config.listen());
-        longest = settings.classes().stream().mapToDouble(Router.RequestClass::giveUp).max().orElse(0);
+        pgAddress = front.listen(config.listen());
+        fronts.add(new Served(front, core, later[0]));
+        wait(settings);
         LOG.info(config.name() + " listens at " + pgAddress + ", calls at " + mgmtAddress + ", discovery at "
                 + config.discovery());
     }
@@ -197,21 +198,27 @@
             throws IOException, InterruptedException {
         var later = new Directory[1];
         restWatch = setup.discovery() == null ? null : new Watch(loop, setup.discovery(), setup.members().revision(),
-                counters, list -> later[0].listed(list), () -> rest.pooler().watchLost());
+                counters, list -> later[0].listed(list), () -> later[0].watchLost());
         Pooler.Discovery discovery = restWatch == null ? on -> { } : restWatch;
-        rest = RestFront.build(loop, settings, counters, discovery, Balance::new, clients, servers);
+        RestFront.Parts rest = RestFront.build(loop, settings, counters, discovery, Balance::new, clients, servers);
         rest.front().add(StoreResource.PATH, new StoreResource(store, counters));
         loop.runAndWait(() -> {
-            restMembers = later[0] = new Directory(loop, settings.rules().rampTime(), store, "rest", rest.pool(), rest.pooler());
+            later[0] = new Directory(loop, settings.rules().rampTime(), store, "rest", rest.pool(), rest.pooler());
             later[0].start(setup.members());
             if (setup.discovery() == null) {
                 later[0].listed(setup.members()); // a fixed list is the present one
             }
         });
         restAddress = rest.front().listen(setup.listen());
+        fronts.add(new Served(rest.front(), rest.pooler(), later[0]));
+        wait(settings);
+        LOG.info("the REST front listens at " + restAddress);
+    }
+
+    /** A stop waits for the longest that any front's clients do. */
+    private void wait(Router.Settings settings) {
         longest = Math.max(longest,
                 settings.classes().stream().mapToDouble(Router.RequestClass::giveUp).max().orElse(0));
-        LOG.info("the REST front listens at " + restAddress);
     }
 
     public InetSocketAddress pgAddress() { return pgAddress; }
@@ -247,27 +254,15 @@
             return;
         }
         double open = Math.max(KILL_AFTER - SPARE, answered - LAST_REQUEST);
-        var quiet = new CountDownLatch((pg == null ? 0 : 1) + (rest == null ? 0 : 1));
-        loop.run(() -> {
-            if (pg != null) {
-                pg.stopping();
-                pgCore.answerBy(loop.now() + answered);
-            }
-            if (rest != null) {
-                rest.front().stopping();
-                rest.pooler().answerBy(loop.now() + answered);
-            }
-        });
-        loop.after(open, () -> {
-            if (pg != null) {
-                pg.drain();
-                pgCore.whenQuiet(() -> loop.after(50, quiet::countDown)); // the last bytes leave
-            }
-            if (rest != null) {
-                rest.front().drain();
-                rest.pooler().whenQuiet(() -> loop.after(50, quiet::countDown));
-            }
-        });
+        var quiet = new CountDownLatch(fronts.size());
+        loop.run(() -> fronts.forEach(f -> {
+            f.front().stopping();
+            f.core().answerBy(loop.now() + answered);
+        }));
+        loop.after(open, () -> fronts.forEach(f -> {
+            f.front().drain();
+            f.core().whenQuiet(() -> loop.after(50, quiet::countDown)); // the last bytes leave
+        }));
         quiet.await((long) (open + longest + 500), TimeUnit.MILLISECONDS);
         presence.close();
         loop.runAndWait(() -> System.err.println("counters " + counters));
@@ -283,25 +278,17 @@
         long active = 0;
         Set<String> listed = new HashSet<>();
         Set<String> avoided = new HashSet<>();
-        if (pgSettings != null) {
-            tries += count(classes, pgSettings, serving ? pgCore : null);
-        }
-        if (restSettings != null) {
-            tries += count(classes, restSettings, serving ? rest.pooler() : null);
+        for (int i = 0; i < planned.size(); i++) {
+            tries += count(classes, planned.get(i), serving ? fronts.get(i).core() : null);
         }
         if (!serving) {                       // all there is to come, at nought
             listed.addAll(known);
             avoided.addAll(store.under(Directory.DRAIN).keySet());
         }
-        if (serving && pg != null) {
-            active += pgCore.owing();
-            listed.addAll(pgMembers.ids());
-            avoided.addAll(pgCore.avoided());
-        }
-        if (serving && rest != null) {
-            active += rest.pooler().owing();
-            listed.addAll(restMembers.ids());
-            avoided.addAll(rest.pooler().avoided());
+        for (Served f : serving ? fronts : List.<Served>of()) {
+            active += f.core().owing();
+            listed.addAll(f.members().ids());
+            avoided.addAll(f.core().avoided());
         }
         classes.forEach((name, n) -> {
             all.add(Figure.count("ok." + name, n[0]));
@@ -349,7 +336,7 @@
     }
 
     private boolean listed(String id) {
-        return pgMembers != null && pgMembers.lists(id) || restMembers != null && restMembers.lists(id);
+        return fronts.stream().anyMatch(f -> f.members().lists(id));
     }
 
     /** Who asks is told no at once; the doors stay open until nobody is sent here any more. */
@@ -361,17 +348,10 @@
             LOG.info("an operator drains this pooler");
             leaving = true;
             int mine = ++drains;
-            if (pg != null) {
-                pg.leaving(true);
-            }
+            fronts.forEach(f -> f.front().leaving(true));
             loop.after(STILL_OPEN, () -> {
                 if (leaving && mine == drains) {
-                    if (pg != null) {
-                        pg.drain();
-                    }
-                    if (rest != null) {
-                        rest.front().drain();
-                    }
+                    fronts.forEach(f -> f.front().drain());
                 }
             });
         }
@@ -385,13 +365,10 @@
         if (leaving) {
             LOG.info("an operator has this pooler serve again");
             leaving = false;
-            if (pg != null) {
-                pg.leaving(false);
-                pg.resume();
-            }
-            if (rest != null) {
-                rest.front().resume();
-            }
+            fronts.forEach(f -> {
+                f.front().leaving(false);
+                f.front().resume();
+            });
         }
         return Done.YES;
     }
@@ -405,14 +382,10 @@
         var done = new CountDownLatch(1);
         loop.run(() -> {
             double until = loop.now() + answered;
-            if (pg != null) {
-                pgCore.answerBy(until);
-                pg.drain();
-            }
-            if (rest != null) {
-                rest.pooler().answerBy(until);
-                rest.front().drain();
-            }
+            fronts.forEach(f -> {
+                f.core().answerBy(until);
+                f.front().drain();
+            });
             look(until, done);
         });
         done.await((long) (answered + SPARE), TimeUnit.MILLISECONDS);
@@ -423,15 +396,9 @@
     private void look(double until, CountDownLatch done) {
         boolean late = loop.now() >= until;
         if (late) {
-            if (pg != null) {
-                pgCore.giveUp();
-            }
-            if (rest != null) {
-                rest.pooler().giveUp();
-            }
+            fronts.forEach(f -> f.core().giveUp());
         }
-        if (late || (pg == null || pgCore.owing() == 0 && pg.left())
-                && (rest == null || rest.pooler().owing() == 0 && rest.front().left())) {
+        if (late || fronts.stream().allMatch(f -> f.core().owing() == 0 && f.front().left())) {
             loop.after(100, done::countDown); // the last bytes leave
         } else {
             loop.after(END_LOOK, () -> look(until, done));
--- a/src/main/java/crankspar/cli/Directory.java
+++ b/src/main/java/crankspar/cli/Directory.java
@@ -68,6 +68,8 @@
         keep(list.revision());
     }
 
+    void watchLost() { pooler.watchLost(); }
+
     /** Whether discovery lists it. */
     boolean lists(String id) { return members.containsKey(id); }
 
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -4,6 +4,7 @@
 import crankspar.Router.Freshness;
 import crankspar.core.Counters;
 import crankspar.core.FinalAnswer;
+import crankspar.core.Front;
 import crankspar.core.Pooler;
 import crankspar.net.Carrier;
 import crankspar.net.Clients;
@@ -15,7 +16,7 @@
 import java.util.Map;
 
 /** The platform's front: PostgreSQL clients on one side, PostgreSQL servers on the other. */
-public final class PgFront implements ClientSession.Desk {
+public final class PgFront implements ClientSession.Desk, Front {
     /** Guards against half statements by the hundred, each within its own bound: a sixth of the heap. */
     private static final long HELD_MOST = 10 << 20;
 
@@ -90,19 +91,16 @@
     @Override public Counters counters() { return counters; }
     @Override public void closed(ClientSession session) { clients.closed(session); }
 
-    public void stopping() { clients.stopping(); }
+    @Override public void stopping() { clients.stopping(); }
 
     /** What an empty query is answered from now on: no while an operator has this pooler leave. */
-    public void leaving(boolean on) { leaving = on; }
+    @Override public void leaving(boolean on) { leaving = on; }
 
     @Override public boolean leaving() { return leaving; }
 
-    /** Takes no new connections, and closes each that it has between two requests. */
-    public void drain() { clients.drain(); }
+    @Override public void drain() { clients.drain(); }
 
-    /** Whether no client is left that might still be answered. */
-    public boolean left() { return clients.left(); }
+    @Override public boolean left() { return clients.left(); }
 
-    /** The end of a drain. */
-    public void resume() { clients.resume(); }
+    @Override public void resume() { clients.resume(); }
 }
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -6,6 +6,7 @@
 import crankspar.config.Json;
 import crankspar.core.Counters;
 import crankspar.core.FinalAnswer;
+import crankspar.core.Front;
 import crankspar.core.Pooler;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpText;
@@ -27,7 +28,7 @@
  * The second front: pages of the read classes and writes with an idempotency key, over HTTP/1.1. It words
  * requests and answers; what becomes of them is decided by the module, under the same rules.
  */
-public final class RestFront implements RestSession.Desk {
+public final class RestFront implements RestSession.Desk, Front {
     /** Pages of something else than the servers' data, such as the store. */
     public interface Resource {
         byte[] answer(HttpHead.Request head, Map<String, String> query, byte[] body);
@@ -335,14 +336,14 @@
     @Override public boolean draining() { return clients.draining(); }
     @Override public Counters counters() { return counters; }
 
-    public void stopping() { clients.stopping(); }
+    @Override public void stopping() { clients.stopping(); }
 
     /** Takes no new connections, and closes each that it has between two requests. */
-    public void drain() { clients.drain(); }
+    @Override public void drain() { clients.drain(); }
 
     /** Whether no client is left that might still be answered. */
-    public boolean left() { return clients.left(); }
+    @Override public boolean left() { return clients.left(); }
 
     /** The end of a drain. */
-    public void resume() { clients.resume(); }
+    @Override public void resume() { clients.resume(); }
 }
