Pooling front by session and transaction, with a stand-in PostgreSQL server in the lab

Need: app servers prepare statements and set session options and expect them later; the platform's front speaks simple queries of one form only.

Change: package pooling, off unless the operator's file sets it. A transaction is one request to the module; options, pins, statements, turns, routes and progress are decided in classes without I/O. core.Pooler learns that an answered attempt may stay its client's (Hearer.held), so that a transaction that thinks does not look like a silent member. Stream's first read may be small, for idle clients by the thousand. The lab's server records every statement with the settings in force.

--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -27,7 +27,15 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
     }
 
-    public static int execute(String... args) { return new CommandLine(new Commands()).execute(args); }
+    public static int execute(String... args) {
+        var line = new CommandLine(new Commands());
+        try {                                 // by its name: nothing that serves needs the lab
+            line.addSubcommand(Class.forName("crankspar.lab.LabCommand").getDeclaredConstructor().newInstance());
+        } catch (ReflectiveOperationException e) {
+            // packaged without it
+        }
+        return line.execute(args);
+    }
 
     static final class Version implements CommandLine.IVersionProvider {
         @Override public String[] getVersion() {
--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -16,6 +16,7 @@
 import crankspar.pg.PgAnswer;
 import crankspar.pg.PgFront;
 import crankspar.pg.Statement;
+import crankspar.pooling.PoolingFront;
 import crankspar.rest.RestFront;
 import crankspar.store.Replication;
 import crankspar.store.SharedEntries;
@@ -69,6 +70,9 @@
     private final List<Router.Settings> planned = new ArrayList<>();
     private Watch pgWatch;
     private Watch restWatch;
+    private Watch poolingWatch;
+    private PoolingFront pooling;
+    private InetSocketAddress poolingAddress;
     /** Members to start from: what a call may name before discovery's list is here. */
     private final Set<String> known = new HashSet<>();
     private InetSocketAddress mgmtAddress;
@@ -90,8 +94,9 @@
     /** {@code shared} is where processes of this pooler meet while one replaces the other; it may be null. */
     public Daemon(Config config, Operator operator, Path shared) throws Config.Bad, IOException, InterruptedException {
         Operator.Rest setup = operator == null ? null : operator.rest();
-        if (config == null && setup == null) {
-            throw new Config.Bad("rest", "nothing to serve: no platform configuration and no REST front");
+        Operator.Pooling pooling = operator == null ? null : operator.pooling();
+        if (config == null && setup == null && pooling == null) {
+            throw new Config.Bad("rest", "nothing to serve: no platform configuration, no REST and no pooling front");
         }
         Router.Settings restSettings = operator != null && operator.settings() != null ? operator.settings()
                 : config != null ? config.settings() : null;
@@ -106,6 +111,10 @@
             planned.add(restSettings);
             setup.members().members().forEach(m -> known.add(m.id()));
         }
+        if (pooling != null) {
+            planned.add(operator.settings());
+            pooling.members().members().forEach(m -> known.add(m.id()));
+        }
         loop = new Loop("loop");
         String node = operator != null ? operator.name() : config.name();
         store = new Store(node, node + "#" + Long.toHexString(ThreadLocalRandom.current().nextLong()));
@@ -136,6 +145,9 @@
             if (setup != null) {
                 rest(setup, restSettings, (int) (sockets * CLIENTS), (int) (sockets * SERVERS));
             }
+            if (pooling != null) {
+                pooling(pooling, operator.settings());
+            }
             if (operator != null && !operator.store().peers().isEmpty()) {
                 new Replication(loop, store, counters, operator.store().periodMs(), operator.store().peers());
             }
@@ -215,6 +227,26 @@
         LOG.info("the REST front listens at " + restAddress);
     }
 
+    private void pooling(Operator.Pooling setup, Router.Settings settings) throws IOException, InterruptedException {
+        var later = new Directory[1];
+        poolingWatch = setup.discovery() == null ? null : new Watch(loop, setup.discovery(), setup.members().revision(),
+                counters, list -> later[0].listed(list), () -> later[0].watchLost());
+        Pooler.Discovery discovery = poolingWatch == null ? on -> { } : poolingWatch;
+        PoolingFront.Parts parts = PoolingFront.build(loop, settings, counters, discovery, Balance::new, setup.setup(), setup.servers());
+        loop.runAndWait(() -> {
+            later[0] = new Directory(loop, settings.rules().rampTime(), store, "pooling", parts.connections(), parts.core());
+            later[0].start(setup.members());
+            if (setup.discovery() == null) {
+                later[0].listed(setup.members()); // a fixed list is the present one
+            }
+        });
+        pooling = parts.front();
+        poolingAddress = pooling.listen(setup.setup().listen());
+        fronts.add(new Served(pooling, parts.core(), later[0]));
+        wait(settings);
+        LOG.info("the pooling front listens at " + poolingAddress);
+    }
+
     /** A stop waits for the longest that any front's clients do. */
     private void wait(Router.Settings settings) {
         longest = Math.max(longest,
@@ -223,10 +255,12 @@
 
     public InetSocketAddress pgAddress() { return pgAddress; }
     public InetSocketAddress restAddress() { return restAddress; }
+    public InetSocketAddress poolingAddress() { return poolingAddress; }
     public InetSocketAddress mgmtAddress() { return mgmtAddress; }
 
     /**
-     * Takes over what has changed in files read anew: where each front's discovery is. Everything else of
+     * Takes over what has changed in files read anew: where each front's discovery is, and all of the pooling front's
+     * but its listener. Everything else of
      * them holds from the next start on. Clients, requests and the known members are not touched.
      */
     public void reload(Config config, Operator operator) {
@@ -239,6 +273,13 @@
             if (restWatch != null && setup != null && setup.discovery() != null) {
                 restWatch.moveTo(setup.discovery());
             }
+            Operator.Pooling pools = operator == null ? null : operator.pooling();
+            if (pooling != null && pools != null) {
+                pooling.set(pools.setup());
+                if (poolingWatch != null && pools.discovery() != null) {
+                    poolingWatch.moveTo(pools.discovery());
+                }
+            }
         });
     }
 
@@ -300,6 +341,9 @@
         all.add(Figure.gauge("pool_size", listed.size()));
         avoided.retainAll(listed);
         all.add(Figure.gauge("pool_ejected", avoided.size()));
+        if (serving && pooling != null) {
+            pooling.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
+        }
         return all;
     }
 
--- a/src/main/java/crankspar/cli/Directory.java
+++ b/src/main/java/crankspar/cli/Directory.java
@@ -5,7 +5,7 @@
 import crankspar.Router.Member;
 import crankspar.core.Pooler;
 import crankspar.discovery.MemberList;
-import crankspar.net.Pool;
+import crankspar.net.Addressed;
 import crankspar.store.Store;
 import crankspar.syslog.StructuredData;
 import java.io.IOException;
@@ -32,12 +32,12 @@
     private final double ramp;
     private final Store store;
     private final String key;
-    private final Pool<?, ?> pool;
+    private final Addressed pool;
     private final Pooler<?, ?> pooler;
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
 
-    Directory(Pooler.Time clock, double ramp, Store store, String front, Pool<?, ?> pool, Pooler<?, ?> pooler) {
+    Directory(Pooler.Time clock, double ramp, Store store, String front, Addressed pool, Pooler<?, ?> pooler) {
         this.clock = clock;
         this.ramp = ramp;
         this.store = store;
--- a/src/main/java/crankspar/config/Operator.java
+++ b/src/main/java/crankspar/config/Operator.java
@@ -18,10 +18,13 @@
  * is one line with file, line, key, what was found and what is allowed.
  */
 public record Operator(String name, String text, Router.Settings settings, InetSocketAddress mgmt, Rest rest,
-                       StoreSetup store, Syslog syslog, List<String> inForce) {
+                       StoreSetup store, Syslog syslog, Pooling pooling, List<String> inForce) {
     /** The REST front, with a discovery to watch, a fixed list of members, or both. */
     public record Rest(InetSocketAddress listen, InetSocketAddress discovery, MemberList members) { }
 
+    /** The pooling front, with its members as {@link Rest} has them, and the most connections to servers. */
+    public record Pooling(crankspar.pooling.Setup setup, InetSocketAddress discovery, MemberList members, int servers) { }
+
     /** The store: a snapshot's file (or null) and the peers whose changes are pulled. */
     public record StoreSetup(Path snapshot, List<InetSocketAddress> peers, double periodMs) { }
 
@@ -46,8 +49,9 @@
         StoreSetup store = store(o.partOrEmpty("store"));
         Syslog syslog = syslog(o.part("syslog"));
         Router.Settings settings = settings(o);
+        Pooling pooling = PoolingReader.read(o.part("pooling"), settings);
         o.done();
-        return new Operator(name, text, settings, mgmt, rest, store, syslog, OperatorFile.lines(inForce));
+        return new Operator(name, text, settings, mgmt, rest, store, syslog, pooling, OperatorFile.lines(inForce));
     }
 
     private static Router.Settings settings(Section o) throws Config.Bad {
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -46,6 +46,12 @@
          * False where nobody waits for it any more.
          */
         default boolean began(A answer) { return false; }
+        /**
+         * Its member has answered, and the connection stays its client's: a transaction that goes on. As
+         * {@link #began}, but the module hears of it now, whatever its class: how long a client takes between two
+         * statements says nothing of its member.
+         */
+        default boolean held(A answer, AttemptEnd.Note note) { return false; }
         void ended(AttemptEnd<A> end);
     }
 
@@ -126,7 +132,14 @@
             }
         }
 
-        @Override public boolean began(A answer) { return Pooler.this.began(this, answer); }
+        @Override public boolean began(A answer) {
+            boolean write = settings.classes().get(owed.ask.requestClass()).freshness() == Router.Freshness.WRITE;
+            return Pooler.this.began(this, answer, write ? null : AttemptEnd.Note.NONE);
+        }
+
+        @Override public boolean held(A answer, AttemptEnd.Note note) {
+            return Pooler.this.began(this, answer, plausible(note));
+        }
 
         @Override public void ended(AttemptEnd<A> end) { Pooler.this.ended(this, end); }
     }
@@ -322,7 +335,7 @@
      * A read's member has done its work by then, and slow readers must not make it look silent; a write's
      * outcome waits for the note behind its answer.
      */
-    private boolean began(Attempt a, A answer) {
+    private boolean began(Attempt a, A answer, AttemptEnd.Note tell) {
         Owed o = a.owed;
         if (a.ended || o.over) {
             return false;
@@ -331,10 +344,10 @@
         o.begun = true;
         counters.add("begun");
         o.reply.began(answer);
-        if (settings.classes().get(o.ask.requestClass()).freshness() != Router.Freshness.WRITE) {
+        if (tell != null) {
             a.told = true;
             event(() -> module.onOutcome(now(), new Outcome(a.request, a.number, a.member, Status.OK, now() - a.sent,
-                    true, Role.UNKNOWN, Double.NaN)));
+                    true, tell.role(), tell.position())));
         }
         return true;
     }
--- /dev/null
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -0,0 +1,35 @@
+package crankspar.lab;
+
+import crankspar.net.Addresses;
+import java.io.IOException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The commands under {@code lab}: stand-ins and experiments, never part of what serves. */
+@Command(name = "lab", description = "Stand-ins and experiments of our own.", synopsisSubcommandLabel = "COMMAND",
+        mixinStandardHelpOptions = true)
+public final class LabCommand implements Runnable {
+    @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
+
+    @Override public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
+    }
+
+    @Command(name = "pg-server", description = "A stand-in for a PostgreSQL server, until it is ended. It answers what drivers"
+            + " ask and keeps no tables.")
+    int pgServer(@Option(names = "--listen", defaultValue = "127.0.0.1:5432", description = "address and port (${DEFAULT-VALUE})") String listen,
+                 @Option(names = "--replica", description = "a replica: it turns writes away") boolean replica,
+                 @Option(names = "--lag-ms", defaultValue = "0", description = "how far a replica is behind") double lag,
+                 @Option(names = "--work-ms", defaultValue = "0", description = "how long a statement takes") double work,
+                 @Option(names = "--cores", defaultValue = "64", description = "how many statements run at once") int cores)
+            throws IOException, InterruptedException {
+        var server = new PgServer(replica ? "replica" : "primary").role(!replica).lag(lag).work(work, cores);
+        server.recording().whole = false;
+        server.listen(Addresses.parse(listen));
+        System.out.println("a stand-in " + (replica ? "replica" : "primary") + " listens at " + server.address());
+        System.out.flush();
+        Thread.currentThread().join();
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/crankspar/lab/PgServer.java
@@ -0,0 +1,156 @@
+package crankspar.lab;
+
+import crankspar.net.Loop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * A stand-in for a PostgreSQL server: it speaks protocol 3.0 and enough SQL for drivers and poolers, and records all
+ * that it is asked. It does what a test's {@link Fault} says, can drain, change its role, lag, take its time and turn
+ * connections away. It keeps no tables: a write has no effect but its record.
+ */
+public final class PgServer implements AutoCloseable {
+    final Loop loop;
+    final String name;
+    final Recording recording;
+    final Map<Integer, PgBackend> backends = new LinkedHashMap<>();
+    /** Names that COPY and notifications reach: channel to the connections that listen. */
+    final Map<String, java.util.Set<PgBackend>> channels = new HashMap<>();
+    private final boolean ownLoop;
+    private Loop.Listener listener;
+    private int nextConnection;
+    private long nextTransaction;
+
+    // Read and written on the loop, or before it is used.
+    volatile boolean primary = true;
+    volatile boolean draining;
+    volatile double lag;
+    volatile double work;
+    volatile int cores = 64;
+    volatile int connectionsMost = 10_000;
+    volatile boolean tellsPosition = true;
+    volatile Fault fault = Fault.NONE;
+    int running;
+    final java.util.ArrayDeque<Runnable> queue = new java.util.ArrayDeque<>();
+
+    public PgServer(String name) throws IOException { this(new Loop("pg-" + name), name, new Recording(), true); }
+
+    public PgServer(Loop loop, String name, Recording recording) { this(loop, name, recording, false); }
+
+    private PgServer(Loop loop, String name, Recording recording, boolean ownLoop) {
+        this.loop = loop;
+        this.name = name;
+        this.recording = recording;
+        this.ownLoop = ownLoop;
+    }
+
+    public PgServer listen(InetSocketAddress at) throws IOException {
+        listener = loop.listen(at, () -> {
+            recording.connections.incrementAndGet();
+            return new PgBackend(this, ++nextConnection);
+        });
+        return this;
+    }
+
+    public InetSocketAddress address() {
+        try {
+            return listener.address();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public Recording recording() { return recording; }
+
+    public PgServer role(boolean primary) {
+        this.primary = primary;
+        return this;
+    }
+
+    /** A replica's distance from the clock (ms). */
+    public PgServer lag(double ms) {
+        lag = ms;
+        return this;
+    }
+
+    /** How long a statement takes (ms), on how many cores at once; more wait in line. */
+    public PgServer work(double ms, int cores) {
+        work = ms;
+        this.cores = cores;
+        return this;
+    }
+
+    public PgServer connectionsMost(int most) {
+        connectionsMost = most;
+        return this;
+    }
+
+    public PgServer tellsPosition(boolean on) {
+        tellsPosition = on;
+        return this;
+    }
+
+    public void fault(Fault fault) { this.fault = fault; }
+
+    /** While it drains, batches outside a transaction are turned away. */
+    public void draining(boolean on) { draining = on; }
+
+    /** Forgets every prepared statement, as a restart behind the same connections would. */
+    public void dropStatements() throws InterruptedException {
+        loop.runAndWait(() -> backends.values().forEach(PgBackend::dropStatements));
+    }
+
+    /** From now on a statement that was prepared before fails once, as one whose plan no longer fits. */
+    public void stalePlans() throws InterruptedException {
+        loop.runAndWait(() -> backends.values().forEach(PgBackend::stalePlans));
+    }
+
+    /** Ends all connections at once. */
+    public void cutAll() throws InterruptedException {
+        loop.runAndWait(() -> new java.util.ArrayList<>(backends.values()).forEach(b -> b.cut("cut")));
+    }
+
+    /** Ends the connections and refuses new ones, as a process that died. */
+    public void die() throws InterruptedException {
+        listener.close();
+        cutAll();
+    }
+
+    /** The position that it would tell now (Unix ms). */
+    double position() { return loop.now() - (primary ? 0 : lag); }
+
+    long nextTransaction() { return ++nextTransaction; }
+
+    /** Has a core, now or when one is free, for as long as a statement takes. */
+    void work(double ms, Runnable then) {
+        if (ms <= 0) {
+            then.run();
+            return;
+        }
+        Runnable begin = () -> loop.after(ms, () -> {
+            running--;
+            Runnable next = queue.poll();
+            if (next != null) {
+                running++;
+                next.run();
+            }
+            then.run();
+        });
+        if (running < cores) {
+            running++;
+            begin.run();
+        } else {
+            queue.add(begin);
+        }
+    }
+
+    @Override public void close() {
+        listener.close();
+        if (ownLoop) {
+            loop.close();
+        }
+    }
+}
--- a/src/main/java/crankspar/net/Machine.java
+++ b/src/main/java/crankspar/net/Machine.java
@@ -4,6 +4,9 @@
 
 /** A protocol's state for one connection: it is fed bytes and knows no socket but through {@link Out}. */
 public interface Machine {
+    /** The buffer of one read (bytes). */
+    int READ = 8 * 1024;
+
     /** What a machine may do with its connection. */
     interface Out {
         /** Queues bytes; {@code written} runs once the last of them has left. */
@@ -30,4 +33,6 @@
     void ended(String why);
     /** The connection is closed, whoever closed it: told once, and last. */
     default void closed() { }
+    /** The buffer while the peer says little (bytes); one that a read has filled grows to {@link #READ} for the next. */
+    default int firstRead() { return READ; }
 }
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -15,7 +15,7 @@
  * Connections to the servers, kept between requests. It sends where it is told, once: a request that meets a
  * connection which will not come up, or one that ends, gets that as its outcome.
  */
-public final class Pool<Q, A> implements Pooler.Backends<Q, A> {
+public final class Pool<Q, A> implements Pooler.Backends<Q, A>, Addressed {
     /** Idle connections are closed after this share of the time at which the server may do so. */
     private static final double IDLE_SHARE = 0.5;
     private static final double SWEEP = 1000;
@@ -191,7 +191,7 @@
     }
 
     /** Where a member listens; a new address makes its old connections useless. */
-    public void locate(String id, InetSocketAddress address) {
+    @Override public void locate(String id, InetSocketAddress address) {
         Member m = members.computeIfAbsent(id, k -> new Member());
         if (!address.equals(m.address)) {
             new ArrayDeque<>(m.idle).forEach(Link::drop);
@@ -201,7 +201,7 @@
     }
 
     /** A member that drains or is gone keeps no idle connections, and after a while no entry. */
-    public void forget(String id) {
+    @Override public void forget(String id) {
         Member m = members.get(id);
         if (m != null) {
             m.goneAt = loop.now();
--- a/src/main/java/crankspar/net/Stream.java
+++ b/src/main/java/crankspar/net/Stream.java
@@ -11,7 +11,6 @@
 /** The thin driver of one connection: reads into its machine and writes what that yields. */
 public final class Stream implements Machine.Out {
     private static final Logger LOG = Logger.getLogger(Stream.class.getName());
-    private static final int READ = 8 * 1024;
     /** More than this queued for a peer that does not read ends its connection. */
     private static final int QUEUE_MOST = 2304 * 1024;
     /** How long a finished connection is still read, so that no reset overtakes the last answer (ms). */
@@ -26,7 +25,7 @@
     private final Machine machine;
     private final ArrayDeque<Chunk> queue = new ArrayDeque<>();
     private ByteBuffer in;
-    private int queued, lingered;
+    private int queued, lingered, next = Machine.READ;
     private boolean open = true, reading, held, writing, finishing, finished;
     private long received;
 
@@ -38,7 +37,8 @@
 
     void begin() {
         if (open) {
-            in = ByteBuffer.allocate(READ);
+            next = machine.firstRead();
+            in = ByteBuffer.allocate(next);
             guard(() -> machine.opened(this));
             read();
         }
@@ -59,7 +59,7 @@
             return;
         }
         reading = true;
-        in.clear();
+        in = next == in.capacity() ? in.clear() : ByteBuffer.allocate(next);
         channel.read(in, null, new CompletionHandler<Integer, Void>() {
             @Override public void completed(Integer count, Void nothing) {
                 reading = false;
@@ -72,6 +72,7 @@
                 }
                 received += count;
                 in.flip();
+                fit(count);
                 if (!finishing) {
                     guard(() -> machine.received(in));
                 } else if ((lingered += count) > LINGER_BYTES) {
@@ -89,6 +90,12 @@
         });
     }
 
+    /** A buffer that is filled grows for the next read, and goes back once reads are short: idle peers keep a small one. */
+    private void fit(int count) {
+        int first = machine.firstRead();
+        next = count == in.capacity() ? Machine.READ : count < first ? first : in.capacity();
+    }
+
     @Override public void write(byte[] bytes, int length, Runnable written) {
         if (!open || finishing) {
             return;
