--- a/src/main/java/crankspar/lab/Fault.java
+++ b/src/main/java/crankspar/lab/Fault.java
@@ -19,6 +19,9 @@
     /** The statement's or message's answer is ready, and none of it sent: a tag, or the message's letter. */
     default Act answering(int connection, char type, String tag) { return Act.NONE; }
 
+    /** It was cut in the midst of a message, as {@link #bytes} had asked. */
+    default void cut() { }
+
     /** How many bytes of one message are taken before the connection is cut; 0 takes all. */
     default int bytes(int connection, char type) { return 0; }
 }
--- a/src/main/java/crankspar/lab/PgBackend.java
+++ b/src/main/java/crankspar/lab/PgBackend.java
@@ -83,6 +83,7 @@
             }
             int most = decoder.held() > 4 && started ? server.fault.bytes(connection, head()) : 0;
             if (most > 0 && decoder.held() >= most) {
+                server.fault.cut();
                 cut("cut in a message");
                 return;
             }
@@ -100,6 +101,7 @@
         while (!busy && !closed && !stalled && !waiting.isEmpty()) {
             Frame f = waiting.poll();
             if (started && server.fault.bytes(connection, f.type()) > 0) {
+                server.fault.cut();
                 cut("cut in a message");
                 return;
             }
@@ -124,7 +126,10 @@
     private boolean goes(Fault.Act act) {
         switch (act) {
             case CUT -> cut("cut");
-            case STALL -> stalled = true;
+            case STALL -> {
+                stalled = true;
+                wire.reading(false);
+            }
             case NONE -> { }
         }
         return act == Fault.Act.NONE;
--- a/src/main/java/crankspar/pooling/Client.java
+++ b/src/main/java/crankspar/pooling/Client.java
@@ -264,7 +264,11 @@
             while (!held.isEmpty() && state != State.LEAVING && may()) {
                 Frame f = held.poll();
                 heldBytes -= f.size();
-                on(f);
+                if (lease != null && f.type() != 'X') {
+                    lease.fromClient(upToBatchEnd(f));
+                } else {
+                    on(f);
+                }
             }
         } catch (Frame.Malformed e) {
             desk.count("pooling_client_malformed");
@@ -281,11 +285,21 @@
         }
     }
 
-    private boolean may() {
-        return lease != null ? !leasePauses() && serverTakes : state == State.IDLE && opening == null;
+    /** This frame and what has come behind it, up to what ends a batch: they leave in one piece. */
+    private List<Frame> upToBatchEnd(Frame first) {
+        var all = new ArrayList<Frame>(4);
+        all.add(first);
+        for (Frame f = first; f.type() != 'S' && f.type() != 'Q' && f.type() != 'F' && !held.isEmpty() && held.peek().type() != 'X';) {
+            f = held.poll();
+            heldBytes -= f.size();
+            all.add(f);
+        }
+        return all;
     }
 
-    private boolean leasePauses() { return lease.pausing(); }
+    private boolean may() {
+        return lease != null ? !lease.pausing() && serverTakes : state == State.IDLE && opening == null;
+    }
 
     private void account() {
         int now = heldBytes + collectingBytes + decoder.held();
@@ -323,8 +337,6 @@
         if (f.type() == 'X') {
             leave();
             out.close();
-        } else if (lease != null) {
-            lease.fromClient(f);
         } else if (console) {
             console(f);
         } else {
--- a/src/main/java/crankspar/pooling/Server.java
+++ b/src/main/java/crankspar/pooling/Server.java
@@ -198,7 +198,7 @@
     }
 
     /** The client's next messages, while it has this connection. */
-    void fromClient(Frame f) { forward(List.of(f)); }
+    void fromClient(List<Frame> frames) { forward(frames); }
 
     private void forward(List<Frame> frames) {
         var bytes = new ArrayList<Frame>(frames.size() + 2);
@@ -540,6 +540,9 @@
 
     /** How far its attempt had come. */
     private Reach reach() {
+        if (progress == null) {
+            return Reach.NOT_CONNECTED;
+        }
         return switch (state) {
             case LOGIN, IDLE, CLOSED -> Reach.NOT_CONNECTED;
             case CARRYING, TESTED -> Reach.PARTLY_WRITTEN;
@@ -582,7 +585,7 @@
         Opening had = opening;
         Pooler.Hearer<Answer> told = hearer;
         if (had != null) {
-            had.verdict = state == State.ACTIVE ? progress.verdict() : Progress.Verdict.ELSEWHERE;
+            had.verdict = state == State.ACTIVE && progress != null ? progress.verdict() : Progress.Verdict.ELSEWHERE;
             if (exchange != null) {
                 exchange.rewind();
             }
--- a/src/main/java/crankspar/pooling/Sql.java
+++ b/src/main/java/crankspar/pooling/Sql.java
@@ -55,7 +55,7 @@
         }
     }
 
-    /** A word, a quoted name, a string or a single sign. */
+    /** A word ({@code w}), a quoted name ({@code i}), a string ({@code s}), a number ({@code n}) or a single sign. */
     private record Token(char sort, String text, int from, int to) {
         boolean is(String word) { return sort == 'w' && text.equals(word); }
     }
@@ -114,7 +114,7 @@
                 all.add(new Token('s', s.substring(start, i), start, i));
             } else if (c == '"') {
                 i = quoted(s, i, '"', false);
-                all.add(new Token('w', unquote(s.substring(start, i)), start, i));
+                all.add(new Token('i', unquote(s.substring(start, i)), start, i));
             } else if ((c == 'e' || c == 'E') && s.startsWith("'", i + 1)) {
                 i = quoted(s, i + 1, '\'', true);
                 all.add(new Token('s', s.substring(start, i), start, i));
@@ -193,7 +193,9 @@
 
     private static Statement of(Kind kind, String text, String name) { return new Statement(kind, text, name, null, false); }
 
-    private static String word(List<Token> t, int i) { return i < t.size() && t.get(i).sort() == 'w' ? t.get(i).text() : ""; }
+    private static String word(List<Token> t, int i) {
+        return i < t.size() && (t.get(i).sort() == 'w' || t.get(i).sort() == 'i') ? t.get(i).text() : "";
+    }
 
     private static boolean has(List<Token> t, String... words) {
         for (int i = 0; i + words.length <= t.size(); i++) {
--- a/src/test/java/crankspar/lab/PgWire.java
+++ b/src/test/java/crankspar/lab/PgWire.java
@@ -43,7 +43,7 @@
         }
         bytes(Frame.startup(version, start));
         welcome.addAll(untilReady());
-        for (Frame f : welcome) {
+        for (Frame f : welcome.stream().filter(java.util.Objects::nonNull).toList()) {
             try {
                 Frame.Reader r = f.read();
                 if (f.type() == 'K') {
