--- a/src/main/java/crankspar/config/Section.java
+++ b/src/main/java/crankspar/config/Section.java
@@ -50,7 +50,8 @@
 
     /** Where a value stands, as {@code FILE:LINE}; a value that came from the environment has no line. */
     static String at(String file, ConfigOrigin origin) {
-        return origin.lineNumber() > 0 ? file + ":" + origin.lineNumber() : file;
+        String name = origin.filename() == null ? file : origin.filename(); // another one where it was included
+        return origin.lineNumber() > 0 ? name + ":" + origin.lineNumber() : name;
     }
 
     Config.Bad bad(String key, String why) {
--- a/src/main/java/crankspar/lab/Fault.java
+++ b/src/main/java/crankspar/lab/Fault.java
@@ -7,6 +7,8 @@
         NONE,
         /** The connection ends at once; what of an answer is unsent is lost. */
         CUT,
+        /** The same, told to the peer by a reset. */
+        RESET,
         /** Nothing more is read or said, and the connection stays open. */
         STALL
     }
--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -32,4 +32,27 @@
         Thread.currentThread().join();
         return 0;
     }
+
+    @Command(name = "host", description = "Serves an operator's file for an experiment, and tells its heap when asked on"
+            + " standard input.")
+    int host(@CommandLine.Parameters(paramLabel = "FILE") java.nio.file.Path file) throws Exception {
+        var daemon = new crankspar.cli.Daemon(null, crankspar.config.Operator.read(file));
+        System.out.println("pooling " + daemon.poolingAddress().getPort());
+        System.out.flush();
+        var in = new java.io.BufferedReader(new java.io.InputStreamReader(System.in));
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            System.gc();
+            System.gc();
+            System.out.println(Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+            System.out.flush();
+        }
+        daemon.close();
+        return 0;
+    }
+
+    @Command(name = "pooling-bench", description = "Measures the pooling front's promises; exit 1 where one is broken.")
+    int poolingBench(@Option(names = "--spoil", description = "spoils one promise on purpose, to see the check fail: latency, memory, burst,"
+            + " lost or prepares") String fault) throws Exception {
+        return new PoolingBench(fault).run();
+    }
 }
--- /dev/null
+++ b/src/main/java/crankspar/lab/LabSettings.java
@@ -0,0 +1,37 @@
+package crankspar.lab;
+
+/** The five classes of the brief, for operators' files of experiments. */
+final class LabSettings {
+    private LabSettings() { }
+
+    /** {@code settings} in the words of the operator's file; {@code siblings} poolers share the servers. */
+    static String text(int siblings) {
+        return """
+            settings {
+              Callers { MarksRetry = false }
+              Classes = [
+                {DedupScope = all, Gain = 3.0, GiveUp = 600.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.2, Name = scoreboard, Target = 200.0}
+                {DedupScope = all, Gain = 3.0, GiveUp = 750.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.0, Name = my-roster, Target = 250.0}
+                {DedupScope = all, Gain = 1.0, GiveUp = 2000.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.0, Name = waiver-check, Target = 600.0}
+                {DedupScope = all, Gain = 6.0, GiveUp = 8000.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.0, Name = season-report, Target = 4000.0}
+                {DedupScope = all, Gain = 3.0, GiveUp = 3000.0, Idempotency = side_effect, KeyTtl = 5000.0, LateValue = 0.3, Name = trade-claim, Target = 600.0}
+              ]
+              Discovery = on_request
+              Domain { Behind = off, ClassBound = [300.0, 0.0, 0.0, 0.0, 0.0], CommitWaits = false, CountedFrom = 0.0, Patience = 0.0
+                ReadLevel = [bounded, session, fresh, any, write], RoleInList = late, SessionMarks = carried, TellsPosition = true }
+              Guarantees { AnswerSlack = 20.0, AskEvery = 10000.0, ColdFrom = 0.23, DrainGrace = 250.0, Fall = 1500.0, FallMultiple = 4.0, RampTime = 15000.0 }
+              Limits { Cancelling = true, ConnIdle = 30000.0, DialTimeout = 250.0, MaxOpen = 20000, MaxRetryAfter = 2000.0, MayDuplicate = false, MostTries = 6
+                Probes = true, RetryAfter = false }
+              Locality = burnaby, MyNumber = 0
+              Prices { CrossZone = 0.055, LateFail = 0.049, Probe = 0.03, Waste = 0.022 }
+              Report { Fields = [x0, x1], How = on_probe }
+              Round = 5.0, Siblings = SIBLINGS, Zones = [burnaby, surrey, richmond]
+            }
+            """.replace("SIBLINGS", Integer.toString(siblings));
+    }
+
+    static String member(String id, int port, boolean primary) {
+        return "{id = " + id + ", host_port = \"127.0.0.1:" + port + "\", locality = burnaby, flavor = std, cell = 1, phase = up, size = 1.0,"
+                + " up_since_ms = 0, role = " + (primary ? "primary" : "replica") + "}";
+    }
+}
--- a/src/main/java/crankspar/lab/PgBackend.java
+++ b/src/main/java/crankspar/lab/PgBackend.java
@@ -126,6 +126,10 @@
     private boolean goes(Fault.Act act) {
         switch (act) {
             case CUT -> cut("cut");
+            case RESET -> {
+                wire.reset();
+                over("reset");
+            }
             case STALL -> {
                 stalled = true;
                 wire.reading(false);
--- /dev/null
+++ b/src/main/java/crankspar/lab/PgClient.java
@@ -0,0 +1,140 @@
+package crankspar.lab;
+
+import crankspar.net.Loop;
+import crankspar.net.Machine;
+import crankspar.pooling.Frame;
+import crankspar.pooling.FrameDecoder;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * A client of the load's, by the thousand on one loop: it plays a script of steps, each sent whole and answered up to
+ * ReadyForQuery, and tells how the script ended. It never sends anything twice.
+ */
+final class PgClient implements Machine {
+    /**
+     * How a script ended.
+     *
+     * @param steps that were answered without an error
+     * @param code the SQLSTATE of the error that ended it, {@code CLOSED} where the connection just ended, or null
+     * @param tag of the last command that completed
+     */
+    record Outcome(int steps, String code, String tag) {
+        boolean good() { return code == null; }
+    }
+
+    private final Loop loop;
+    private final FrameDecoder decoder = new FrameDecoder(false);
+    private final byte[] startup;
+    private Out out;
+    private boolean ready, closed;
+    private Consumer<PgClient> whenReady;
+    private List<byte[]> script;
+    private Consumer<Outcome> told;
+    private int step;
+    private String code, tag;
+
+    private PgClient(Loop loop, String user, String database, Consumer<PgClient> whenReady) {
+        this.loop = loop;
+        this.whenReady = whenReady;
+        var parameters = new LinkedHashMap<String, String>();
+        parameters.put("user", user);
+        parameters.put("database", database);
+        startup = Frame.startup(3 << 16, parameters);
+    }
+
+    /** Connects; {@code whenReady} hears of it once it is welcomed, or closed before. */
+    static PgClient connect(Loop loop, InetSocketAddress at, String user, String database, Consumer<PgClient> whenReady) {
+        var client = new PgClient(loop, user, database, whenReady);
+        loop.connect(at, client);
+        return client;
+    }
+
+    boolean gone() { return closed; }
+
+    /** Plays a script; one at a time. Steps are whole batches. */
+    void play(List<byte[]> script, Consumer<Outcome> told) {
+        this.script = script;
+        this.told = told;
+        step = 0;
+        code = tag = null;
+        if (closed) {
+            over("CLOSED");
+        } else {
+            write();
+        }
+    }
+
+    private void write() {
+        byte[] bytes = script.get(step);
+        out.write(bytes, bytes.length, null);
+    }
+
+    void close() {
+        if (out != null) {
+            out.close();
+        }
+        closed = true;
+    }
+
+    @Override public int firstRead() { return 512; }
+
+    @Override public void opened(Out out) {
+        this.out = out;
+        out.write(startup);
+    }
+
+    @Override public void received(ByteBuffer in) {
+        decoder.feed(in);
+        try {
+            for (Frame f = decoder.next(); f != null; f = decoder.next()) {
+                on(f);
+            }
+        } catch (Frame.Malformed e) {
+            close();
+            over("MALFORMED");
+        }
+    }
+
+    private void on(Frame f) throws Frame.Malformed {
+        switch (f.type()) {
+            case 'E' -> code = f.fields().get('C');
+            case 'C' -> tag = f.read().text();
+            case 'Z' -> {
+                if (!ready) {
+                    ready = true;
+                    whenReady.accept(this);
+                } else if (script != null) {
+                    if (code != null || ++step == script.size()) {
+                        over(code);
+                    } else {
+                        write();
+                    }
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private void over(String how) {
+        Consumer<Outcome> mine = told;
+        int steps = step;
+        script = null;
+        told = null;
+        if (mine != null) {
+            mine.accept(new Outcome(steps, how, tag));
+        }
+    }
+
+    @Override public void ended(String why) {
+        closed = true;
+        if (!ready) {
+            ready = true;
+            whenReady.accept(this);
+        }
+        over(code == null ? "CLOSED" : code);
+    }
+}
--- a/src/main/java/crankspar/lab/PgServer.java
+++ b/src/main/java/crankspar/lab/PgServer.java
@@ -29,6 +29,7 @@
     volatile boolean draining;
     volatile double lag;
     volatile double work;
+    private volatile double coldFactor = 1, coldFor, coldSince;
     volatile int cores = 64;
     volatile int connectionsMost = 10_000;
     volatile boolean tellsPosition = true;
@@ -76,6 +77,19 @@
         return this;
     }
 
+    /** It is cold from now on: work takes {@code factor} times as long, and less in proportion until {@code ms} have gone. */
+    public PgServer cold(double factor, double ms) {
+        coldFactor = factor;
+        coldFor = ms;
+        coldSince = loop.now();
+        return this;
+    }
+
+    private double warmth() {
+        double gone = (loop.now() - coldSince) / Math.max(1, coldFor);
+        return gone >= 1 ? 1 : coldFactor + (1 - coldFactor) * gone;
+    }
+
     /** How long a statement takes (ms), on how many cores at once; more wait in line. */
     public PgServer work(double ms, int cores) {
         work = ms;
@@ -113,6 +127,15 @@
         loop.runAndWait(() -> new java.util.ArrayList<>(backends.values()).forEach(b -> b.cut("cut")));
     }
 
+    /** On the loop: ends one connection by chance; false where there is none. */
+    boolean cutOne(java.util.random.RandomGenerator random) {
+        var all = new java.util.ArrayList<>(backends.values());
+        if (!all.isEmpty()) {
+            all.get(random.nextInt(all.size())).cut("cut");
+        }
+        return !all.isEmpty();
+    }
+
     /** Ends the connections and refuses new ones, as a process that died. */
     public void die() throws InterruptedException {
         listener.close();
@@ -125,7 +148,8 @@
     long nextTransaction() { return ++nextTransaction; }
 
     /** Has a core, now or when one is free, for as long as a statement takes. */
-    void work(double ms, Runnable then) {
+    void work(double base, Runnable then) {
+        double ms = base * warmth();
         if (ms <= 0) {
             then.run();
             return;
--- /dev/null
+++ b/src/main/java/crankspar/lab/PoolerProcess.java
@@ -0,0 +1,63 @@
+package crankspar.lab;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** The built pooler as a process of its own, under the limits that the deployment gives it. */
+final class PoolerProcess implements AutoCloseable {
+    private static final List<String> JVM = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss384k", "-XX:-UsePerfData");
+
+    private final Process process;
+    private final BufferedReader out;
+    final InetSocketAddress pooling;
+    private final Path file;
+
+    /** Serves what the operator's file says; a line on its standard input asks it for figures. */
+    PoolerProcess(String operator, String... jvm) throws IOException {
+        file = Files.createTempFile("pooler", ".conf");
+        Files.writeString(file, operator);
+        var command = new ArrayList<String>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(JVM);
+        command.addAll(List.of(jvm));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "crankspar.Main", "lab", "host", file.toString()));
+        process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(new File("/dev/null"))).start();
+        out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        String[] told = line().split(" ");
+        pooling = new InetSocketAddress("127.0.0.1", Integer.parseInt(told[1]));
+    }
+
+    private String line() throws IOException {
+        String line = out.readLine();
+        if (line == null) {
+            throw new IOException("the pooler has ended");
+        }
+        return line;
+    }
+
+    /** Bytes of heap in use after a collection. */
+    long heap() throws IOException {
+        process.getOutputStream().write("heap\n".getBytes(StandardCharsets.US_ASCII));
+        process.getOutputStream().flush();
+        return Long.parseLong(line());
+    }
+
+    @Override public void close() throws IOException {
+        process.destroyForcibly();
+        try {
+            process.waitFor(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Files.deleteIfExists(file);
+    }
+}
--- a/src/main/java/crankspar/net/Machine.java
+++ b/src/main/java/crankspar/net/Machine.java
@@ -18,6 +18,8 @@
         void finish();
         /** Ends the connection at once; the machine hears no more. */
         void close();
+        /** As {@link #close}, and the peer is told by a reset instead of an end. */
+        default void reset() { close(); }
     }
 
     Machine DEAF = new Machine() {
--- a/src/main/java/crankspar/net/Stream.java
+++ b/src/main/java/crankspar/net/Stream.java
@@ -1,6 +1,7 @@
 package crankspar.net;
 
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
@@ -170,6 +171,15 @@
         loop.after(LINGER, () -> end("finished"));
     }
 
+    @Override public void reset() {
+        try {
+            channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+        } catch (IOException e) {
+            LOG.fine("reset: " + e);
+        }
+        close();
+    }
+
     @Override public void close() {
         if (open) {
             open = false;
--- a/src/main/java/crankspar/pooling/Client.java
+++ b/src/main/java/crankspar/pooling/Client.java
@@ -209,7 +209,7 @@
             fatal("28000", "user \"" + user + "\" is not set up for database \"" + databaseName + "\"");
         } else {
             session = SessionState.of(parameters);
-            key = new Server.Key(database.serverName(), user);
+            key = new Server.Key(database.name(), database.serverName(), user);
             PMap<String, String> reported = desk.reported(key);
             if (reported != null) {
                 welcome(reported, parameters);
--- a/src/main/java/crankspar/pooling/Console.java
+++ b/src/main/java/crankspar/pooling/Console.java
@@ -59,7 +59,7 @@
             var users = new java.util.TreeSet<String>();
             front.clients().stream().filter(c -> name.equals(c.databaseName()) && c.user() != null).forEach(c -> users.add(c.user()));
             for (String user : users) {
-                var key = new Server.Key(d.serverName(), user);
+                var key = new Server.Key(name, d.serverName(), user);
                 long idle = front.servers().connections().stream()
                         .filter(s -> s.key().equals(key) && s.state() == Server.State.IDLE).count();
                 long mine = front.clients().stream().filter(c -> name.equals(c.databaseName()) && user.equals(c.user())).count();
@@ -88,7 +88,7 @@
         var rows = new ArrayList<List<String>>();
         double now = front.now();
         for (Server s : front.servers().connections()) {
-            rows.add(List.of(s.member(), s.key().database(), s.key().user(), text(s.state()).toLowerCase(Locale.ROOT), ms(now - s.since()),
+            rows.add(List.of(s.member(), s.key().pool(), s.key().user(), text(s.state()).toLowerCase(Locale.ROOT), ms(now - s.since()),
                     ms(now - s.openedAt()), text(s.there().statements()), text(s.there().options().size()), text(s.status()),
                     s.opening() == null ? "" : text(s.opening().client.process())));
         }
--- a/src/main/java/crankspar/pooling/Server.java
+++ b/src/main/java/crankspar/pooling/Server.java
@@ -55,8 +55,8 @@
     private static final Sql.Statement DISCARD = Sql.split("DISCARD ALL").get(0);
     private static final Sql.Statement ROLLBACK = Sql.split("ROLLBACK").get(0);
 
-    /** Whose connections these are. */
-    record Key(String database, String user) { }
+    /** Whose connections these are: the database as clients name it, as servers do, and the user. */
+    record Key(String pool, String database, String user) { }
 
     private final Keeper keeper;
     private final Key key;
--- a/src/main/java/crankspar/pooling/Servers.java
+++ b/src/main/java/crankspar/pooling/Servers.java
@@ -200,8 +200,7 @@
     }
 
     @Override public void free(Server server) {
-        Setup.Database database = setup.databases().values().stream()
-                .filter(d -> d.serverName().equals(server.key().database())).findFirst().orElse(null);
+        Setup.Database database = setup.databases().get(server.key().pool());
         if (database != null && Keeping.old(server, database.places(), loop.now())) {
             server.lose("its lifetime is over");
         }
@@ -251,7 +250,7 @@
             var byKey = new HashMap<Server.Key, List<Server>>();
             for (Member m : members.values()) {
                 for (Server s : idle(m, null)) {
-                    if (s.key().database().equals(d.serverName())) {
+                    if (s.key().pool().equals(d.name())) {
                         byKey.computeIfAbsent(s.key(), k -> new ArrayList<>()).add(s);
                     }
                 }
--- a/src/test/java/crankspar/cli/CommandsTest.java
+++ b/src/test/java/crankspar/cli/CommandsTest.java
@@ -50,6 +50,11 @@
         assertThat(Commands.execute("version")).isZero();
     }
 
+    @Test void theFilesForPoolingAreGood() throws Exception {
+        assertThat(Operator.read(Path.of("deploy/operator-pooling.conf")).pooling().setup().databases()).containsKeys("league", "reports");
+        assertThat(Operator.read(Path.of("example/pooling.conf")).settings().classes()).hasSize(5);
+    }
+
     @Test void theOperatorsFileInDeployIsGood() throws Exception {
         Operator o = Operator.read(Path.of("deploy/operator-rest.json"));
         assertThat(o.rest().members().members()).isNotEmpty();
@@ -95,4 +100,35 @@
                 .anyMatch(l -> l.matches("store.peers = \\[] +# default"));
         assertThat(Commands.execute("print-config", "--operator", file.toString())).isZero();
     }
+
+    private String pooling(String inside) throws Exception {
+        return complaint("name = p\nsettings = " + TestSettings.JSON.replace("\n", " ") + "\npooling {\n" + inside + "\n}");
+    }
+
+    @Test void aPoolingFrontsFaultsNameTheirLines() throws Exception {
+        String members = "members { revision = 1, complete = true, members = [{id = p, host_port = \"127.0.0.1:1\", phase = up}] }\n";
+        String listen = "listen = \"127.0.0.1:6432\"\n";
+        assertThat(pooling(listen + members + "databases { db { places { most = 5, lifetime = 1h }, users { a { mode = session, places = 2 } } } }"
+                + "\nlimits { idle-in-transaction = 10s, buffers = 8MiB }\npins { listen = refuse }")).isEqualTo("good");
+        assertThat(pooling("listen = \"10.0.0.1:6432\"\n" + members + "databases { db {} }"))
+                .startsWith("FILE:4: pooling.listen: found 10.0.0.1, allowed is a loopback address").contains("trusted-network = true");
+        assertThat(pooling("listen = \"10.0.0.1:6432\"\ntrusted-network = true\n" + members + "databases { db {} }")).isEqualTo("good");
+        assertThat(pooling(listen + members + "databases { db { moed = session } }"))
+                .isEqualTo("FILE:6: pooling.databases.db.moed: is no setting here; the nearest is mode");
+        assertThat(pooling(listen + members + "databases { db { mode = statement } }"))
+                .isEqualTo("FILE:6: pooling.databases.db.mode: found \"statement\", allowed is one of session, transaction");
+        assertThat(pooling(listen + members + "databases { db { mode = session, class = scoreboard } }"))
+                .startsWith("FILE:6: pooling.databases.db.class: found scoreboard, allowed in mode session is");
+        assertThat(pooling(listen + members + "databases { db { select-class = trade-claim } }"))
+                .startsWith("FILE:6: pooling.databases.db.select-class: found \"trade-claim\", allowed is one of my-roster, scoreboard");
+        assertThat(pooling(listen + members + "databases { db { places { least = 9, most = 3 } } }"))
+                .startsWith("FILE:6: pooling.databases.db.places.least: found 9, allowed is at most places.most, 3");
+        assertThat(pooling(listen + members + "databases {}")).contains("pooling.databases: found none");
+        assertThat(pooling(listen + members + "databases { db {} }\nlimits { login = 5 parsecs }"))
+                .startsWith("FILE:7: pooling.limits.login: found \"5 parsecs\", allowed is a duration");
+        assertThat(pooling(listen + members + "databases { db {} }\nlimits { buffers = 1 }"))
+                .startsWith("FILE:7: pooling.limits.buffers: found 1, allowed is a size from 65536");
+        assertThat(pooling(listen + "databases { db {} }")).contains("pooling.members: neither discovery nor members");
+        assertThat(complaint("name = p\npooling { " + listen + members + "databases { db {} } }")).contains("needs settings");
+    }
 }
