Membership by SWIM and duties by leases, with a deterministic model of the same classes

Need: each pooler probes every league database on its own, and that grows with both.

Change: package membership (SWIM with suspicion and incarnations, Lifeguard's local health, a sealed datagram of 256 bytes at most, two keys at once) and package duties (weighted rendezvous by zone, leases with epochs, results that go round with the datagrams). Node joins both as one state machine without socket, clock or chance; lab duties-model runs it. Not wired to the daemon yet.

--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -55,4 +55,30 @@
             + " lost or prepares") String fault) throws Exception {
         return new PoolingBench(fault).run();
     }
+
+    @Command(name = "duties-model", description = "Membership and duties in a deterministic model: the daemon's own classes at sizes that"
+            + " sockets don't reach. A broken promise prints its seed and ends with 1.")
+    int dutiesModel(@Option(names = "--seed", defaultValue = "1") long seed,
+                    @Option(names = "--instances", defaultValue = "48") int instances,
+                    @Option(names = "--databases", defaultValue = "12") int databases,
+                    @Option(names = "--loss", defaultValue = "0.05", description = "share of datagrams lost (${DEFAULT-VALUE})") double loss,
+                    @Option(names = "--bound-ms", defaultValue = "500", description = "the longest that a database may go unprobed") double bound,
+                    @Option(names = "--kills", defaultValue = "0", description = "instances killed, one a second") int kills,
+                    @Option(names = "--seconds", defaultValue = "10") int seconds,
+                    @Option(names = "--alone", description = "each probes for itself: the present way") boolean alone) {
+        var w = DutiesModel.World.of(seed, instances, databases, loss);
+        var world = new DutiesModel.World(seed, instances, databases, w.zones(), loss, w.delayLeast(), w.delayMost(), w.drift(), bound, alone,
+                w.duties(), w.swim());
+        try {
+            var model = new DutiesModel(world).run(5000).measure();
+            for (int i = 0; i < kills; i++) {
+                model.kill(i).run(1000);
+            }
+            System.out.println(model.run(1000.0 * Math.max(1, seconds - kills)).figures());
+            return 0;
+        } catch (DutiesModel.Broken e) {
+            System.out.println("broken: " + e.getMessage());
+            return 1;
+        }
+    }
 }
