--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -9,6 +9,8 @@
 import crankspar.core.Pooler;
 import crankspar.discovery.MemberList;
 import crankspar.discovery.Watch;
+import crankspar.duties.SharedProbes;
+import crankspar.duties.SharedWatch;
 import crankspar.mgmt.Calls;
 import crankspar.mgmt.Operations;
 import crankspar.net.Loop;
@@ -72,6 +74,9 @@
     private Watch restWatch;
     private Watch poolingWatch;
     private PoolingFront pooling;
+    private SharedProbes shared;
+    private SharedWatch sharedWatch;
+    private boolean sharesWatch;
     private InetSocketAddress poolingAddress;
     /** Members to start from: what a call may name before discovery's list is here. */
     private final Set<String> known = new HashSet<>();
@@ -115,6 +120,7 @@
             planned.add(operator.settings());
             pooling.members().members().forEach(m -> known.add(m.id()));
         }
+        sharesWatch = operator != null && operator.membership() != null && operator.membership().watch();
         loop = new Loop("loop");
         String node = operator != null ? operator.name() : config.name();
         store = new Store(node, node + "#" + Long.toHexString(ThreadLocalRandom.current().nextLong()));
@@ -151,6 +157,9 @@
             if (operator != null && !operator.store().peers().isEmpty()) {
                 new Replication(loop, store, counters, operator.store().periodMs(), operator.store().peers());
             }
+            if (operator != null && operator.membership() != null) {
+                share(operator.membership(), config);
+            }
             presence.announce();
             loop.run(() -> serving = true);
         } catch (IOException | RuntimeException e) {
@@ -188,7 +197,7 @@
             later[0].listed(list);
             listed.countDown();
         }, () -> later[0].watchLost());
-        var core = new Pooler<Statement, PgAnswer>(settings, loop, pool, pgWatch, counters, Balance::new);
+        var core = new Pooler<Statement, PgAnswer>(settings, loop, pool, watching(pgWatch), counters, Balance::new);
         var front = new PgFront(loop, settings, counters, core, clients);
         loop.runAndWait(() -> {
             later[0] = new Directory(loop, settings.rules().rampTime(), store, "pg", pool, core);
@@ -211,7 +220,7 @@
         var later = new Directory[1];
         restWatch = setup.discovery() == null ? null : new Watch(loop, setup.discovery(), setup.members().revision(),
                 counters, list -> later[0].listed(list), () -> later[0].watchLost());
-        Pooler.Discovery discovery = restWatch == null ? on -> { } : restWatch;
+        Pooler.Discovery discovery = restWatch == null ? on -> { } : watching(restWatch);
         RestFront.Parts rest = RestFront.build(loop, settings, counters, discovery, Balance::new, clients, servers);
         rest.front().add(StoreResource.PATH, new StoreResource(store, counters));
         loop.runAndWait(() -> {
@@ -231,7 +240,7 @@
         var later = new Directory[1];
         poolingWatch = setup.discovery() == null ? null : new Watch(loop, setup.discovery(), setup.members().revision(),
                 counters, list -> later[0].listed(list), () -> later[0].watchLost());
-        Pooler.Discovery discovery = poolingWatch == null ? on -> { } : poolingWatch;
+        Pooler.Discovery discovery = poolingWatch == null ? on -> { } : watching(poolingWatch);
         PoolingFront.Parts parts = PoolingFront.build(loop, settings, counters, discovery, Balance::new, setup.setup(), setup.servers());
         loop.runAndWait(() -> {
             later[0] = new Directory(loop, settings.rules().rampTime(), store, "pooling", parts.connections(), parts.core());
@@ -247,6 +256,33 @@
         LOG.info("the pooling front listens at " + poolingAddress);
     }
 
+    /** The first front's watch is shared where that is set; further ones keep their own. */
+    private Pooler.Discovery watching(Watch watch) {
+        if (!sharesWatch || sharedWatch != null) {
+            return watch;
+        }
+        sharedWatch = new SharedWatch(watch);
+        return sharedWatch;
+    }
+
+    /** Probing is divided with the other poolers, where the operator's file and the settings allow it. */
+    private void share(Operator.Membership m, Config config) throws Config.Bad, IOException {
+        Config.Peers given = config == null ? null : config.peers();
+        if (m.listen() == null && given == null) {
+            throw new Config.Bad("membership.listen", "not set, and the platform tells no peers");
+        }
+        Router.Settings settings = planned.get(0);
+        if (m.probes() == null || !settings.limits().probes()) {
+            LOG.info("probing is not shared: " + (m.probes() == null ? "no duties are set" : "probes are not allowed here"));
+            return;
+        }
+        var setup = new SharedProbes.Setup(m.listen() != null ? m.listen() : given.listen(), m.listen() != null ? m.peers() : given.all(),
+                m.listen() != null ? m.me() : settings.me(), settings.zone(), settings.zones(), m.weight(), m.keys(), m.swim(), m.probes());
+        shared = new SharedProbes(loop, counters, setup,
+                fronts.stream().map(f -> new SharedProbes.Client(f.core(), f.members()::running)).toList(), sharedWatch);
+        LOG.info("probing is shared among " + setup.peers().size() + " poolers, this one at " + shared.address());
+    }
+
     /** A stop waits for the longest that any front's clients do. */
     private void wait(Router.Settings settings) {
         longest = Math.max(longest,
@@ -273,6 +309,9 @@
             if (restWatch != null && setup != null && setup.discovery() != null) {
                 restWatch.moveTo(setup.discovery());
             }
+            if (shared != null && operator != null && operator.membership() != null) {
+                shared.keys(operator.membership().keys());
+            }
             Operator.Pooling pools = operator == null ? null : operator.pooling();
             if (pooling != null && pools != null) {
                 pooling.set(pools.setup());
@@ -289,6 +328,9 @@
      * that closed 0.6 s after its signal was gone for 2 s before the one before it was back.
      */
     public void stop() throws InterruptedException {
+        if (shared != null) {
+            loop.run(shared::leave);
+        }
         double answered = Math.min(longest, KILL_MOST) + KILL_AFTER - SPARE;
         if (presence.another()) {
             handOver(answered);
@@ -341,6 +383,10 @@
         all.add(Figure.gauge("pool_size", listed.size()));
         avoided.retainAll(listed);
         all.add(Figure.gauge("pool_ejected", avoided.size()));
+        if (serving && shared != null) {
+            shared.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
+            shared.counts().forEach((name, n) -> all.add(Figure.count(name, n)));
+        }
         if (serving && pooling != null) {
             pooling.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
         }
@@ -451,6 +497,9 @@
 
     @Override public void close() {
         presence.close();
+        if (shared != null) {
+            shared.close();
+        }
         loop.close();
     }
 }
--- a/src/main/java/crankspar/cli/Directory.java
+++ b/src/main/java/crankspar/cli/Directory.java
@@ -73,6 +73,17 @@
     /** Whether discovery lists it. */
     boolean lists(String id) { return members.containsKey(id); }
 
+    /** Those that run and are not marked, with their zones: what may be probed. */
+    Map<String, String> running() {
+        var all = new LinkedHashMap<String, String>();
+        for (Member m : members.values()) {
+            if (m.health() == Health.RUNNING && !banned(m.id())) {
+                all.put(m.id(), m.zone());
+            }
+        }
+        return all;
+    }
+
     Collection<String> ids() { return members.keySet(); }
 
     private void take(MemberList list) {
--- a/src/main/java/crankspar/config/Config.java
+++ b/src/main/java/crankspar/config/Config.java
@@ -12,7 +12,10 @@
 /** What one pooler is told by the platform; {@code mgmt} is null where operators do not call. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress mgmt,
                      InetSocketAddress discovery, long seed, int sockets,
-                     MemberList known, Router.Settings settings, String text) {
+                     MemberList known, Router.Settings settings, String text, Peers peers) {
+    /** Where other poolers are, by their numbers; {@code listen} is this one's own. */
+    public record Peers(InetSocketAddress listen, java.util.List<InetSocketAddress> all) { }
+
     /** A configuration that cannot be used; the message names the key. */
     public static final class Bad extends Exception {
         public Bad(String key, String why) { super(key + ": " + why); }
@@ -45,7 +48,23 @@
         return new Config(text(env.get("BALANCER_NAME"), object, "name"),
                 address(env.get("BALANCER_LISTEN"), object, "listen"),
                 mgmt == null || mgmt.isEmpty() ? null : address(mgmt, object, "mgmt"),
-                address(env.get("BALANCER_DISCOVERY"), object, "discovery"), seed, sockets, known, settings, text);
+                address(env.get("BALANCER_DISCOVERY"), object, "discovery"), seed, sockets, known, settings, text, peers(object));
+    }
+
+    /** Null where poolers have no way to each other. */
+    private static Peers peers(Map<?, ?> object) throws Bad {
+        if (object.get("peer_listen") == null || !(object.get("peers") instanceof java.util.List<?> list)) {
+            return null;
+        }
+        var all = new java.util.ArrayList<InetSocketAddress>(list.size());
+        for (Object one : list) {
+            try {
+                all.add(Addresses.parse(String.valueOf(one)));
+            } catch (IllegalArgumentException e) {
+                throw new Bad("peers", brief(e));
+            }
+        }
+        return new Peers(address(null, object, "peer_listen"), all);
     }
 
     /**
--- a/src/main/java/crankspar/config/Operator.java
+++ b/src/main/java/crankspar/config/Operator.java
@@ -18,13 +18,22 @@
  * is one line with file, line, key, what was found and what is allowed.
  */
 public record Operator(String name, String text, Router.Settings settings, InetSocketAddress mgmt, Rest rest,
-                       StoreSetup store, Syslog syslog, Pooling pooling, List<String> inForce) {
+                       StoreSetup store, Syslog syslog, Pooling pooling, Membership membership, List<String> inForce) {
     /** The REST front, with a discovery to watch, a fixed list of members, or both. */
     public record Rest(InetSocketAddress listen, InetSocketAddress discovery, MemberList members) { }
 
     /** The pooling front, with its members as {@link Rest} has them, and the most connections to servers. */
     public record Pooling(crankspar.pooling.Setup setup, InetSocketAddress discovery, MemberList members, int servers) { }
 
+    /**
+     * Membership and what is shared by it. Without addresses of its own ({@code listen} null) the platform's are taken.
+     * {@code probes} is null where probing is not shared;
+     * {@code watch} has one watch discovery for all.
+     */
+    public record Membership(InetSocketAddress listen, List<InetSocketAddress> peers, int me, int weight, List<byte[]> keys,
+                             crankspar.membership.Swim.Settings swim, crankspar.duties.Duties.Settings probes,
+                             boolean watch) { }
+
     /** The store: a snapshot's file (or null) and the peers whose changes are pulled. */
     public record StoreSetup(Path snapshot, List<InetSocketAddress> peers, double periodMs) { }
 
@@ -50,8 +59,9 @@
         Syslog syslog = syslog(o.part("syslog"));
         Router.Settings settings = settings(o);
         Pooling pooling = PoolingReader.read(o.part("pooling"), settings);
+        Membership membership = MembershipReader.read(o.part("membership"), o.part("duties"), file);
         o.done();
-        return new Operator(name, text, settings, mgmt, rest, store, syslog, pooling, OperatorFile.lines(inForce));
+        return new Operator(name, text, settings, mgmt, rest, store, syslog, pooling, membership, OperatorFile.lines(inForce));
     }
 
     private static Router.Settings settings(Section o) throws Config.Bad {
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -72,6 +72,17 @@
         Call probe(String member, Consumer<AttemptEnd<A>> end);
     }
 
+    /** Who probes for several, so that not each has to. */
+    public interface Probes {
+        /** Whether this member's probes are taken care of: its results come by {@link #probed}. */
+        boolean takes(Pooler<?, ?> core, String member);
+    }
+
+    /** What a probe found; {@code position} is Unix ms or NaN. */
+    public interface Probed {
+        void tell(boolean ok, double elapsed, Role role, double position);
+    }
+
     /** The list of members: ends of a watch come back through {@link #watchLost}. */
     public interface Discovery {
         void watch(boolean on);
@@ -157,6 +168,7 @@
     private long ids;
     private int owing;
     private Runnable whenQuiet = () -> { };
+    private Probes probes;
     private double lastAnswer = Double.POSITIVE_INFINITY;
 
     public Pooler(Router.Settings settings, Time time, Backends<Q, A> backends, Discovery discovery,
@@ -455,25 +467,36 @@
     }
 
     @Override public void probe(String member) {
+        if (probes == null || !probes.takes(this, member)) {
+            probeNow(member, (ok, elapsed, role, position) -> probed(member, ok, elapsed, role, position));
+        }
+    }
+
+    /** From now on others may probe for this core. */
+    public void probes(Probes probes) { this.probes = probes; }
+
+    /** A probe's result for the module, whoever made it; {@code elapsed} is how old it is at most (ms). */
+    public void probed(String member, boolean ok, double elapsed, Role role, double position) {
+        event(() -> module.onProbe(now(), new Router.ProbeResult(member, ok, elapsed, ok ? role : Role.UNKNOWN, position)));
+    }
+
+    /** Probes at once over this core's connections, and tells what came of it, once. */
+    public void probeNow(String member, Probed told) {
         counters.add("probes");
         double sent = now();
         boolean[] over = new boolean[1];
         Call call = backends.probe(member, end -> {
             if (!over[0]) {
                 over[0] = true;
-                boolean ok = end instanceof AttemptEnd.Served<A>;
-                AttemptEnd.Note note = end instanceof AttemptEnd.Served<A> s ? plausible(s.note())
-                        : AttemptEnd.Note.NONE;
-                event(() -> module.onProbe(now(), new Router.ProbeResult(member, ok, now() - sent,
-                        ok ? note.role() : Role.UNKNOWN, note.position())));
+                AttemptEnd.Note note = end instanceof AttemptEnd.Served<A> s ? plausible(s.note()) : AttemptEnd.Note.NONE;
+                told.tell(end instanceof AttemptEnd.Served<A>, now() - sent, note.role(), note.position());
             }
         });
         time.after(settings.limits().dialTimeout(), () -> {
             if (!over[0]) {
                 over[0] = true;
                 call.abandon();
-                event(() -> module.onProbe(now(), new Router.ProbeResult(member, false, now() - sent,
-                        Role.UNKNOWN, Double.NaN)));
+                told.tell(false, now() - sent, Role.UNKNOWN, Double.NaN);
             }
         });
     }
--- a/src/main/java/crankspar/discovery/Watch.java
+++ b/src/main/java/crankspar/discovery/Watch.java
@@ -65,6 +65,19 @@
         }
     }
 
+    /** Asks once for what is new, and hears no further; nothing where a watch stands. */
+    public void ask() {
+        if (session == null) {
+            open();
+            session.once = true;
+        }
+    }
+
+    /** Whether a watch stands and has brought something. */
+    public boolean up() { return session != null && session.told && !session.once; }
+
+    public long revision() { return revision; }
+
     /**
      * Discovery is to be found elsewhere from now on. Guards against a gap: the new watch opens at once and
      * asks for the whole list, as the count of another service's versions may be another.
@@ -104,7 +117,7 @@
         private final InetSocketAddress at = address;
         private Machine.Out stream;
         private double heard = loop.now();
-        private boolean up, over;
+        private boolean up, over, told, once;
 
         private void mind() {
             if (over) {
@@ -171,13 +184,20 @@
                 }
                 if (b != '\n') {
                     line.write(b);
-                } else if (line.size() > 0) {
+                    continue;
+                }
+                told = true;                  // an empty line says that nothing is new
+                if (line.size() > 0) {
                     String text = line.toString(StandardCharsets.UTF_8).strip();
                     line.reset();
                     if (!text.isEmpty()) {
                         list(text);
                     }
                 }
+                if (once && !over) {
+                    drop();
+                    session = session == this ? null : session;
+                }
             }
             if (line.size() > LINE_MOST) {
                 fail("a line of more than " + LINE_MOST + " bytes");
--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -81,4 +81,14 @@
             return 1;
         }
     }
+
+    @Command(name = "duties-bench", description = "Measures the promises of shared duties; exit 1 where one is broken.")
+    int dutiesBench(@Option(names = "--spoil", description = "spoils one promise on purpose: gap or probes") String fault) throws Exception {
+        return new DutiesBench(fault).run();
+    }
+
+    @Command(name = "duties-plot", description = "Plots cost and age by the number of instances, each alone and shared, from the model.")
+    int dutiesPlot(@CommandLine.Parameters(paramLabel = "FILE.png") java.nio.file.Path file) throws IOException {
+        return DutiesPlot.write(file);
+    }
 }
--- a/src/main/java/crankspar/lab/MiniSql.java
+++ b/src/main/java/crankspar/lab/MiniSql.java
@@ -215,6 +215,9 @@
                 return Result.of("RESET");
             }
             case "SHOW" -> {
+                if (upper.equals("SHOW LOAD")) {
+                    b.server.probes.probed(b.server.loop.now());
+                }
                 String value = upper.equals("SHOW LOAD")
                         ? "x0=" + String.format(Locale.ROOT, "%.3f", b.server.position() / 1000) + ",x1=" + (b.server.primary ? 1 : 0)
                         : upper.equals("SHOW TRANSACTION ISOLATION LEVEL") ? "read committed"
--- a/src/main/java/crankspar/lab/PgServer.java
+++ b/src/main/java/crankspar/lab/PgServer.java
@@ -34,6 +34,8 @@
     volatile int connectionsMost = 10_000;
     volatile boolean tellsPosition = true;
     volatile Fault fault = Fault.NONE;
+    /** On the loop. */
+    final ProbeLog probes = new ProbeLog();
     int running;
     final java.util.ArrayDeque<Runnable> queue = new java.util.ArrayDeque<>();
 
--- a/src/test/java/crankspar/cli/CommandsTest.java
+++ b/src/test/java/crankspar/cli/CommandsTest.java
@@ -131,4 +131,25 @@
         assertThat(pooling(listen + "databases { db {} }")).contains("pooling.members: neither discovery nor members");
         assertThat(complaint("name = p\npooling { " + listen + members + "databases { db {} } }")).contains("needs settings");
     }
+
+    @Test void membershipsFaultsNameTheirLines() throws Exception {
+        Files.writeString(dir.resolve("short.key"), "short");
+        Files.writeString(dir.resolve("good.key"), "sixteen bytes or more\n");
+        String peers = "listen = \"127.0.0.1:7946\"\npeers = [\"127.0.0.1:7946\", \"127.0.0.1:7947\"]\n";
+        assertThat(complaint("name = p\nmembership {\n" + peers + "number = 1, key-file = good.key }\nduties { every = 200ms }")).isEqualTo("good");
+        assertThat(complaint("name = p\nmembership {\n" + peers + "number = 2 }")).startsWith("FILE:5: membership.number: found 2, allowed is");
+        assertThat(complaint("name = p\nmembership {\n" + peers + "key-file = short.key }")).startsWith("FILE:5: membership.key-file: found a key of 5 bytes");
+        assertThat(complaint("name = p\nmembership {\n" + peers + "key-file = no.key }")).startsWith("FILE:5: membership.key-file: cannot be read");
+        assertThat(complaint("name = p\nmembership { listen = \"127.0.0.1:1\", peers = [] }")).startsWith("FILE:2: membership.peers: found 0");
+        assertThat(complaint("name = p\nmembership { direct = 1s }")).startsWith("FILE:2: membership.direct: found 1000.0ms");
+        assertThat(complaint("name = p\nduties { evry = 1s }")).contains("duties");
+        assertThat(Operator.read(Path.of("deploy/operator-duties.conf")).membership().probes().every()).isEqualTo(400);
+    }
+
+    @Test void thePlatformTellsWherePoolersAre() throws Exception {
+        Config config = Config.read(env(good("127.0.0.1:1").replace("\"seed\"",
+                "\"peer_listen\":\"127.0.0.1:7946\",\"peers\":[\"127.0.0.1:7946\",\"127.0.0.1:7947\"],\"seed\"")));
+        assertThat(config.peers().all()).hasSize(2);
+        assertThat(Config.read(env(good("127.0.0.1:1"))).peers()).isNull();
+    }
 }
