--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -60,6 +60,8 @@
     /** Shares of the sockets for clients and for servers; the rest is for the runtime's own files. */
     private static final double CLIENTS = 0.55;
     private static final double SERVERS = 0.35;
+    /** How often the peers' port is tried again while a predecessor has it (ms). */
+    private static final double PORT_RETRY = 200;
     /** What one process may hold where the platform sets no limit. */
     private static final int SOCKETS = 1024;
 
@@ -74,7 +76,7 @@
     private Watch restWatch;
     private Watch poolingWatch;
     private PoolingFront pooling;
-    private SharedProbes shared;
+    private volatile SharedProbes shared;
     private SharedWatch sharedWatch;
     private boolean sharesWatch;
     private InetSocketAddress poolingAddress;
@@ -278,9 +280,28 @@
         }
         var setup = new SharedProbes.Setup(m.listen() != null ? m.listen() : given.listen(), m.listen() != null ? m.peers() : given.all(),
                 m.listen() != null ? m.me() : settings.me(), settings.zone(), settings.zones(), m.weight(), m.keys(), m.swim(), m.probes());
-        shared = new SharedProbes(loop, counters, setup,
-                fronts.stream().map(f -> new SharedProbes.Client(f.core(), f.members()::running)).toList(), sharedWatch);
-        LOG.info("probing is shared among " + setup.peers().size() + " poolers, this one at " + shared.address());
+        share(setup);
+    }
+
+    /**
+     * Guards against a successor that ends because its predecessor still has the peers' port: it probes alone until
+     * that is free. Only one of two processes with one number may speak.
+     */
+    private void share(SharedProbes.Setup setup) throws IOException {
+        try {
+            shared = new SharedProbes(loop, counters, setup,
+                    fronts.stream().map(f -> new SharedProbes.Client(f.core(), f.members()::running)).toList(), sharedWatch);
+            LOG.info("probing is shared among " + setup.peers().size() + " poolers, this one at " + shared.address());
+        } catch (java.net.BindException e) {
+            counters.add("peers_port_taken");
+            loop.after(PORT_RETRY, () -> {
+                try {
+                    share(setup);
+                } catch (IOException again) {
+                    LOG.warning("probing is not shared: " + again.getMessage());
+                }
+            });
+        }
     }
 
     /** A stop waits for the longest that any front's clients do. */
--- a/src/test/java/crankspar/cli/UpgradeTest.java
+++ b/src/test/java/crankspar/cli/UpgradeTest.java
@@ -94,4 +94,27 @@
         }
         assertThat(dir.toFile().list((d, name) -> name.contains(".serves-"))).as("nothing is left behind").isEmpty();
     }
+
+    /** Guards against a successor that ends because its predecessor still has the peers' port. */
+    @Test void aSuccessorWaitsForThePeersPort() throws Exception {
+        int port;
+        try (var probe = new java.net.DatagramSocket(new java.net.InetSocketAddress("127.0.0.1", 0))) {
+            port = probe.getLocalPort();
+        }
+        Path file = Files.writeString(dir.resolve("duties.conf"), "name = p\nsettings = " + TestSettings.JSON + "\nrest { listen = \"127.0.0.1:0\","
+                + " members { revision = 1, complete = true, members = [{id = p, host_port = \"127.0.0.1:1\", phase = up}] } }\n"
+                + "membership { listen = \"127.0.0.1:" + port + "\", peers = [\"127.0.0.1:" + port + "\", \"127.0.0.1:1\"] }\nduties { }");
+        var held = new java.net.DatagramSocket(new java.net.InetSocketAddress("127.0.0.1", port));
+        try (var daemon = new Daemon(null, crankspar.config.Operator.read(file))) {
+            assertThat(daemon.figures()).noneMatch(f -> f.name().equals("duties"));
+            held.close();
+            long deadline = System.nanoTime() + 5_000_000_000L;
+            while (daemon.figures().stream().noneMatch(f -> f.name().equals("duties"))) {
+                assertThat(System.nanoTime()).isLessThan(deadline);
+                Thread.sleep(5);
+            }
+        } finally {
+            held.close();
+        }
+    }
 }
