lab load: open-loop load with honest latency that says when it cannot keep up

Need: our tools wait for one answer before they send the next, which hides the stalls that we care about.

Change: arrivals by shapes that add up (constant, wave, step, spike, bursts; Poisson by thinning or evenly spaced), a plan from one seed, traces read whole or refused with their line, HdrHistograms of latency from the meant time and of service time beside it, by class and second; exit 3 where the sends left late. Speaks the platform's statements, simple and prepared ones.

--- a/src/main/java/crankspar/config/OperatorFile.java
+++ b/src/main/java/crankspar/config/OperatorFile.java
@@ -10,11 +10,11 @@
 import java.util.List;
 
 /** The operator's file as it stands: HOCON, of which JSON is a part, with includes and {@code ${?VARIABLES}}. */
-final class OperatorFile {
+public final class OperatorFile {
     private OperatorFile() { }
 
     /** Reads it whole; a file that cannot be read is one line with the place. */
-    static Section read(Path file, List<Section.InForce> inForce) throws Config.Bad {
+    public static Section read(Path file, List<Section.InForce> inForce) throws Config.Bad {
         try {
             ConfigObject root = ConfigFactory.parseFile(file.toFile(), ConfigParseOptions.defaults()
                     .setSyntax(ConfigSyntax.CONF).setAllowMissing(false)).resolve().root();
--- a/src/main/java/crankspar/config/Section.java
+++ b/src/main/java/crankspar/config/Section.java
@@ -23,9 +23,9 @@
  * from, so that what is in force can be printed; a key that nothing asked for is an error, with the nearest name
  * that something does ask for. Guards against a setting that is misspelt and silently not in force.
  */
-final class Section {
+public final class Section {
     /** A value in force: its whole name, its text, and the line that set it or null where it is a default. */
-    record InForce(String path, String value, String origin) { }
+    public record InForce(String path, String value, String origin) { }
 
     private static final Pattern DURATION = Pattern.compile("([0-9]+(?:\\.[0-9]+)?)\\s*(ns|us|ms|s|m|h|d)?");
     private static final Map<String, Double> UNITS = Map.of("ns", 1e-6, "us", 1e-3, "ms", 1.0, "s", 1e3, "m", 6e4,
@@ -54,7 +54,7 @@
         return origin.lineNumber() > 0 ? name + ":" + origin.lineNumber() : name;
     }
 
-    Config.Bad bad(String key, String why) {
+    public Config.Bad bad(String key, String why) {
         ConfigValue value = object.get(key);
         return new Config.Bad(at(file, value == null ? object.origin() : value.origin()) + ": " + name(key), why);
     }
@@ -82,7 +82,7 @@
     }
 
     /** A text, also where a number or a flag stands without quotes; {@code absent} may be null. */
-    String text(String key, String absent) throws Config.Bad {
+    public String text(String key, String absent) throws Config.Bad {
         if (!has(key)) {
             note(key, absent == null ? "(not set)" : absent);
             return absent;
@@ -96,7 +96,7 @@
         return text;
     }
 
-    String text(String key) throws Config.Bad {
+    public String text(String key) throws Config.Bad {
         String text = text(key, null);
         if (text == null || text.isEmpty()) {
             throw wrong(key, "a text that is not empty");
@@ -104,7 +104,7 @@
         return text;
     }
 
-    boolean flag(String key, boolean absent) throws Config.Bad {
+    public boolean flag(String key, boolean absent) throws Config.Bad {
         String text = text(key, Boolean.toString(absent));
         return switch (text) {
             case "true", "on", "yes" -> true;
@@ -113,7 +113,7 @@
         };
     }
 
-    <T> T word(String key, String absent, Map<String, T> words) throws Config.Bad {
+    public <T> T word(String key, String absent, Map<String, T> words) throws Config.Bad {
         String text = text(key, absent);
         T found = words.get(text);
         if (found == null) {
@@ -122,7 +122,7 @@
         return found;
     }
 
-    int count(String key, int absent, int least, int most) throws Config.Bad {
+    public int count(String key, int absent, int least, int most) throws Config.Bad {
         String text = text(key, Integer.toString(absent));
         if (!text.matches("[0-9]{1,9}") || Integer.parseInt(text) < least || Integer.parseInt(text) > most) {
             throw wrong(key, "a whole number from " + least + " to " + most);
@@ -131,7 +131,7 @@
     }
 
     /** A duration in ms: {@code 250ms}, {@code 1.5s}, {@code 2m}; a plain number is ms. */
-    double millis(String key, double absent, double least, double most) throws Config.Bad {
+    public double millis(String key, double absent, double least, double most) throws Config.Bad {
         String text = text(key, plain(absent) + "ms");
         Matcher m = DURATION.matcher(text.strip());
         double ms = m.matches() ? Double.parseDouble(m.group(1)) * (m.group(2) == null ? 1 : UNITS.get(m.group(2)))
@@ -144,8 +144,18 @@
 
     private static String plain(double ms) { return ms == Math.rint(ms) ? Long.toString((long) ms) : Double.toString(ms); }
 
+    /** A plain number. */
+    public double number(String key, double absent, double least, double most) throws Config.Bad {
+        String text = text(key, plain(absent));
+        double value = text.matches("[0-9]{1,12}(\\.[0-9]{1,9})?") ? Double.parseDouble(text) : Double.NaN;
+        if (!(value >= least && value <= most)) {
+            throw wrong(key, "a number from " + plain(least) + " to " + plain(most));
+        }
+        return value;
+    }
+
     /** A size in bytes: {@code 64KiB}, {@code 1MB}; a plain number is bytes. */
-    int bytes(String key, int absent, int least, int most) throws Config.Bad {
+    public int bytes(String key, int absent, int least, int most) throws Config.Bad {
         if (!has(key)) {
             note(key, Integer.toString(absent));
             return absent;
@@ -211,7 +221,7 @@
     }
 
     /** All objects under a key, by their names: databases, users. */
-    Map<String, Section> parts(String key) throws Config.Bad {
+    public Map<String, Section> parts(String key) throws Config.Bad {
         var all = new LinkedHashMap<String, Section>();
         Section outer = part(key);
         if (outer != null) {
@@ -255,7 +265,7 @@
     }
 
     /** Said once all known keys have been asked for. */
-    void done() throws Config.Bad {
+    public void done() throws Config.Bad {
         for (String key : new TreeSet<>(object.keySet())) {
             if (!asked.contains(key)) {
                 throw bad(key, "is no setting here; the nearest is " + nearest(key, asked));
--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -8,7 +8,7 @@
 
 /** The commands under {@code lab}: stand-ins and experiments, never part of what serves. */
 @Command(name = "lab", description = "Stand-ins and experiments of our own.", synopsisSubcommandLabel = "COMMAND",
-        mixinStandardHelpOptions = true)
+        mixinStandardHelpOptions = true, subcommands = crankspar.lab.load.LoadCommand.class)
 public final class LabCommand implements Runnable {
     @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
@@ -91,4 +91,9 @@
     int dutiesPlot(@CommandLine.Parameters(paramLabel = "FILE.png") java.nio.file.Path file) throws IOException {
         return DutiesPlot.write(file);
     }
+
+    @Command(name = "load-bench", description = "Measures the load generator's own promises; exit 1 where one is broken.")
+    int loadBench(@Option(names = "--spoil", description = "spoils one promise on purpose: percentiles, late or memory") String fault) throws Exception {
+        return new crankspar.lab.load.LoadBench(fault).run();
+    }
 }
--- a/src/main/java/crankspar/lab/PgClient.java
+++ b/src/main/java/crankspar/lab/PgClient.java
@@ -14,7 +14,7 @@
  * A client of the load's, by the thousand on one loop: it plays a script of steps, each sent whole and answered up to
  * ReadyForQuery, and tells how the script ended. It never sends anything twice.
  */
-final class PgClient implements Machine {
+public final class PgClient implements Machine {
     /**
      * How a script ended.
      *
@@ -22,8 +22,8 @@
      * @param code the SQLSTATE of the error that ended it, {@code CLOSED} where the connection just ended, or null
      * @param tag of the last command that completed
      */
-    record Outcome(int steps, String code, String tag) {
-        boolean good() { return code == null; }
+    public record Outcome(int steps, String code, String tag) {
+        public boolean good() { return code == null; }
     }
 
     private final Loop loop;
@@ -47,16 +47,16 @@
     }
 
     /** Connects; {@code whenReady} hears of it once it is welcomed, or closed before. */
-    static PgClient connect(Loop loop, InetSocketAddress at, String user, String database, Consumer<PgClient> whenReady) {
+    public static PgClient connect(Loop loop, InetSocketAddress at, String user, String database, Consumer<PgClient> whenReady) {
         var client = new PgClient(loop, user, database, whenReady);
         loop.connect(at, client);
         return client;
     }
 
-    boolean gone() { return closed; }
+    public boolean gone() { return closed; }
 
     /** Plays a script; one at a time. Steps are whole batches. */
-    void play(List<byte[]> script, Consumer<Outcome> told) {
+    public void play(List<byte[]> script, Consumer<Outcome> told) {
         this.script = script;
         this.told = told;
         step = 0;
@@ -69,15 +69,20 @@
     }
 
     private void write() {
+        if (out == null) {
+            over("CLOSED");
+            return;
+        }
         byte[] bytes = script.get(step);
         out.write(bytes, bytes.length, null);
     }
 
-    void close() {
+    public void close() {
         if (out != null) {
             out.close();
         }
         closed = true;
+        over("CLOSED");
     }
 
     @Override public int firstRead() { return 512; }
--- a/src/main/java/crankspar/lab/PgServer.java
+++ b/src/main/java/crankspar/lab/PgServer.java
@@ -124,6 +124,11 @@
         loop.runAndWait(() -> backends.values().forEach(PgBackend::stalePlans));
     }
 
+    /** Does nothing at all for a while, and then goes on: its loop stands still. */
+    public void freeze(double ms) {
+        loop.run(() -> java.util.concurrent.locks.LockSupport.parkNanos((long) (ms * 1e6)));
+    }
+
     /** Ends all connections at once. */
     public void cutAll() throws InterruptedException {
         loop.runAndWait(() -> new java.util.ArrayList<>(backends.values()).forEach(b -> b.cut("cut")));
--- /dev/null
+++ b/src/main/java/crankspar/lab/load/Generator.java
@@ -0,0 +1,278 @@
+package crankspar.lab.load;
+
+import crankspar.lab.load.Recorder.Outcome;
+import crankspar.net.Loop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Sends a plan open loop over a few threads, each with its own loop, connections and share of the sessions. What is due
+ * leaves, however many are unanswered; where all connections are busy it waits for one, and its latency counts from when it
+ * was meant to leave all the same. It never slows its arrivals to fit: how late each left is kept, and said.
+ */
+public final class Generator implements AutoCloseable {
+    /** What a request goes out as, and what its answer comes to. */
+    interface Client {
+        boolean gone();
+        void ask(Asked asked, double left, java.util.function.Consumer<Outcome> told);
+        void close();
+    }
+
+    /** Opens connections of one protocol on a loop; {@code ready} hears of each once it may be used, or is gone. */
+    interface Dialect {
+        void connect(Loop loop, java.util.function.Consumer<Client> ready);
+    }
+
+    private static final double LOOK = 5;
+    private static final int BACKLOG_MOST = 1_000_000;
+
+    /** One that is under way, or waits for a connection. */
+    private static final class Under {
+        final Asked asked;
+        double left = Double.NaN;
+        Client client;
+        boolean over;
+
+        Under(Asked asked) { this.asked = asked; }
+    }
+
+    private final class Worker {
+        final Loop loop;
+        final int number;
+        final Iterator<Asked> plan;
+        final Recorder recorder;
+        final ArrayDeque<Client> idle = new ArrayDeque<>();
+        final ArrayDeque<Under> waiting = new ArrayDeque<>();
+        final List<ArrayDeque<Under>> byKind = new ArrayList<>();
+        final int most;
+        int open, under;
+        Asked next;
+        boolean dropped;
+
+        Worker(int number, Iterator<Asked> plan, int most) throws IOException {
+            this.number = number;
+            this.plan = plan;
+            this.most = most;
+            loop = new Loop("load-" + number);
+            recorder = new Recorder(workload.kinds().stream().map(Workload.Kind::name).toList(), workload.lateMost());
+            workload.kinds().forEach(k -> byKind.add(new ArrayDeque<>()));
+        }
+
+        double now() { return (System.nanoTime() - startNanos) / 1e6; }
+
+        void connect(int n, CountDownLatch ready) {
+            for (int i = 0; i < n; i++) {
+                open++;
+                dialect.connect(loop, c -> {
+                    ready.countDown();
+                    free(c);
+                });
+            }
+        }
+
+        void begin() {
+            advance();
+            tick();
+            look();
+        }
+
+        private void advance() {
+            next = null;
+            while (plan.hasNext() && next == null) {
+                Asked a = plan.next();
+                next = a.session() % threads == number ? a : null;
+            }
+        }
+
+        private void tick() {
+            if (stopped) {
+                return;
+            }
+            double now = now();
+            while (next != null && next.at() <= now) {
+                send(new Under(next));
+                advance();
+                now = now();
+            }
+            if (next != null) {
+                loop.after(Math.max(0.02, next.at() - now), this::tick);
+            }
+        }
+
+        private void send(Under u) {
+            recorder.left(now() - u.asked.at());
+            under++;
+            byKind.get(u.asked.kind()).add(u);
+            Client c = idle.poll();
+            if (c != null) {
+                carry(c, u);
+                return;
+            }
+            if (waiting.size() >= BACKLOG_MOST) {
+                end(u, Outcome.UNANSWERED);
+                return;
+            }
+            waiting.add(u);
+            if (open < most) {
+                open++;
+                dialect.connect(loop, this::free);
+            }
+        }
+
+        private void carry(Client c, Under u) {
+            u.client = c;
+            u.left = now();
+            c.ask(u.asked, u.left, outcome -> {
+                end(u, outcome);
+                free(c);
+            });
+        }
+
+        private void free(Client c) {
+            if (c.gone()) {
+                open--;
+                if (!waiting.isEmpty() && open < most && !stopped) {
+                    open++;
+                    loop.after(20, () -> dialect.connect(loop, this::free)); // one that is refused must not spin
+                }
+                return;
+            }
+            Under u = waiting.poll();
+            while (u != null && u.over) {
+                u = waiting.poll();
+            }
+            if (u == null) {
+                idle.push(c);
+            } else {
+                carry(c, u);
+            }
+        }
+
+        private void end(Under u, Outcome outcome) {
+            if (!u.over) {
+                u.over = true;
+                under--;
+                recorder.ended(u.asked.kind(), u.asked.at(), u.left, now(), outcome);
+            }
+        }
+
+        /** Clients that have waited for as long as they do give up; that is their answer. */
+        private void look() {
+            double now = now();
+            for (int kind = 0; kind < byKind.size(); kind++) {
+                ArrayDeque<Under> line = byKind.get(kind);
+                double giveUp = workload.kinds().get(kind).giveUp();
+                while (!line.isEmpty() && (line.peek().over || now - line.peek().asked.at() > giveUp)) {
+                    Under u = line.poll();
+                    if (!u.over) {
+                        end(u, Outcome.UNANSWERED);
+                        if (u.client != null) {
+                            u.client.close();
+                        }
+                    }
+                }
+            }
+            if (recorder.sent() > 1000 && recorder.tooLate() > workload.lateShare() && !dropped) {
+                dropped = true;
+                warn.accept(String.format(java.util.Locale.ROOT, "%.1f %% of the sends so far left more than %.1f ms late: this generator"
+                        + " cannot send so fast, and what it measures is itself", 100 * recorder.tooLate(), workload.lateMost()));
+            }
+            if (!stopped) {
+                loop.after(LOOK, this::look);
+            }
+        }
+
+        boolean done() { return next == null && under == 0; }
+    }
+
+    private final Workload workload;
+    private final Dialect dialect;
+    private final int threads;
+    private final List<Worker> workers = new ArrayList<>();
+    private final java.util.function.Consumer<String> warn;
+    private volatile boolean stopped;
+    private long startNanos;
+
+    /** {@code plans} gives each thread a plan of its own, the same for all. */
+    Generator(Workload workload, Supplier<Iterator<Asked>> plans, Dialect dialect, int threads, java.util.function.Consumer<String> warn)
+            throws IOException {
+        this.workload = workload;
+        this.dialect = dialect;
+        this.threads = threads;
+        this.warn = warn;
+        for (int i = 0; i < threads; i++) {
+            workers.add(new Worker(i, plans.get(), Math.max(1, workload.connections() / threads)));
+        }
+    }
+
+    /** A generator for PostgreSQL's protocol, on so many threads. */
+    public static Generator of(Workload workload, Supplier<Iterator<Asked>> plans, InetSocketAddress target, String user, String database,
+                               int threads, java.util.function.Consumer<String> warn) throws IOException {
+        return new Generator(workload, plans, new PgDialect(workload, target, user, database), threads, warn);
+    }
+
+    /** Connects {@code warm} of the connections, then sends; returns once all have ended, or after {@code grace} ms more. */
+    public Generator run(int warm, double grace) throws InterruptedException {
+        connect(warm);
+        startNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(50);
+        for (Worker w : workers) {
+            w.loop.runAndWait(w::begin);
+        }
+        double end = workload.duration() + grace;
+        boolean[] done = new boolean[1];
+        while (!stopped && !done[0] && (System.nanoTime() - startNanos) / 1e6 < end) {
+            Thread.sleep(20);
+            done[0] = true;
+            for (Worker w : workers) {
+                w.loop.runAndWait(() -> done[0] &= w.done());
+            }
+        }
+        return this;
+    }
+
+    private void connect(int warm) throws InterruptedException {
+        int each = Math.min(warm, workload.connections()) / threads;
+        for (int from = 0; from < each; from += 100) {    // a listener's backlog is bounded
+            int n = Math.min(100, each - from);
+            var ready = new CountDownLatch(n * threads);
+            for (Worker w : workers) {
+                w.loop.run(() -> w.connect(n, ready));
+            }
+            if (!ready.await(10, TimeUnit.SECONDS)) {
+                warn.accept("connections are slow to come up: " + ready.getCount() + " of " + n * threads + " are not there after 10 s");
+            }
+        }
+    }
+
+    /** Ends it early; what was measured by then stands. */
+    public void stop() { stopped = true; }
+
+    /** What came of all so far; what has no end yet counts as unanswered where {@code whole}. */
+    public Recorder result(boolean whole) throws InterruptedException {
+        var sum = new Recorder(workload.kinds().stream().map(Workload.Kind::name).toList(), workload.lateMost());
+        for (Worker w : workers) {
+            w.loop.runAndWait(() -> {
+                if (whole) {
+                    w.byKind.forEach(line -> line.forEach(u -> w.end(u, Outcome.UNANSWERED)));
+                }
+                sum.add(w.recorder);
+            });
+        }
+        return sum;
+    }
+
+    /** ms since the first request was due. */
+    public double elapsed() { return (System.nanoTime() - startNanos) / 1e6; }
+
+    @Override public void close() {
+        stopped = true;
+        workers.forEach(w -> w.loop.close());
+    }
+}
