--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -8,7 +8,7 @@
 
 /** The commands under {@code lab}: stand-ins and experiments, never part of what serves. */
 @Command(name = "lab", description = "Stand-ins and experiments of our own.", synopsisSubcommandLabel = "COMMAND",
-        mixinStandardHelpOptions = true, subcommands = crankspar.lab.load.LoadCommand.class)
+        mixinStandardHelpOptions = true, subcommands = {crankspar.lab.load.LoadCommand.class, crankspar.lab.experiment.ExperimentCommand.class})
 public final class LabCommand implements Runnable {
     @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
@@ -96,4 +96,20 @@
     int loadBench(@Option(names = "--spoil", description = "spoils one promise on purpose: percentiles, late or memory") String fault) throws Exception {
         return new crankspar.lab.load.LoadBench(fault).run();
     }
+
+    @Command(name = "fleet", description = "Stand-in league databases in groups, with troubles by a script in time (HOCON); prints their members.")
+    int fleet(@CommandLine.Parameters(paramLabel = "FLEET.conf") java.nio.file.Path file) throws IOException, InterruptedException {
+        try {
+            var fleet = new Fleet(Fleet.read(file));
+            fleet.recording().whole = false;
+            System.out.println(fleet.members());
+            System.out.flush();
+            fleet.begin();
+        } catch (crankspar.config.Config.Bad e) {
+            System.err.println("fleet: " + e.getMessage());
+            return 2;
+        }
+        Thread.currentThread().join();
+        return 0;
+    }
 }
--- a/src/main/java/crankspar/lab/MiniSql.java
+++ b/src/main/java/crankspar/lab/MiniSql.java
@@ -443,6 +443,9 @@
         if (plain.equalsIgnoreCase("pg_backend_pid()")) {
             return Integer.toString(b.connection);
         }
+        if (plain.equalsIgnoreCase("applied_ms()")) {
+            return String.format(Locale.ROOT, "%.3f", b.server.position());
+        }
         if (plain.equalsIgnoreCase("now()")) {
             return Long.toString((long) b.server.loop.now());
         }
--- a/src/main/java/crankspar/lab/PgBackend.java
+++ b/src/main/java/crankspar/lab/PgBackend.java
@@ -317,6 +317,9 @@
 
     /** A transaction ends: its statements share its fate. */
     private void end(boolean commit) {
+        if (commit && inTransaction.stream().anyMatch(e -> MiniSql.writes(MiniSql.bare(e.sql)))) {
+            server.committed();
+        }
         inTransaction.forEach(e -> e.fate = commit ? Recording.Fate.COMMITTED : Recording.Fate.ROLLED_BACK);
         inTransaction.clear();
         if (commit) {
@@ -531,7 +534,8 @@
             inTransaction.add(executed);
         }
         double ms = MiniSql.sleep(sql) + (MiniSql.works(sql) ? server.work : 0);
-        if (ms <= 0) {
+        server.held(ms);
+        if (ms <= 0 && !server.isStalled()) {
             portal.result = MiniSql.run(this, portal.sql, portal.parameters);
             then.run();
             return;
--- a/src/main/java/crankspar/lab/PgClient.java
+++ b/src/main/java/crankspar/lab/PgClient.java
@@ -21,8 +21,9 @@
      * @param steps that were answered without an error
      * @param code the SQLSTATE of the error that ended it, {@code CLOSED} where the connection just ended, or null
      * @param tag of the last command that completed
+     * @param value the first of the last row, as text, or null
      */
-    public record Outcome(int steps, String code, String tag) {
+    public record Outcome(int steps, String code, String tag, String value) {
         public boolean good() { return code == null; }
     }
 
@@ -35,7 +36,7 @@
     private List<byte[]> script;
     private Consumer<Outcome> told;
     private int step;
-    private String code, tag;
+    private String code, tag, value;
 
     private PgClient(Loop loop, String user, String database, Consumer<PgClient> whenReady) {
         this.loop = loop;
@@ -60,7 +61,7 @@
         this.script = script;
         this.told = told;
         step = 0;
-        code = tag = null;
+        code = tag = value = null;
         if (closed) {
             over("CLOSED");
         } else {
@@ -108,6 +109,11 @@
         switch (f.type()) {
             case 'E' -> code = f.fields().get('C');
             case 'C' -> tag = f.read().text();
+            case 'D' -> {
+                Frame.Reader r = f.read();
+                int length = r.int16() > 0 ? r.int32() : -1;
+                value = length < 0 || length > 64 ? null : new String(r.bytes(length), java.nio.charset.StandardCharsets.UTF_8);
+            }
             case 'Z' -> {
                 if (!ready) {
                     ready = true;
@@ -130,7 +136,7 @@
         script = null;
         told = null;
         if (mine != null) {
-            mine.accept(new Outcome(steps, how, tag));
+            mine.accept(new Outcome(steps, how, tag, value));
         }
     }
 
--- a/src/main/java/crankspar/lab/PgServer.java
+++ b/src/main/java/crankspar/lab/PgServer.java
@@ -53,6 +53,9 @@
     public PgServer listen(InetSocketAddress at) throws IOException {
         listener = loop.listen(at, () -> {
             recording.connections.incrementAndGet();
+            if (crashed) {
+                return null;
+            }
             return new PgBackend(this, ++nextConnection);
         });
         return this;
@@ -149,14 +152,71 @@
         cutAll();
     }
 
+    private java.util.List<PgServer> group = java.util.List.of(this);
+    private Replay replay = new Replay(0);
+    private double applyCost;
+    private boolean grouped, crashed;
+    private double stalledUntil;
+
+    /** One of a group: a primary's commits go to the others' logs. */
+    void group(java.util.List<PgServer> all, double delay, double cost) {
+        group = java.util.List.copyOf(all);
+        replay = new Replay(delay);
+        applyCost = cost;
+        grouped = true;
+    }
+
+    Replay replay() { return replay; }
+
+    /** A write has been committed here. */
+    void committed() {
+        for (PgServer s : group) {
+            if (s != this) {
+                s.replay.commit(loop.now(), applyCost);
+            }
+        }
+    }
+
+    /** A read that took long has held the log of this replica. */
+    void held(double ms) {
+        if (!primary && ms > 100) {
+            replay.block(loop.now() + ms);
+        }
+    }
+
+    /** On the loop: dead, with its connections cut and new ones ended at once, or back. */
+    void crashed(boolean on) {
+        crashed = on;
+        if (on) {
+            new java.util.ArrayList<>(backends.values()).forEach(b -> b.cut("crashed"));
+        }
+    }
+
+    boolean crashed() { return crashed; }
+
+    /** On the loop: nothing is done until then. */
+    void stalled(double until) { stalledUntil = until; }
+
+    boolean isStalled() { return stalledUntil > loop.now(); }
+
+    /** On the loop: the first living other member of its group is primary in its place. */
+    void swapPrimary() {
+        for (PgServer s : group) {
+            if (primary && s != this && !s.crashed) {
+                primary = false;
+                s.primary = true;
+            }
+        }
+    }
+
     /** The position that it would tell now (Unix ms). */
-    double position() { return loop.now() - (primary ? 0 : lag); }
+    double position() { return primary ? loop.now() : grouped ? replay.position(loop.now()) : loop.now() - lag; }
 
     long nextTransaction() { return ++nextTransaction; }
 
     /** Has a core, now or when one is free, for as long as a statement takes. */
     void work(double base, Runnable then) {
-        double ms = base * warmth();
+        double ms = base * warmth() + Math.max(0, stalledUntil - loop.now());
         if (ms <= 0) {
             then.run();
             return;
--- a/src/main/java/crankspar/lab/PoolingBench.java
+++ b/src/main/java/crankspar/lab/PoolingBench.java
@@ -146,21 +146,21 @@
                 var session = new PoolerProcess(operator("session", PLACES), "-Xms96m", "-Xmx256m", "-XX:MaxDirectMemorySize=64m")) {
             List<PgClient> direct = clients(server.address(), PLACES);
             each(direct, PREPARE);
-            List<PgClient> first = clients(transaction.pooling, 1);
+            List<PgClient> first = clients(transaction.pooling(), 1);
             each(first, PREPARE);
-            List<PgClient> sessions = clients(session.pooling, PLACES);
+            List<PgClient> sessions = clients(session.pooling(), PLACES);
             each(sessions, PREPARE);
             server.recording().whole = false;
             double[] medians = latencies(List.of(direct.get(0), first.get(0), sessions.get(0)), 6000, 3000);
             latency(medians);
             memory(transaction);
-            List<PgClient> pooled = clients(transaction.pooling, CLIENTS);
+            List<PgClient> pooled = clients(transaction.pooling(), CLIENTS);
             each(pooled, PREPARE);
             each(pooled, READ);
             rates(direct, sessions, pooled);
             burst(direct, pooled);
             server.recording().whole = true;
-            claims(transaction.pooling, pooled);
+            claims(transaction.pooling(), pooled);
         }
         figures.put("broken", broken);
         System.out.println(json());
@@ -185,10 +185,10 @@
     }
 
     private void memory(PoolerProcess pooler) throws IOException, InterruptedException {
-        List<PgClient> some = clients(pooler.pooling, 200);
+        List<PgClient> some = clients(pooler.pooling(), 200);
         each(some, PREPARE);                  // whatever is set up once is there
         long before = pooler.heap();
-        List<PgClient> idle = clients(pooler.pooling, CLIENTS);
+        List<PgClient> idle = clients(pooler.pooling(), CLIENTS);
         each(idle, PREPARE);
         each(idle, READ);
         long after = pooler.heap();
--- a/src/main/java/crankspar/lab/load/Generator.java
+++ b/src/main/java/crankspar/lab/load/Generator.java
@@ -21,7 +21,7 @@
     /** What a request goes out as, and what its answer comes to. */
     interface Client {
         boolean gone();
-        void ask(Asked asked, double left, java.util.function.Consumer<Outcome> told);
+        void ask(Asked asked, double left, double mustSee, java.util.function.BiConsumer<Outcome, String> told);
         void close();
     }
 
@@ -37,6 +37,7 @@
     private static final class Under {
         final Asked asked;
         double left = Double.NaN;
+        int tries;
         Client client;
         boolean over;
 
@@ -48,6 +49,7 @@
         final int number;
         final Iterator<Asked> plan;
         final Recorder recorder;
+        final Checker checker = new Checker();
         final ArrayDeque<Client> idle = new ArrayDeque<>();
         final ArrayDeque<Under> waiting = new ArrayDeque<>();
         final List<ArrayDeque<Under>> byKind = new ArrayList<>();
@@ -129,8 +131,13 @@
         private void carry(Client c, Under u) {
             u.client = c;
             u.left = now();
-            c.ask(u.asked, u.left, outcome -> {
-                end(u, outcome);
+            double sentAt = loop.now();
+            double mustSee = checker.mustSee(u.asked.session());
+            c.ask(u.asked, u.left, mustSee, (outcome, value) -> {
+                if (outcome == Outcome.OK && !u.over) {
+                    checker.answered(workload.kinds().get(u.asked.kind()), u.asked, sentAt, mustSee, value);
+                }
+                answered(u, outcome);
                 free(c);
             });
         }
@@ -155,6 +162,28 @@
             }
         }
 
+        /** A client asks again after a refusal; after another failure only where it cannot run twice. */
+        private void answered(Under u, Outcome outcome) {
+            Workload.Kind kind = workload.kinds().get(u.asked.kind());
+            boolean may = outcome == Outcome.REFUSED || outcome == Outcome.FAILED && !kind.write();
+            if (u.over || !may || u.tries >= kind.retries() || now() + kind.pause() - u.asked.at() > kind.giveUp()) {
+                end(u, outcome);
+                return;
+            }
+            u.tries++;
+            u.client = null;
+            loop.after(kind.pause(), () -> {
+                if (!u.over && !stopped) {
+                    Client c = idle.poll();
+                    if (c == null) {
+                        waiting.add(u);
+                    } else {
+                        carry(c, u);
+                    }
+                }
+            });
+        }
+
         private void end(Under u, Outcome outcome) {
             if (!u.over) {
                 u.over = true;
@@ -268,6 +297,9 @@
         return sum;
     }
 
+    /** What the checkers of all threads found. */
+    public List<Checker> checkers() { return workers.stream().map(w -> w.checker).toList(); }
+
     /** ms since the first request was due. */
     public double elapsed() { return (System.nanoTime() - startNanos) / 1e6; }
 
--- a/src/main/java/crankspar/lab/load/PgDialect.java
+++ b/src/main/java/crankspar/lab/load/PgDialect.java
@@ -50,15 +50,15 @@
 
         @Override public boolean gone() { return client.gone(); }
 
-        @Override public void ask(Asked a, double left, Consumer<Outcome> told) {
-            client.play(List.of(bytes(a, left)), o -> told.accept(o.good() ? Outcome.OK
-                    : "53300".equals(o.code()) || "57P03".equals(o.code()) ? Outcome.REFUSED : Outcome.FAILED));
+        @Override public void ask(Asked a, double left, double mustSee, java.util.function.BiConsumer<Outcome, String> told) {
+            client.play(List.of(bytes(a, left, mustSee)), o -> told.accept(o.good() ? Outcome.OK
+                    : "53300".equals(o.code()) || "57P03".equals(o.code()) ? Outcome.REFUSED : Outcome.FAILED, o.value()));
         }
 
         @Override public void close() { client.close(); }
     }
 
-    private byte[] bytes(Asked a, double left) {
+    private byte[] bytes(Asked a, double left, double mustSee) {
         Workload.Kind kind = workload.kinds().get(a.kind());
         if (workload.front() == Workload.Front.PREPARED) {
             byte[] number = Long.toString(a.number()).getBytes(StandardCharsets.US_ASCII);
@@ -76,7 +76,9 @@
         String sql = kind.sql().replace("$n", Long.toString(a.number())).replace("$s", "s" + a.session());
         if (workload.front() == Workload.Front.PLATFORM) {
             long d = Math.max(1, Math.round(kind.giveUp() - (left - a.at())));
-            sql = "/* id=" + run + "." + a.number() + ",c=" + kind.name() + ",d=" + d + ",cluster=" + a.group() + " */ " + sql;
+            boolean sees = kind.check() == Workload.Check.SESSION && mustSee > 0;
+            sql = "/* id=" + run + "." + a.number() + ",c=" + kind.name() + ",d=" + d + ",cluster=" + a.group()
+                    + (sees ? ",after=" + (long) Math.ceil(mustSee) : "") + " */ " + sql;
         }
         return Frame.query(sql).wire();
     }
--- a/src/main/java/crankspar/lab/load/Workload.java
+++ b/src/main/java/crankspar/lab/load/Workload.java
@@ -19,7 +19,16 @@
      *
      * @param share of all requests, by weight
      * @param giveUp ms after which its client has gone
+     * @param check what its answers are held to; {@code bound} is ms
+     * @param retries how often its client asks again after a refusal, or after any failure of a read, each after {@code pause} ms
      * @param sql {@code $n} stands for the request's number, {@code $s} for its session
      */
-    public record Kind(String name, double share, double giveUp, boolean write, String sql) { }
+    public record Kind(String name, double share, double giveUp, boolean write, String sql, Check check, double bound, int retries, double pause) {
+        public Kind(String name, double share, double giveUp, boolean write, String sql) {
+            this(name, share, giveUp, write, sql, Check.NONE, 0, 0, 0);
+        }
+    }
+
+    /** BOUND: no answer is older than the bound when its request left; SESSION: it shows its session's own writes. */
+    public enum Check { NONE, BOUND, SESSION }
 }
--- a/src/main/java/crankspar/lab/load/WorkloadReader.java
+++ b/src/main/java/crankspar/lab/load/WorkloadReader.java
@@ -20,7 +20,8 @@
         for (Map.Entry<String, Section> e : w.parts("classes").entrySet()) {
             Section c = e.getValue();
             kinds.add(new Workload.Kind(e.getKey(), c.number("share", 1, 0, 1e9), c.millis("give-up", 1000, 1, DAY), c.flag("write", false),
-                    c.text("sql")));
+                    c.text("sql"), c.word("check", "none", Map.of("none", Workload.Check.NONE, "bound", Workload.Check.BOUND, "session",
+                            Workload.Check.SESSION)), c.millis("bound", 300, 0, DAY), c.count("retries", 0, 0, 10), c.millis("wait", 50, 0, DAY)));
             c.done();
         }
         if (kinds.isEmpty()) {
