--- a/src/test/java/crankspar/duties/ModelTest.java
+++ b/src/test/java/crankspar/duties/ModelTest.java
@@ -93,6 +93,30 @@
         m.probesAtMost(1.2 * PERIOD);
     }
 
+    @Test void aCutThatComesAndGoesAndAllRestartedAtOnce() {
+        DutiesModel m = settled(9, 12, 0.1).measure();
+        for (int i = 0; i < 10; i++) {
+            m.cutZone(1, i % 2 == 0).run(300 + 70 * i);
+        }
+        m.cutZone(1, false).run(2000);
+        for (int i = 0; i < 9; i++) {
+            m.kill(i);
+        }
+        m.run(100);
+        for (int i = 0; i < 9; i++) {
+            m.restart(i);
+        }
+        m.run(12_000).agreed();
+        assertThat(m.figures().longestGap()).isLessThan(500);
+    }
+
+    /** Loss of 60 %: more probes than one alone makes, never more than all alone make, and no database forgotten. */
+    @Test void heavyLossCostsProbesAndNothingElse() {
+        DutiesModel m = settled(5, 12, 0.6).measure().run(8000);
+        m.probesAtMost(5 * PERIOD);
+        assertThat(m.figures().longestGap()).isLessThan(500);
+    }
+
     @Test void forgedAndDamagedDatagramsChangeNothing() {
         DutiesModel m = settled(3, 12, 0);
         var random = new SplittableRandom(3);
