--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -33,17 +33,19 @@
         return 0;
     }
 
-    @Command(name = "host", description = "Serves an operator's file for an experiment, and tells its heap when asked on"
-            + " standard input.")
+    @Command(name = "host", description = "Serves an operator's file for an experiment, and tells its heap, allocated bytes and"
+            + " processor time when asked on standard input.")
     int host(@CommandLine.Parameters(paramLabel = "FILE") java.nio.file.Path file) throws Exception {
         var daemon = new crankspar.cli.Daemon(null, crankspar.config.Operator.read(file));
         System.out.println("pooling " + daemon.poolingAddress().getPort());
         System.out.flush();
         var in = new java.io.BufferedReader(new java.io.InputStreamReader(System.in));
         for (String line = in.readLine(); line != null; line = in.readLine()) {
-            System.gc();
-            System.gc();
-            System.out.println(Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+            System.out.println(switch (line) {
+                case "allocated" -> HostFigures.allocated();
+                case "cpu" -> HostFigures.cpuMicros();
+                default -> HostFigures.heap();
+            });
             System.out.flush();
         }
         daemon.close();
@@ -112,4 +114,7 @@
         Thread.currentThread().join();
         return 0;
     }
+
+    @Command(name = "performance", description = "Finds the pooling front's knee on one core, and what a request costs at half of it; writes a plot.")
+    int performance(@CommandLine.Parameters(paramLabel = "FOLDER") java.nio.file.Path folder) throws Exception { return new Performance().run(folder); }
 }
--- a/src/main/java/crankspar/lab/PoolerProcess.java
+++ b/src/main/java/crankspar/lab/PoolerProcess.java
@@ -50,8 +50,16 @@
     }
 
     /** Bytes of heap in use after a collection. */
-    long heap() throws IOException {
-        process.getOutputStream().write("heap\n".getBytes(StandardCharsets.US_ASCII));
+    long heap() throws IOException { return asked("heap"); }
+
+    /** Bytes allocated since its start. */
+    long allocated() throws IOException { return asked("allocated"); }
+
+    /** Processor time since its start (microseconds). */
+    long cpuMicros() throws IOException { return asked("cpu"); }
+
+    private long asked(String what) throws IOException {
+        process.getOutputStream().write((what + "\n").getBytes(StandardCharsets.US_ASCII));
         process.getOutputStream().flush();
         return Long.parseLong(line());
     }
--- a/src/main/java/crankspar/lab/load/Generator.java
+++ b/src/main/java/crankspar/lab/load/Generator.java
@@ -241,10 +241,11 @@
         }
     }
 
-    /** A generator for PostgreSQL's protocol, on so many threads. */
+    /** A generator for the workload's protocol, on so many threads; user and database are PostgreSQL's. */
     public static Generator of(Workload workload, Supplier<Iterator<Asked>> plans, InetSocketAddress target, String user, String database,
                                int threads, java.util.function.Consumer<String> warn) throws IOException {
-        return new Generator(workload, plans, new PgDialect(workload, target, user, database), threads, warn);
+        Dialect dialect = workload.front() == Workload.Front.REST ? new RestDialect(workload, target) : new PgDialect(workload, target, user, database);
+        return new Generator(workload, plans, dialect, threads, warn);
     }
 
     /** Connects {@code warm} of the connections, then sends; returns once all have ended, or after {@code grace} ms more. */
--- a/src/main/java/crankspar/lab/load/Workload.java
+++ b/src/main/java/crankspar/lab/load/Workload.java
@@ -11,8 +11,8 @@
  */
 public record Workload(List<Kind> kinds, List<Shape> shapes, boolean even, int sessions, int groups, double duration, long seed, Front front,
                        int connections, double lateMost, double lateShare) {
-    /** PLATFORM: statements with a comment; SIMPLE and PREPARED: any PostgreSQL server or the pooling front. */
-    public enum Front { PLATFORM, SIMPLE, PREPARED }
+    /** PLATFORM: statements with a comment; SIMPLE and PREPARED: any PostgreSQL server or the pooling front; REST: paged. */
+    public enum Front { PLATFORM, SIMPLE, PREPARED, REST }
 
     /**
      * One class.
--- a/src/main/java/crankspar/lab/load/WorkloadReader.java
+++ b/src/main/java/crankspar/lab/load/WorkloadReader.java
@@ -37,7 +37,7 @@
         var workload = new Workload(kinds, shapes, w.flag("even", false), w.count("sessions", 1000, 1, 10_000_000),
                 w.count("groups", 1, 1, 100_000), w.millis("duration", 10_000, 100, DAY), w.count("seed", 1, 0, 999_999_999),
                 w.word("front", "simple", Map.of("platform", Workload.Front.PLATFORM, "simple", Workload.Front.SIMPLE, "prepared",
-                        Workload.Front.PREPARED)),
+                        Workload.Front.PREPARED, "rest", Workload.Front.REST)),
                 w.count("connections", 100, 1, 50_000), w.millis("late", 1, 0, 60_000), w.number("late-share", 0.01, 0, 1));
         w.done();
         return workload;
--- a/src/test/java/crankspar/lab/load/LoadTest.java
+++ b/src/test/java/crankspar/lab/load/LoadTest.java
@@ -172,4 +172,29 @@
         assertThatThrownBy(() -> new Plan(WorkloadReader.plain(ONE, 0, 1000, 1, Workload.Front.SIMPLE, 1)).next())
                 .isInstanceOf(java.util.NoSuchElementException.class);
     }
+
+    /** Chains of three pages and writes with keys, against a server that gives each page its cursor. */
+    @Test void wholePageChainsAreOneRequest() throws Exception {
+        var pages = new java.util.concurrent.atomic.AtomicInteger();
+        var keys = java.util.concurrent.ConcurrentHashMap.<String>newKeySet();
+        try (var server = new crankspar.net.ScriptedPeer(wire -> {
+            for (String asked = wire.http(); asked != null; asked = wire.http()) {
+                String body = "{\"items\": []}";
+                if (asked.startsWith("POST")) {
+                    keys.add(asked.replaceAll("(?is).*idempotency-key: (\\S+).*", "$1"));
+                } else {
+                    pages.incrementAndGet();
+                    int page = asked.contains("cursor=") ? Integer.parseInt(asked.replaceAll("(?s).*cursor=(\\d).*", "$1")) : 0;
+                    body = page < 2 ? "{\"items\": [], \"next\": \"/v1/groups/1/scoreboard?cursor=" + (page + 1) + "\"}" : body;
+                }
+                wire.send("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            }
+        })) {
+            var kinds = List.of(new Workload.Kind("scoreboard", 4, 2000, false, "?limit=5"), new Workload.Kind("trade-claim", 1, 2000, true, "{\"n\": $n}"));
+            Recorder r = play(WorkloadReader.plain(kinds, 200, 1000, 2, Workload.Front.REST, 8), server.address(), 2000);
+            assertThat(r.count(Outcome.OK)).isEqualTo(r.sent());
+            assertThat(keys.size() + pages.get() / 3).isEqualTo((int) r.sent());
+            assertThat(pages.get() % 3).isZero();
+        }
+    }
 }
