--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -381,8 +381,11 @@
         Frame.Reader r = f.read();
         String name = r.text();
         String value = r.text();
+        if (Server.NOTES.contains(name)) {
+            return;                           // they change with every answer: kept, each lease would compare all anew
+        }
         server.report(name, value);
-        if (!Server.NOTES.contains(name) && !value.equals(client.told().get(name))) {
+        if (!value.equals(client.told().get(name))) {
             client.told(client.told().plus(name, value));
             toClient.add(f);
         }
--- a/src/main/java/crankspar/pooling/Server.java
+++ b/src/main/java/crankspar/pooling/Server.java
@@ -50,6 +50,7 @@
     static final Set<String> NOTES = Set.of("role", "applied_ms", "load", "in_hot_standby");
     /** An answer up to this is held until it is whole; of a longer one the client gets what has come. */
     private static final int HELD_MOST = 64 * 1024;
+    private static final java.util.regex.Pattern PLAIN = java.util.regex.Pattern.compile("[0-9]{1,16}(\\.[0-9]{0,6})?");
     private static final Set<String> MISSED = Set.of("25006", "72000");
     private static final Set<String> TURNED_AWAY = Set.of("53300", "57P03");
     private static final Sql.Statement DISCARD = Sql.split("DISCARD ALL").get(0);
@@ -306,10 +307,10 @@
         switch (name) {
             case "role" -> role = value.equals("primary") ? Role.PRIMARY : value.equals("replica") ? Role.REPLICA : Role.UNKNOWN;
             case "in_hot_standby" -> role = value.equals("on") ? Role.REPLICA : Role.PRIMARY;
-            case "applied_ms" -> position = value.matches("[0-9]{1,16}(\\.[0-9]{0,6})?") ? Double.parseDouble(value) : Double.NaN;
+            case "applied_ms" -> position = PLAIN.matcher(value).matches() ? Double.parseDouble(value) : Double.NaN;
             default -> { }
         }
-        if (state != State.ACTIVE) {
+        if (state != State.ACTIVE && !NOTES.contains(name)) {
             there.report(name, value);
         }
     }
--- a/src/main/java/crankspar/pooling/Sql.java
+++ b/src/main/java/crankspar/pooling/Sql.java
@@ -68,6 +68,9 @@
             "pg_advisory_xact_lock_shared", "pg_try_advisory_xact_lock", "lo_create", "lo_unlink", "lo_import", "lo_put",
             "txid_current", "pg_current_xact_id", "pg_notify", "dblink_exec", "pg_terminate_backend", "pg_cancel_backend");
 
+    private static final Set<String> LOCKING = Set.of("update", "share", "no", "key");
+    private static final Set<String> CHANGING = Set.of("into", "insert", "update", "delete", "merge");
+
     private Sql() { }
 
     /** The statements of a text; a text of none gives none. */
@@ -271,9 +274,9 @@
             if (temp) {
                 return of(Kind.CREATE_TEMP, text, i + 2 < t.size() ? t.get(i + 2).text() : "");
             }
-            boolean locks = token.is("for") && i + 1 < t.size() && Set.of("update", "share", "no", "key").contains(t.get(i + 1).text());
+            boolean locks = token.is("for") && i + 1 < t.size() && LOCKING.contains(t.get(i + 1).text());
             reads &= !(locks || call && WRITING.contains(token.text())
-                    || Set.of("into", "insert", "update", "delete", "merge").contains(token.text()) && (i == 0 || !t.get(i - 1).is("for")));
+                    || CHANGING.contains(token.text()) && (i == 0 || !t.get(i - 1).is("for")));
         }
         return of(reads ? Kind.READ : Kind.WRITE, text);
     }
