Tests: a datagram replayed, and a server that drains with 500 clients on 20 connections

Change: one datagram given twice and once from another time, to the daemon's own Node; a member put out by hand under 250 statements, after which 500 clients find the other one.

--- a/src/test/java/crankspar/duties/DutiesTest.java
+++ b/src/test/java/crankspar/duties/DutiesTest.java
@@ -153,4 +153,19 @@
         assertThat(probed(d.tick(2500))).isEmpty();
         assertThat(probed(d.tick(2500 + 120))).containsExactly("db");
     }
+
+    /** The first datagram of one instance, given to another twice, and once more from another time. */
+    @Test void aReplayedDatagramIsTakenOnce() {
+        var seal = new crankspar.membership.Seal(List.of());
+        var random = new java.util.SplittableRandom(1);
+        Node from = Node.of(crankspar.membership.Swim.Settings.DEFAULT, Duties.Settings.DEFAULT, 0, 2, 5, 0, 16, seal, 7, 100, random);
+        Node to = Node.of(crankspar.membership.Swim.Settings.DEFAULT, Duties.Settings.DEFAULT, 1, 2, 5, 0, 16, seal, 7, 100, random);
+        byte[] bytes = from.tick(0, 1000).stream().filter(e -> e instanceof Node.Effect.Send).map(e -> ((Node.Effect.Send) e).bytes())
+                .findFirst().orElseThrow();
+        assertThat(to.received(1, 1000, bytes, bytes.length)).isNotEmpty();
+        assertThat(to.received(2, 1000, bytes, bytes.length)).isEmpty();
+        assertThat(to.drops().replayed).isEqualTo(1);
+        to.received(3, 1011, bytes, bytes.length);
+        assertThat(to.drops().stale).isEqualTo(1);
+    }
 }
--- a/src/test/java/crankspar/pooling/HardCasesTest.java
+++ b/src/test/java/crankspar/pooling/HardCasesTest.java
@@ -375,6 +375,29 @@
         }
     }
 
+    @Test void aServerThatDrainsWith500ClientsOn20Connections() throws Exception {
+        try (var stand = new Stand(1, "databases { db { class = season-report, places { most = 20 } } }", s -> s.work(1, 8))) {
+            var clients = new ArrayList<PgWire>();
+            for (int i = 0; i < 500; i++) {
+                clients.add(stand.wire());
+            }
+            for (PgWire w : clients.subList(0, 250)) {
+                w.send(Frame.query("SELECT 1"));
+            }
+            assertThat(call(stand, "/-/league-databases/r0/disable")).contains("200");
+            Thread.sleep(250);
+            for (PgWire w : clients.subList(0, 250)) {
+                assertThat(PgWire.brief(w.untilReady())).isEqualTo("T D:1 C:SELECT 1 Z:I");
+            }
+            stand.recording.clear();
+            for (PgWire w : clients) {
+                assertThat(w.ask("SELECT 2")).isEqualTo("T D:2 C:SELECT 1 Z:I");
+                w.close();
+            }
+            assertThat(stand.recording.executed()).hasSize(500).allMatch(e -> e.server.equals("primary"));
+        }
+    }
+
     private static String call(Stand stand, String path) throws IOException {
         try (var socket = new java.net.Socket(stand.daemon.mgmtAddress().getAddress(), stand.daemon.mgmtAddress().getPort())) {
             socket.getOutputStream().write(("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").getBytes());
