Benchmarks keep their promises in one class; the stand-in's rows are Frame's

Cause: three benchmarks each wrote figures, promises and their JSON line, and the stand-in wrote rows as Frame does.

Change: lab.Promises holds figures and promises for all; MiniSql uses Frame.row. No check is loosened, no bound changed.

--- a/src/main/java/crankspar/lab/DutiesBench.java
+++ b/src/main/java/crankspar/lab/DutiesBench.java
@@ -5,10 +5,7 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 
 /**
  * The promises of shared duties, measured: three poolers as processes of the built jar before stand-in databases that count
@@ -21,8 +18,7 @@
     private static final double LOSS = 0.2;
     private static final int KILLS = 6;
 
-    private final Map<String, Object> figures = new LinkedHashMap<>();
-    private final List<String> broken = new ArrayList<>();
+    private final Promises promises = new Promises();
     private final String fault;
     private final Loop loop = new Loop("stand-ins");
     private final List<PgServer> databases = new ArrayList<>();
@@ -31,12 +27,6 @@
 
     DutiesBench(String fault) throws IOException { this.fault = fault == null ? "" : fault; }
 
-    private void promise(boolean kept, String what) {
-        if (!kept) {
-            broken.add(what);
-        }
-    }
-
     private static int freePort() throws IOException {
         try (var socket = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
             return socket.getLocalPort();
@@ -94,14 +84,12 @@
         }
         processes();
         model();
-        figures.put("broken", broken);
-        System.out.println(json());
-        for (Relay r : relays) {
+                for (Relay r : relays) {
             r.close();
         }
         databases.forEach(PgServer::close);
         loop.close();
-        return broken.isEmpty() ? 0 : 1;
+        return promises.tell();
     }
 
     private void processes() throws IOException, InterruptedException {
@@ -132,14 +120,14 @@
                 Thread.sleep(1200);
             }
             double gap = longest() + (fault.equals("gap") ? 500 : 0);
-            figures.put("probes_a_second_one_alone", round(one));
-            figures.put("probes_a_second_three_present_way", round(present));
-            figures.put("probes_a_second_three_shared", round(three));
-            figures.put("longest_gap_steady_ms", round(steady));
-            figures.put("kills", KILLS);
-            figures.put("longest_gap_with_kills_ms", round(gap));
-            promise(three <= 1.3 * one, "three poolers probe " + round(three) + " times a second, one alone " + round(one));
-            promise(gap <= 500, "a database went unprobed for " + round(gap) + " ms after a kill");
+            promises.put("probes_a_second_one_alone", Promises.round(one));
+            promises.put("probes_a_second_three_present_way", Promises.round(present));
+            promises.put("probes_a_second_three_shared", Promises.round(three));
+            promises.put("longest_gap_steady_ms", Promises.round(steady));
+            promises.put("kills", KILLS);
+            promises.put("longest_gap_with_kills_ms", Promises.round(gap));
+            promises.keep(three <= 1.3 * one, "three poolers probe " + Promises.round(three) + " times a second, one alone " + Promises.round(one));
+            promises.keep(gap <= 500, "a database went unprobed for " + Promises.round(gap) + " ms after a kill");
         } finally {
             for (PoolerProcess p : poolers) {
                 p.close();
@@ -158,32 +146,22 @@
                 model.kill(1).run(4000);
                 var f = model.figures();
                 var alone = new DutiesModel(world.apart()).run(3000).measure().run(4000).figures();
-                figures.put("model_" + n + "_probes_a_second", round(f.probesByDatabase()));
-                figures.put("model_" + n + "_probes_a_second_each_alone", round(alone.probesByDatabase()));
-                figures.put("model_" + n + "_longest_gap_ms", round(f.longestGap()));
-                figures.put("model_" + n + "_datagrams_a_second", round(f.datagramsByInstance()));
-                figures.put("model_" + n + "_age_p95_ms", round(steady));
-                figures.put("model_" + n + "_age_p95_each_alone_ms", round(alone.age95()));
+                promises.put("model_" + n + "_probes_a_second", Promises.round(f.probesByDatabase()));
+                promises.put("model_" + n + "_probes_a_second_each_alone", Promises.round(alone.probesByDatabase()));
+                promises.put("model_" + n + "_longest_gap_ms", Promises.round(f.longestGap()));
+                promises.put("model_" + n + "_datagrams_a_second", Promises.round(f.datagramsByInstance()));
+                promises.put("model_" + n + "_age_p95_ms", Promises.round(steady));
+                promises.put("model_" + n + "_age_p95_each_alone_ms", Promises.round(alone.age95()));
                 datagrams.add(f.datagramsByInstance());
-                promise(f.probesByDatabase() <= 1.3 * base.probesByDatabase(), n + " instances probe " + round(f.probesByDatabase())
-                        + " times a second, one alone " + round(base.probesByDatabase()));
-                promise(f.longestGap() <= 500, "with " + n + " instances a database went unprobed for " + round(f.longestGap()) + " ms");
-                promise(steady <= alone.age95() + 60, "with " + n + " instances positions are " + round(steady) + " ms old, each alone "
-                        + round(alone.age95()));
+                promises.keep(f.probesByDatabase() <= 1.3 * base.probesByDatabase(), n + " instances probe " + Promises.round(f.probesByDatabase())
+                        + " times a second, one alone " + Promises.round(base.probesByDatabase()));
+                promises.keep(f.longestGap() <= 500, "with " + n + " instances a database went unprobed for " + Promises.round(f.longestGap()) + " ms");
+                promises.keep(steady <= alone.age95() + 60, "with " + n + " instances positions are " + Promises.round(steady) + " ms old, each alone "
+                        + Promises.round(alone.age95()));
             } catch (DutiesModel.Broken e) {
-                broken.add(e.getMessage());
+                promises.keep(false, e.getMessage());
             }
         }
-        promise(datagrams.size() == 3 && datagrams.get(2) <= 1.2 * datagrams.get(1), "datagrams grow with the instances: " + datagrams);
-    }
-
-    private static double round(double value) { return Math.round(value * 100) / 100.0; }
-
-    private String json() {
-        var text = new StringBuilder("{");
-        figures.forEach((k, v) -> text.append(text.length() > 1 ? ", " : "").append('"').append(k).append("\": ")
-                .append(v instanceof Number n ? String.format(Locale.ROOT, n instanceof Double ? "%.2f" : "%d", n)
-                        : "[" + String.join(", ", broken.stream().map(b -> "\"" + b + "\"").toList()) + "]"));
-        return text.append('}').toString();
+        promises.keep(datagrams.size() == 3 && datagrams.get(2) <= 1.2 * datagrams.get(1), "datagrams grow with the instances: " + datagrams);
     }
 }
--- a/src/main/java/crankspar/lab/MiniSql.java
+++ b/src/main/java/crankspar/lab/MiniSql.java
@@ -1,7 +1,6 @@
 package crankspar.lab;
 
 import crankspar.pooling.Frame;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -33,18 +32,7 @@
             return b.as('T');
         }
 
-        Frame row(int i) {
-            Frame.Body b = Frame.body().int16(columns.size());
-            for (String value : rows.apply(i)) {
-                if (value == null) {
-                    b.int32(-1);
-                } else {
-                    byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
-                    b.int32(bytes.length).bytes(bytes);
-                }
-            }
-            return b.as('D');
-        }
+        Frame row(int i) { return Frame.row(rows.apply(i)); }
 
         String text(int i) { return String.join("\t", rows.apply(i)); }
 
--- a/src/main/java/crankspar/lab/PoolingBench.java
+++ b/src/main/java/crankspar/lab/PoolingBench.java
@@ -9,8 +9,6 @@
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -28,8 +26,7 @@
     private static final int CUTS = 200;
     private static final String CLAIM = "INSERT INTO claims VALUES ($1)";
 
-    private final Map<String, Object> figures = new LinkedHashMap<>();
-    private final List<String> broken = new ArrayList<>();
+    private final Promises promises = new Promises();
     private final Loop load = new Loop("load");
     private final PgServer server = new PgServer("primary");
     private final String fault;
@@ -162,26 +159,18 @@
             server.recording().whole = true;
             claims(transaction.pooling(), pooled);
         }
-        figures.put("broken", broken);
-        System.out.println(json());
-        server.close();
+                server.close();
         load.close();
-        return broken.isEmpty() ? 0 : 1;
-    }
-
-    private void promise(boolean kept, String what) {
-        if (!kept) {
-            broken.add(what);
-        }
+        return promises.tell();
     }
 
     private void latency(double[] medians) {
         double added = medians[1] - medians[0] + (fault.equals("latency") ? 1 : 0);
-        figures.put("median_direct_ms", round(medians[0]));
-        figures.put("median_transaction_ms", round(medians[1]));
-        figures.put("median_session_ms", round(medians[2]));
-        figures.put("added_median_ms", round(added));
-        promise(added < 0.25, "added latency at the median " + round(added) + " ms, promised under 0.25");
+        promises.put("median_direct_ms", Promises.round(medians[0]));
+        promises.put("median_transaction_ms", Promises.round(medians[1]));
+        promises.put("median_session_ms", Promises.round(medians[2]));
+        promises.put("added_median_ms", Promises.round(added));
+        promises.keep(added < 0.25, "added latency at the median " + Promises.round(added) + " ms, promised under 0.25");
     }
 
     private void memory(PoolerProcess pooler) throws IOException, InterruptedException {
@@ -193,8 +182,8 @@
         each(idle, READ);
         long after = pooler.heap();
         double each = (after - before) / (double) CLIENTS * (fault.equals("memory") ? 10 : 1);
-        figures.put("idle_client_heap_bytes", Math.round(each));
-        promise(each < 10 * 1024, "an idle client takes " + Math.round(each) + " bytes of heap, promised under 10240");
+        promises.put("idle_client_heap_bytes", Math.round(each));
+        promises.keep(each < 10 * 1024, "an idle client takes " + Math.round(each) + " bytes of heap, promised under 10240");
         load.runAndWait(() -> {
             idle.forEach(PgClient::close);
             some.forEach(PgClient::close);
@@ -206,9 +195,9 @@
         rate(pooled, work, 1500);
         rate(direct, work, 500);
         rate(sessions, work, 1000);
-        figures.put("transactions_a_second_direct", Math.round(rate(direct, work, 2000)));
-        figures.put("transactions_a_second_session", Math.round(rate(sessions, work, 2000)));
-        figures.put("transactions_a_second_transaction", Math.round(rate(pooled, work, 2000)));
+        promises.put("transactions_a_second_direct", Math.round(rate(direct, work, 2000)));
+        promises.put("transactions_a_second_session", Math.round(rate(sessions, work, 2000)));
+        promises.put("transactions_a_second_transaction", Math.round(rate(pooled, work, 2000)));
     }
 
     /**
@@ -240,10 +229,10 @@
             worst = Math.max(worst, (served[i] - all * (i + 1) / CLIENTS) / (all / 2));
         }
         double fair = 1 + worst + (fault.equals("burst") ? 2 : 0);
-        figures.put("burst_ms", round(all));
-        figures.put("burst_refused", bad.get());
-        figures.put("burst_worst_by_mean_turn", round(fair));
-        promise(fair <= 2 && bad.get() == 0, "in the burst somebody was served " + round(fair) + " mean turns late (promised 2), "
+        promises.put("burst_ms", Promises.round(all));
+        promises.put("burst_refused", bad.get());
+        promises.put("burst_worst_by_mean_turn", Promises.round(fair));
+        promises.keep(fair <= 2 && bad.get() == 0, "in the burst somebody was served " + Promises.round(fair) + " mean turns late (promised 2), "
                 + bad.get() + " refused");
         server.work(0, 64);
     }
@@ -289,7 +278,7 @@
             }
         });
         if (!done.await(25, TimeUnit.SECONDS)) {
-            broken.add("claims without an answer: " + done.getCount());
+            promises.keep(false, "claims without an answer: " + done.getCount());
         }
         Thread.sleep(100);                    // ends that are on their way to the recording
         var committed = new LinkedHashMap<String, Integer>();
@@ -328,27 +317,17 @@
         }
         double share = (recording.prepares.get() - prepares) / (double) Math.max(1, recording.executions.get() - executions)
                 + (fault.equals("prepares") ? 1 : 0);
-        figures.put("claims", CLAIMS);
-        figures.put("cuts", cuts.get());
-        figures.put("claims_committed", good);
-        figures.put("claims_unknown", unknown);
-        figures.put("claims_without_effect", refused);
-        figures.put("claims_lost", lost);
-        figures.put("claims_twice", twice);
-        figures.put("prepares_by_execution", round(share));
-        promise(lost == 0, lost + " transactions lost");
-        promise(twice == 0, twice + " transactions ran twice");
-        promise(cuts.get() >= CUTS * 0.9, "only " + cuts.get() + " cuts were made");
-        promise(share <= 0.03, "prepares are " + round(share) + " of executions, promised 0.03 at most");
-    }
-
-    private static double round(double value) { return Math.round(value * 10_000) / 10_000.0; }
-
-    private String json() {
-        var text = new StringBuilder("{");
-        figures.forEach((k, v) -> text.append(text.length() > 1 ? ", " : "").append('"').append(k).append("\": ")
-                .append(v instanceof Number n ? String.format(Locale.ROOT, n instanceof Double ? "%.4f" : "%d", n)
-                        : "[" + String.join(", ", broken.stream().map(b -> "\"" + b + "\"").toList()) + "]"));
-        return text.append('}').toString();
+        promises.put("claims", CLAIMS);
+        promises.put("cuts", cuts.get());
+        promises.put("claims_committed", good);
+        promises.put("claims_unknown", unknown);
+        promises.put("claims_without_effect", refused);
+        promises.put("claims_lost", lost);
+        promises.put("claims_twice", twice);
+        promises.put("prepares_by_execution", Promises.round(share));
+        promises.keep(lost == 0, lost + " transactions lost");
+        promises.keep(twice == 0, twice + " transactions ran twice");
+        promises.keep(cuts.get() >= CUTS * 0.9, "only " + cuts.get() + " cuts were made");
+        promises.keep(share <= 0.03, "prepares are " + Promises.round(share) + " of executions, promised 0.03 at most");
     }
 }
--- a/src/main/java/crankspar/lab/load/LoadBench.java
+++ b/src/main/java/crankspar/lab/load/LoadBench.java
@@ -1,45 +1,30 @@
 package crankspar.lab.load;
 
 import crankspar.lab.PgServer;
+import crankspar.lab.Promises;
 import crankspar.lab.StandInProcess;
 import crankspar.lab.load.Recorder.Outcome;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import org.HdrHistogram.Histogram;
 
 /** The generator's own promises: true percentiles, sends on time, memory that does not grow. */
 public final class LoadBench {
     private static final double RATE = 20_000;
 
-    private final Map<String, Object> figures = new LinkedHashMap<>();
-    private final List<String> broken = new ArrayList<>();
+    private final Promises promises = new Promises();
     private final String fault;
 
     /** {@code fault} spoils one promise on purpose; or null. */
     public LoadBench(String fault) { this.fault = fault == null ? "" : fault; }
 
-    private void promise(boolean kept, String what) {
-        if (!kept) {
-            broken.add(what);
-        }
-    }
-
     public int run() throws IOException, InterruptedException {
         percentiles();
         onTime();
         memory();
-        figures.put("broken", broken);
-        var text = new StringBuilder("{");
-        figures.forEach((k, v) -> text.append(text.length() > 1 ? ", " : "").append('"').append(k).append("\": ")
-                .append(v instanceof Double d ? String.format(Locale.ROOT, "%.4f", d) : v instanceof Number n ? n.toString()
-                        : "[" + String.join(", ", broken.stream().map(b -> "\"" + b + "\"").toList()) + "]"));
-        System.out.println(text.append('}'));
-        return broken.isEmpty() ? 0 : 1;
+                return promises.tell();
     }
 
     /** Answer times are known: 50, 100 and 200 ms for five, four and one of ten. */
@@ -55,11 +40,11 @@
                 double[][] known = {{25, 50}, {40, 50}, {65, 100}, {80, 100}, {95, 200}, {99, 200}};
                 for (double[] k : known) {
                     double seen = h.getValueAtPercentile(k[0]) / 1000.0 * (fault.equals("percentiles") ? 1.1 : 1);
-                    figures.put("p" + (int) k[0] + "_ms", seen);
+                    promises.put("p" + (int) k[0] + "_ms", seen);
                     worst = Math.max(worst, Math.abs(seen - k[1]) / k[1]);
                 }
-                figures.put("worst_error", worst);
-                promise(worst <= 0.02, String.format(Locale.ROOT, "a percentile is %.1f %% off, promised 2", 100 * worst));
+                promises.put("worst_error", worst);
+                promises.keep(worst <= 0.02, String.format(Locale.ROOT, "a percentile is %.1f %% off, promised 2", 100 * worst));
             }
         }
     }
@@ -76,14 +61,14 @@
                 Recorder r = g.run(64, 2000).result(true);
                 double rate = r.sent() / (w.duration() / 1000);
                 double late = r.tooLate() + (fault.equals("late") ? 0.5 : 0);
-                figures.put("sent_a_second", rate);
-                figures.put("late_share", late);
-                figures.put("late_p99_ms", r.figures().get("late_p99_ms"));
-                figures.put("late_max_ms", r.figures().get("late_max_ms"));
-                figures.put("latency_p50_ms", r.figures().get("latency_p50_ms"));
-                figures.put("answered_share", r.count(Outcome.OK) / (double) r.sent());
-                promise(rate >= 0.98 * RATE, "only " + Math.round(rate) + " sends a second");
-                promise(late < 0.01, String.format(Locale.ROOT, "%.2f %% of the sends left more than 1 ms late, promised under 1", 100 * late));
+                promises.put("sent_a_second", rate);
+                promises.put("late_share", late);
+                promises.put("late_p99_ms", r.figures().get("late_p99_ms"));
+                promises.put("late_max_ms", r.figures().get("late_max_ms"));
+                promises.put("latency_p50_ms", r.figures().get("latency_p50_ms"));
+                promises.put("answered_share", r.count(Outcome.OK) / (double) r.sent());
+                promises.keep(rate >= 0.98 * RATE, "only " + Math.round(rate) + " sends a second");
+                promises.keep(late < 0.01, String.format(Locale.ROOT, "%.2f %% of the sends left more than 1 ms late, promised under 1", 100 * late));
             }
         }
     }
@@ -108,9 +93,9 @@
                 g.run(64, 1000);
                 looker.join();
                 long grown = used[1] - used[0] + (fault.equals("memory") ? 1 << 25 : 0);
-                figures.put("heap_early_bytes", used[0]);
-                figures.put("heap_grown_bytes", grown);
-                promise(grown < 1 << 20, "the heap grew by " + grown + " bytes within the run");
+                promises.put("heap_early_bytes", used[0]);
+                promises.put("heap_grown_bytes", grown);
+                promises.keep(grown < 1 << 20, "the heap grew by " + grown + " bytes within the run");
             }
         }
     }
