Poolers tell each other positions and roles where they are many

Cause: with 14 poolers each hears a replica about once a second, while a scoreboard's data may be 300 ms old. At fault: Balance.passes with positions from own answers only, and probes earned by own requests (earn, probe).

Ruled out: lost connects (53 in 25 s over all poolers) and false cold returns (20 of them) are few; databases that answer errors are found and avoided; CPU is at 0.2 of a core.

Change: hearsay.Hearsay, without I/O or clock, decides what is told: changed roles, positions newer by a tenth of the tightest bound than what went round, in datagrams of 256 bytes to all, paid by own requests at the settings' price. Bulletin is the message (six bytes a fact, checksum, never rounded up); torn, late, doubled, foreign ones are dropped and counted. Hearing puts it before the module as one Router, the same in the daemon and the adapter. Balance hears one event and uses nothing its own list has not named. Datagrams are taken from peers' addresses only.

--- a/src/main/java/crankspar/Balance.java
+++ b/src/main/java/crankspar/Balance.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -502,6 +503,21 @@
         pump(groups.get(db.entry.group()));
     }
 
+    /** What peers learned first-hand: a position stays true, however late it comes, and dates its role. */
+    @Override public void onHearsay(double at, List<Told> what) {
+        now = at;
+        var groupsTold = new LinkedHashSet<Group>();
+        for (Told h : what) {
+            Db db = dbs.get(h.member());      // one that the own list has not named is none of ours
+            if (db != null && h.position() < now + UNHEARD) {
+                db.position = Math.max(db.position, h.position());
+                noteRole(db, h.role(), h.position());
+                groupsTold.add(groups.get(db.entry.group()));
+            }
+        }
+        groupsTold.forEach(this::pump);
+    }
+
     // ---- The pick. ----
     private Db chooseReplica(Work w) {
         var near = new ArrayList<Db>();
--- a/src/main/java/crankspar/BenchLink.java
+++ b/src/main/java/crankspar/BenchLink.java
@@ -191,13 +191,25 @@
                 long cookie = f.whole(2, "Cookie");
                 return () -> r.onTimer(now, cookie);
             }
-            case "Begun", "NeighbourSays":
+            case "NeighbourSays": {
+                byte[] message = hex(f.text(3, "Content"));
+                return () -> r.onPeer(now, message);
+            }
+            case "Begun":
                 return () -> { };
             default:
                 throw new Malformed("unknown event");
         }
     }
 
+    private static byte[] hex(String digits) {
+        try {
+            return java.util.HexFormat.of().parseHex(digits);
+        } catch (IllegalArgumentException e) {
+            throw new Malformed("Content is not hexadecimal");
+        }
+    }
+
     private static Router.Status status(int code) {
         for (int i = 0; i < STATUS_CODES.length; i++) {
             if (STATUS_CODES[i].equals(Integer.toString(code))) {
@@ -304,5 +316,6 @@
         @Override public void probe(String member) { put("Inspect", member); }
         @Override public void watch(boolean on) { put("StreamChanges", on); }
         @Override public void log(String text) { put("Record", text); }
+        @Override public void tell(byte[] message) { put("WritePeer", "*", java.util.HexFormat.of().formatHex(message)); }
     }
 }
--- a/src/main/java/crankspar/Router.java
+++ b/src/main/java/crankspar/Router.java
@@ -1,6 +1,7 @@
 package crankspar;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -65,7 +66,7 @@
 
     /** What the site permits; times in ms. */
     record Limits(int mostTries, boolean secondCopies, boolean cancelling, boolean probes, boolean retryAfter,
-                  double maxRetryAfter, double dialTimeout, double connIdle, int maxOpen) {
+                  double maxRetryAfter, double dialTimeout, double connIdle, int maxOpen, boolean mayTell) {
         public Limits {
             need(mostTries > 0, "mostTries", mostTries);
             need(maxRetryAfter >= 0, "maxRetryAfter", maxRetryAfter);
@@ -74,7 +75,7 @@
     }
 
     /** Points taken off per unit: see the deployment's own page. */
-    record Prices(double crossZone, double waste, double probe, double lateFail) { }
+    record Prices(double crossZone, double waste, double probe, double lateFail, double peer) { }
 
     /** Start-up settings of one instance; {@code round} is the shortest gap between batches (ms). */
     record Settings(long seed, String zone, List<String> zones, int me, int siblings, double round,
@@ -104,6 +105,9 @@
     /** What a probe found; {@code position} is a clock time or NaN, both as of the report. */
     record ProbeResult(String member, boolean ok, double elapsed, Role role, double position) { }
 
+    /** What a peer told of a member: its position (a clock time) at some time past, and its role as of that position. */
+    record Told(String member, Role role, double position) { }
+
     /** What the module may do. Positive delays in ms; times out at the client's own limit when 0. */
     interface Actions {
         void send(String request, String member, double timeout);
@@ -114,6 +118,8 @@
         void probe(String member);
         void watch(boolean on);
         void log(String text);
+        /** Told to every other instance, if it arrives: 256 bytes at most. */
+        default void tell(byte[] message) { }
     }
 
     void onStart(double now);
@@ -123,6 +129,12 @@
     void onRequest(double now, Request request);
     void onOutcome(double now, Outcome outcome);
     void onProbe(double now, ProbeResult result);
+    /** A message from another instance, as it came. */
+    default void onPeer(double now, byte[] message) { }
+    /** What another instance has learned first-hand. */
+    default void onHearsay(double now, List<Told> what) { }
+    /** Counts since the start, for operators. */
+    default Map<String, Long> counts() { return Map.of(); }
     /** The client left: nothing is owed for the request any more. */
     void onGone(double now, String request);
     void onTimer(double now, long cookie);
--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -1,6 +1,7 @@
 package crankspar.cli;
 
 import crankspar.Balance;
+import crankspar.hearsay.Hearing;
 import crankspar.BenchLink;
 import crankspar.config.Config;
 import crankspar.config.Operator;
@@ -55,7 +56,7 @@
     int adapter() throws IOException {
         var in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16);
         try {
-            new BenchLink(Balance::new).run(in, System.out);
+            new BenchLink(Hearing.before(Balance::new)).run(in, System.out);
             return 0;
         } catch (BenchLink.Malformed e) {
             System.err.println("adapter: " + e.getMessage());
--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -11,6 +11,8 @@
 import crankspar.discovery.Watch;
 import crankspar.duties.SharedProbes;
 import crankspar.duties.SharedWatch;
+import crankspar.hearsay.Hearing;
+import crankspar.membership.Datagrams;
 import crankspar.mgmt.Calls;
 import crankspar.mgmt.Operations;
 import crankspar.net.Loop;
@@ -79,6 +81,7 @@
     private volatile SharedProbes shared;
     private SharedWatch sharedWatch;
     private boolean sharesWatch;
+    private volatile Datagrams peers;
     private InetSocketAddress poolingAddress;
     /** Members to start from: what a call may name before discovery's list is here. */
     private final Set<String> known = new HashSet<>();
@@ -160,7 +163,9 @@
                 new Replication(loop, store, counters, operator.store().periodMs(), operator.store().peers());
             }
             if (operator != null && operator.membership() != null) {
-                share(operator.membership(), config);
+                share(operator.membership(), config); // its datagrams have the peers' port to themselves
+            } else if (config != null && config.peers() != null && config.settings().limits().mayTell()) {
+                hear(config.peers(), config.settings().me(), fronts.get(0).core());
             }
             presence.announce();
             loop.run(() -> serving = true);
@@ -199,7 +204,7 @@
             later[0].listed(list);
             listed.countDown();
         }, () -> later[0].watchLost());
-        var core = new Pooler<Statement, PgAnswer>(settings, loop, pool, watching(pgWatch), counters, Balance::new);
+        var core = new Pooler<Statement, PgAnswer>(settings, loop, pool, watching(pgWatch), counters, Hearing.before(Balance::new));
         var front = new PgFront(loop, settings, counters, core, clients);
         loop.runAndWait(() -> {
             later[0] = new Directory(loop, settings.rules().rampTime(), store, "pg", pool, core);
@@ -283,6 +288,34 @@
         share(setup);
     }
 
+    /** The first front's core hears what the other poolers have learned, and tells them what it has. */
+    private void hear(Config.Peers given, int me, Pooler<?, ?> core) throws IOException {
+        var others = new ArrayList<>(given.all());
+        if (me < others.size()) {
+            others.remove(me);
+        }
+        try {
+            var friends = Set.copyOf(others);
+            peers = new Datagrams(loop, counters, given.listen(), friends::contains, core::heard);
+            loop.run(() -> core.peers(message -> {
+                if (given.everyone() != null) {
+                    peers.send(given.everyone(), message);
+                } else {
+                    others.forEach(to -> peers.send(to, message));
+                }
+            }));
+        } catch (java.net.BindException e) {
+            counters.add("peers_port_taken");
+            loop.after(PORT_RETRY, () -> {
+                try {
+                    hear(given, me, core);
+                } catch (IOException again) {
+                    LOG.warning("the peers are not heard: " + again.getMessage());
+                }
+            });
+        }
+    }
+
     /**
      * Guards against a successor that ends because its predecessor still has the peers' port: it probes alone until
      * that is free. Only one of two processes with one number may speak.
@@ -408,6 +441,9 @@
             shared.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
             shared.counts().forEach((name, n) -> all.add(Figure.count(name, n)));
         }
+        for (Served f : serving ? fronts : List.<Served>of()) {
+            f.core().counts().forEach((name, n) -> all.add(Figure.count(name, n)));
+        }
         if (serving && pooling != null) {
             pooling.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
         }
@@ -521,6 +557,9 @@
         if (shared != null) {
             shared.close();
         }
+        if (peers != null) {
+            peers.close();
+        }
         loop.close();
     }
 }
--- a/src/main/java/crankspar/cli/Warmup.java
+++ b/src/main/java/crankspar/cli/Warmup.java
@@ -9,6 +9,7 @@
 import crankspar.core.Counters;
 import crankspar.core.Pooler;
 import crankspar.core.Reach;
+import crankspar.hearsay.Hearing;
 import crankspar.net.Carrier;
 import crankspar.net.Machine;
 import crankspar.pg.PgAnswer;
@@ -78,7 +79,8 @@
             members.add(new Member("w" + i, settings.zones().get(i % settings.zones().size()), i == 0, 1,
                     Health.RUNNING, group, "", 0));
         }
-        var pooler = new Pooler<Statement, PgAnswer>(settings, this, this, this, counters, Balance::new);
+        var pooler = new Pooler<Statement, PgAnswer>(settings, this, this, this, counters, Hearing.before(Balance::new));
+        pooler.peers(pooler::heard);
         var front = new PgFront(null, settings, counters, pooler, Integer.MAX_VALUE);
         pooler.start(members);
         Machine client = null;
--- a/src/main/java/crankspar/config/Config.java
+++ b/src/main/java/crankspar/config/Config.java
@@ -13,8 +13,11 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress mgmt,
                      InetSocketAddress discovery, long seed, int sockets,
                      MemberList known, Router.Settings settings, String text, Peers peers) {
-    /** Where other poolers are, by their numbers; {@code listen} is this one's own. */
-    public record Peers(InetSocketAddress listen, java.util.List<InetSocketAddress> all) { }
+    /**
+     * Where other poolers are, by their numbers; {@code listen} is this one's own. What is sent to {@code everyone} reaches
+     * all of them; null where there is no such address.
+     */
+    public record Peers(InetSocketAddress listen, java.util.List<InetSocketAddress> all, InetSocketAddress everyone) { }
 
     /** A configuration that cannot be used; the message names the key. */
     public static final class Bad extends Exception {
@@ -64,7 +67,8 @@
                 throw new Bad("peers", brief(e));
             }
         }
-        return new Peers(address(null, object, "peer_listen"), all);
+        return new Peers(address(null, object, "peer_listen"), all,
+                object.get("peers_all") == null ? null : address(null, object, "peers_all"));
     }
 
     /**
--- a/src/main/java/crankspar/config/SettingsReader.java
+++ b/src/main/java/crankspar/config/SettingsReader.java
@@ -59,9 +59,9 @@
                         limits.flag("Cancelling", false), limits.flag("Probes", false),
                         limits.flag("RetryAfter", false), limits.number("MaxRetryAfter", 0),
                         limits.number("DialTimeout", 0), limits.number("ConnIdle", 0),
-                        (int) limits.number("MaxOpen", Integer.MAX_VALUE)),
+                        (int) limits.number("MaxOpen", Integer.MAX_VALUE), limits.flag("MayTell", false)),
                 new Router.Prices(prices.number("CrossZone", 0), prices.number("Waste", 0),
-                        prices.number("Probe", 0), prices.number("LateFail", 0)));
+                        prices.number("Probe", 0), prices.number("LateFail", 0), prices.number("Peer", 0)));
     }
 
     private static <T> T as(Class<T> type, Object value, String field) {
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -78,6 +78,11 @@
         boolean takes(Pooler<?, ?> core, String member);
     }
 
+    /** The way to the other poolers: each message to all of them, late or never. */
+    public interface Peers {
+        void tell(byte[] message);
+    }
+
     /** What a probe found; {@code position} is Unix ms or NaN. */
     public interface Probed {
         void tell(boolean ok, double elapsed, Role role, double position);
@@ -169,6 +174,7 @@
     private int owing;
     private Runnable whenQuiet = () -> { };
     private Probes probes;
+    private Peers peers = message -> { };
     private double lastAnswer = Double.POSITIVE_INFINITY;
 
     public Pooler(Router.Settings settings, Time time, Backends<Q, A> backends, Discovery discovery,
@@ -501,6 +507,17 @@
         });
     }
 
+    /** From now on the module's messages go this way. */
+    public void peers(Peers peers) { this.peers = peers; }
+
+    @Override public void tell(byte[] message) { peers.tell(message); }
+
+    /** A message from another pooler, as it came. */
+    public void heard(byte[] message) { event(() -> module.onPeer(now(), message)); }
+
+    /** The module's counts since the start. */
+    public Map<String, Long> counts() { return module.counts(); }
+
     @Override public void watch(boolean on) { discovery.watch(on); }
 
     @Override public void log(String text) { LOG.info(text); }
--- a/src/main/java/crankspar/membership/Datagrams.java
+++ b/src/main/java/crankspar/membership/Datagrams.java
@@ -9,6 +9,7 @@
 import java.nio.channels.DatagramChannel;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.logging.Logger;
 
 /**
@@ -28,6 +29,12 @@
 
     /** Listens at once; {@code taker} hears each on the loop. */
     public Datagrams(Loop loop, Counters counters, InetSocketAddress listen, Consumer<byte[]> taker) throws IOException {
+        this(loop, counters, listen, from -> true, taker);
+    }
+
+    /** Only what comes from an address that {@code known} holds is handed over; the rest is dropped and counted. */
+    public Datagrams(Loop loop, Counters counters, InetSocketAddress listen, Predicate<InetSocketAddress> known, Consumer<byte[]> taker)
+            throws IOException {
         this.loop = loop;
         this.counters = counters;
         channel = DatagramChannel.open();
@@ -37,19 +44,23 @@
             channel.close();
             throw e;
         }
-        var thread = new Thread(() -> receive(taker), "peers");
+        var thread = new Thread(() -> receive(known, taker), "peers");
         thread.setDaemon(true);
         thread.start();
     }
 
     public InetSocketAddress address() throws IOException { return (InetSocketAddress) channel.getLocalAddress(); }
 
-    private void receive(Consumer<byte[]> taker) {
+    private void receive(Predicate<InetSocketAddress> known, Consumer<byte[]> taker) {
         var buffer = ByteBuffer.allocate(2 * Packet.MOST);
         while (channel.isOpen()) {
             try {
                 buffer.clear();
-                channel.receive(buffer);
+                var from = (InetSocketAddress) channel.receive(buffer);
+                if (!known.test(from)) {
+                    loop.run(() -> counters.add("peers_dropped_stranger"));
+                    continue;
+                }
                 buffer.flip();
                 byte[] bytes = new byte[buffer.remaining()];
                 buffer.get(bytes);
--- a/src/test/java/crankspar/Fake.java
+++ b/src/test/java/crankspar/Fake.java
@@ -43,8 +43,8 @@
         return new Router.Settings(seed, "near", List.of("far", "near", "mid"), 0, siblings, 5, askDiscovery, classes, behind, 0,
                 roleInList, sessionMarks, true, false, 0, reports,
                 new Router.Guarantees(20, 10_000, 0.2, 16_000, 500, 2.5, 1500, soft),
-                new Router.Limits(10, secondCopies, true, true, true, 1000, 250, 30_000, 20_000),
-                new Router.Prices(0.02, 0.08, 0.02, 0.05));
+                new Router.Limits(10, secondCopies, true, true, true, 1000, 250, 30_000, 20_000, true),
+                new Router.Prices(0.02, 0.08, 0.02, 0.05, 0.01));
     }
 
     private Router.RequestClass kind(String name, double aim, double giveUp, double late, Router.Repeat repeat,
--- a/src/test/java/crankspar/TestSettings.java
+++ b/src/test/java/crankspar/TestSettings.java
@@ -26,9 +26,13 @@
 
     private TestSettings() { }
 
-    public static Router.Settings platform() {
+    public static Router.Settings platform() { return platform(1); }
+
+    /** With so many poolers, which may tell each other at the platform's price. */
+    public static Router.Settings platform(int poolers) {
         try {
-            return SettingsReader.read(Json.object(JSON), 7);
+            return SettingsReader.read(Json.object(JSON.replace("\"Siblings\": 1,", "\"Siblings\": " + poolers + ",")
+                    .replace("\"MayDuplicate\"", "\"MayTell\": true, \"MayDuplicate\"").replace("\"Probe\": 0.03", "\"Peer\": 0.01, \"Probe\": 0.03")), 7);
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
--- /dev/null
+++ b/src/test/java/crankspar/hearsay/HearsayTest.java
@@ -0,0 +1,142 @@
+package crankspar.hearsay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import crankspar.Router.Health;
+import crankspar.Router.ListKind;
+import crankspar.Router.Member;
+import crankspar.Router.Role;
+import crankspar.Router.Settings;
+import crankspar.TestSettings;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class HearsayTest {
+    private static final double NOW = 1_767_225_600_000.4;
+    private static final Settings FOURTEEN = TestSettings.platform(14);
+
+    private static Member member(String id, Health health) { return new Member(id, "burnaby", false, 1, health, 1, "", 0); }
+
+    private static Hearsay pooler(String... ids) {
+        var h = new Hearsay(FOURTEEN);
+        h.members(ListKind.FULL, Arrays.stream(ids).map(id -> member(id, Health.RUNNING)).toList());
+        return h;
+    }
+
+    @Test void whatOneLearnedTheOthersHearOnce() {
+        Hearsay a = pooler("x", "y");
+        Hearsay b = pooler("x", "y");
+        a.learned("x", Role.REPLICA, NOW - 40.5);
+        byte[] message = a.next(NOW);
+        var told = b.heard(NOW + 20, message);
+        assertThat(told).singleElement().satisfies(t -> {
+            assertThat(t.member()).isEqualTo("x");
+            assertThat(t.role()).isEqualTo(Role.REPLICA);
+            assertThat(t.position()).isLessThanOrEqualTo(NOW - 40.5).isGreaterThan(NOW - 43); // never raised
+        });
+        assertThat(b.heard(NOW + 21, message)).as("doubled").isEmpty();
+        assertThat(a.next(NOW + 50)).as("nothing is told twice").isNull();
+    }
+
+    @Test void whatAnotherHasToldIsNotToldAgain() {
+        Hearsay a = pooler("x");
+        Hearsay b = pooler("x");
+        a.learned("x", Role.REPLICA, NOW);
+        b.learned("x", Role.REPLICA, NOW + 10);
+        b.heard(NOW + 10, a.next(NOW));
+        assertThat(b.due()).as("newer by less than a step").isFalse();
+        b.learned("x", Role.REPLICA, NOW + 40);
+        assertThat(b.due()).isTrue();
+    }
+
+    @Test void aChangedRoleGoesFirstAndAPrimarysPlaceSeldom() {
+        Hearsay a = pooler("x");
+        a.learned("x", Role.REPLICA, NOW);
+        a.next(NOW);
+        a.learned("x", Role.PRIMARY, NOW + 1);
+        assertThat(a.due()).isTrue();
+        a.next(NOW + 1);
+        a.learned("x", Role.PRIMARY, NOW + 500);
+        assertThat(a.due()).isFalse();
+        a.learned("x", Role.PRIMARY, NOW + 1100);
+        assertThat(a.due()).isTrue();
+    }
+
+    @Test void bytesAreEarnedByRequestsAndBounded() {
+        Hearsay a = pooler("x");
+        int bytes = 0;
+        for (int i = 0; i < 10_000; i++) {
+            a.learned("x", Role.REPLICA, NOW + 100 * i);
+            byte[] m = a.next(NOW + 100 * i);
+            bytes += m == null ? 0 : m.length;
+        }
+        assertThat(bytes).isBetween(17, 1024); // what was saved at the start, and no more
+        for (int i = 0; i < 1000; i++) {
+            a.request();
+        }
+        a.learned("x", Role.REPLICA, NOW + 2e6);
+        assertThat(a.next(NOW + 2e6)).isNotNull();
+    }
+
+    @Test void aMessageHoldsNoMoreThanThePlatformLetsThrough() {
+        String[] ids = new String[100];
+        Arrays.setAll(ids, i -> "s-" + i);
+        Hearsay a = pooler(ids);
+        for (String id : ids) {
+            a.learned(id, Role.REPLICA, NOW);
+        }
+        assertThat(a.next(NOW).length).isLessThanOrEqualTo(256);
+        assertThat(a.due()).as("the rest waits its turn").isTrue();
+    }
+
+    @Test void aMemberOfAnotherListIsDropped() {
+        Hearsay a = pooler("x", "y");
+        Hearsay b = pooler("y");
+        a.learned("x", Role.PRIMARY, NOW);
+        assertThat(b.heard(NOW, a.next(NOW))).isEmpty();
+        assertThat(b.counts()).containsEntry("hearsay_dropped_unlisted", 1L);
+        a.members(ListKind.CHANGES, List.of(member("x", Health.GONE)));
+        a.learned("x", Role.PRIMARY, NOW + 5000);
+        assertThat(a.due()).as("one that has left").isFalse();
+    }
+
+    @Test void tornForgedLateAndUnknownMessagesAreDroppedAndCounted() throws Exception {
+        Hearsay a = pooler("x");
+        Hearsay b = pooler("x");
+        a.learned("x", Role.REPLICA, NOW);
+        byte[] good = a.next(NOW);
+        assertThat(b.heard(NOW, Arrays.copyOf(good, good.length - 1))).isEmpty();
+        assertThat(b.heard(NOW, new byte[0])).isEmpty();
+        byte[] version = good.clone();
+        version[0]++;
+        assertThat(b.heard(NOW, version)).isEmpty();
+        byte[] raised = good.clone();
+        raised[13] ^= 1;
+        assertThat(b.heard(NOW, raised)).isEmpty();
+        assertThat(b.heard(NOW + 60_000, good)).isEmpty();
+        assertThat(b.heard(NOW - 60_000, good)).isEmpty();
+        assertThat(b.counts()).containsEntry("hearsay_dropped_length", 2L).containsEntry("hearsay_dropped_version", 1L)
+                .containsEntry("hearsay_dropped_checksum", 1L).containsEntry("hearsay_dropped_late", 1L)
+                .containsEntry("hearsay_dropped_ahead", 1L);
+        assertThat(b.heard(NOW, good)).hasSize(1);
+        assertThatThrownBy(() -> Bulletin.decode(new byte[300])).isInstanceOf(Bulletin.Malformed.class);
+    }
+
+    @Property(tries = 500) void anyBytesAreHarmless(@ForAll @Size(max = 300) byte[] bytes) {
+        assertThat(pooler("x").heard(NOW, bytes)).isEmpty();
+    }
+
+    @Property(tries = 300) void noPositionIsEverRaised(@ForAll @IntRange(min = 0, max = 60_000) int behind,
+                                                     @ForAll @IntRange(min = 0, max = 999) int fraction) {
+        double position = NOW - behind - fraction / 1000.0;
+        Hearsay a = pooler("x");
+        a.learned("x", Role.REPLICA, position);
+        pooler("x").heard(NOW, a.next(NOW)).forEach(t -> assertThat(t.position()).isLessThanOrEqualTo(position));
+    }
+}
