A slow connect or answer is no crash; what came up late serves the next

At fault: Balance.judge takes one failed connect at a member unheard for 1 s for an outage, which with 14 poolers is any member; watchFor takes one answer that is six means late for silence, as no other answer comes meanwhile (2 % of answers are). Pool gave up a bounded read's connection after 40 ms and told a failed connect, though nothing was wrong with the member. Then 15 s of cold budget each. A second cause, by reading: at equal load two draws took the lower id, so all poolers filled the same replica of a zone.

Ruled out: full connection tables (1,300 of 6,500 at once, no refusal counted).

Change: a member seen by peers lately is not lost on one connect and not silent until it owes three times as many answers; a lost member that a peer hears again is cold, as if heard first-hand. A wait that ends before its connection is up is Unsent, moot to the module; the connection comes up for the next. Many poolers take equals of a zone at random.

A loop that was held up ran a connection's welcome before the timer that ends the wait, and sent; the time is looked at again now.

--- a/src/main/java/crankspar/Balance.java
+++ b/src/main/java/crankspar/Balance.java
@@ -51,6 +51,8 @@
     private static final double FRESH_WEIGHT = 0.1;
     /** A member that owes this many mean answers, none of which came, is silent (chance of error: e^-6). */
     private static final double OWED = 6;
+    /** ... or this many, if peers have heard it since: then its answer is slow, or the way to it is cut. */
+    private static final double OWED_MOST = 18;
     /** ... and only once nothing came for this share of the oldest one's aim: a crowd is slow, not silent. */
     private static final double SILENT_SHARE = 0.5;
     /** A trial's answer is owed this often before its request is sent elsewhere. */
@@ -97,6 +99,7 @@
         boolean wasPrimary;                   // by a note or list, and no note since has said otherwise
         double position = Double.NEGATIVE_INFINITY;
         double heard = Double.NEGATIVE_INFINITY;
+        double told = Double.NEGATIVE_INFINITY; // when a peer last told something new of it
         double pace = 1;                      // log ms applied a ms
         double probed = Double.NEGATIVE_INFINITY;
         final List<Attempt> out = new ArrayList<>();
@@ -118,6 +121,7 @@
 
         Db(String id) { this.id = id; }
         boolean erring() { return errors > ERRING; }
+        double seen() { return Math.max(heard, told); }
     }
 
     /** One group: its members in id order and who is held to be primary. */
@@ -510,6 +514,8 @@
         for (Told h : what) {
             Db db = dbs.get(h.member());      // one that the own list has not named is none of ours
             if (db != null && h.position() < now + UNHEARD) {
+                back(db);
+                db.told = Math.max(db.told, h.at());
                 db.position = Math.max(db.position, h.position());
                 noteRole(db, h.role(), h.position());
                 groupsTold.add(groups.get(db.entry.group()));
@@ -549,7 +555,8 @@
         Db two = near.get(random.nextInt(near.size()));
         int cmp = Integer.compare(two.out.size(), one.out.size());
         boolean strained = sparse && Math.max(one.strain, two.strain) > STRAIN;
-        boolean tie = strained ? two.strain < one.strain : near.indexOf(two) < near.indexOf(one);
+        boolean tie = strained ? two.strain < one.strain : sparse && one.entry.zone().equals(two.entry.zone())
+                ? random.nextBoolean() : near.indexOf(two) < near.indexOf(one);
         return cmp < 0 || cmp == 0 && tie ? two : one;
     }
 
@@ -759,11 +766,7 @@
             notePosition(db, committed ? o.position() - 1 : o.position(), now);
             noteRole(db, o.role(), now);
             noteLatency(db, o.elapsed());
-            if (db.lost && now - db.heard > RESTART) {
-                db.coldSince = now;           // an outage seen first-hand: it may have come back cold
-                db.limit = Math.min(1, db.limit);
-            }
-            db.lost = false;
+            back(db);
             db.strikes = 0;
             db.heard = now;
             if (o.status() != Status.FULL) {  // what is turned away unseen proves nothing
@@ -814,7 +817,7 @@
                 }
             }
             case CONNECT_FAILED -> {
-                if (++db.strikes >= STRIKES || now - db.heard > UNHEARD) {
+                if (++db.strikes >= STRIKES || now - db.seen() > UNHEARD) {
                     db.lost = true;
                     fallSilent(db);
                 } else {
@@ -826,6 +829,15 @@
         }
     }
 
+    /** A lost member gives a sign of life: unless it was seen a moment ago, it may have come back cold. */
+    private void back(Db db) {
+        if (db.lost && now - db.seen() > RESTART) {
+            db.coldSince = now;
+            db.limit = Math.min(1, db.limit);
+        }
+        db.lost = false;
+    }
+
     /** The bound on own requests: up while answers come well within the aim, down when they do not. */
     private void measure(Db db, double elapsed, double aim) {
         double strain = elapsed / aim;
@@ -951,7 +963,7 @@
                 rescue(a, false);
             }
         }
-        if (owed > OWED && quiet && !db.silent) {
+        if (owed > (db.told > oldest.sent ? OWED_MOST : OWED) && quiet && !db.silent) {
             fallSilent(db);
         }
     }
--- a/src/main/java/crankspar/Router.java
+++ b/src/main/java/crankspar/Router.java
@@ -105,8 +105,8 @@
     /** What a probe found; {@code position} is a clock time or NaN, both as of the report. */
     record ProbeResult(String member, boolean ok, double elapsed, Role role, double position) { }
 
-    /** What a peer told of a member: its position (a clock time) at some time past, and its role as of that position. */
-    record Told(String member, Role role, double position) { }
+    /** What a peer told of a member {@code at} a clock time: its position, another, and its role as of that position. */
+    record Told(String member, Role role, double position, double at) { }
 
     /** What the module may do. Positive delays in ms; times out at the client's own limit when 0. */
     interface Actions {
--- a/src/main/java/crankspar/core/AttemptEnd.java
+++ b/src/main/java/crankspar/core/AttemptEnd.java
@@ -20,6 +20,8 @@
     record TurnedAway<A>(Note note) implements AttemptEnd<A> { }
     /** Answered with an error; it may have run. */
     record Erred<A>(Note note, String why) implements AttemptEnd<A> { }
+    /** Never written, and its member is not to blame: the time was up before a connection was. */
+    record Unsent<A>(String why) implements AttemptEnd<A> { }
     /** The connection failed or ended first. */
     record Broken<A>(Reach reach, String why) implements AttemptEnd<A> { }
 }
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -374,7 +374,7 @@
         if (a.ended) {
             return;
         }
-        if (!(end instanceof AttemptEnd.Broken<A> b) || b.reach().mayHaveRun()) {
+        if (!(end instanceof AttemptEnd.Unsent) && (!(end instanceof AttemptEnd.Broken<A> b) || b.reach().mayHaveRun())) {
             a.written();
         }
         if (a.owed.begun && !a.owed.over && !(end instanceof AttemptEnd.Served)) {
@@ -394,6 +394,8 @@
         } else if (end instanceof AttemptEnd.Erred<A> e) {
             a.owed.mayHaveRun = true;
             end(a, Status.ERROR, plausible(e.note()));
+        } else if (end instanceof AttemptEnd.Unsent) {
+            end(a, Status.MOOT, AttemptEnd.Note.NONE);
         } else if (end instanceof AttemptEnd.Broken<A> b) {
             a.owed.mayHaveRun |= b.reach().mayHaveRun();
             LOG.fine(() -> "attempt at " + a.member + " broke, " + b.reach() + ": " + b.why());
--- a/src/main/java/crankspar/hearsay/Hearsay.java
+++ b/src/main/java/crankspar/hearsay/Hearsay.java
@@ -172,7 +172,7 @@
             if (f.position() > k.told) {
                 k.told = f.position();
                 k.toldRole = f.role();
-                all.add(new Router.Told(k.id, f.role(), f.position()));
+                all.add(new Router.Told(k.id, f.role(), f.position(), Math.min(now, b.base())));
                 heard++;
             }
         }
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -48,6 +48,7 @@
         Stream stream;
         boolean up, settling, closed;
         double idleSince;
+        double latest = Double.POSITIVE_INFINITY;
         Runnable first;
         Pooler.Hearer<A> hearer;
 
@@ -61,11 +62,33 @@
             counters.add("server_connections_opened");
             carrier.keeper(this);
             stream = loop.connect(address, carrier);
-            loop.after(Math.min(dialTimeout, within), () -> {
+            loop.after(dialTimeout, () -> {
                 if (!up) {
                     lose("no connection in time");
                 }
             });
+            if (within < dialTimeout) {
+                latest = loop.now() + within;
+                loop.after(within, () -> {
+                    if (!up) {
+                        unsent();
+                    }
+                });
+            }
+        }
+
+        /**
+         * What it was opened for can wait no longer; it goes on coming up, for the next. Guards against a busy moment that
+         * was taken for a crash: the member had done nothing wrong, and the handshake was paid for nothing.
+         */
+        private void unsent() {
+            first = null;
+            Pooler.Hearer<A> told = hearer;
+            hearer = null;
+            if (told != null) {
+                counters.add("unsent_too_late");
+                told.ended(new AttemptEnd.Unsent<>("no connection while its data was fresh"));
+            }
         }
 
         void carry(Q query, double left, Pooler.Hearer<A> told) {
@@ -127,6 +150,9 @@
         }
 
         @Override public void ready() {
+            if (!up && loop.now() > latest) { // guards against stale reads: a loop held up may run this before its timer
+                unsent();
+            }
             up = true;
             if (closed) {
                 return;                       // settled too late
@@ -134,9 +160,11 @@
             if (settling) {
                 settling = false;
                 rest();
-            } else {
+            } else if (first != null) {
                 first.run();
                 first = null;
+            } else {
+                rest();
             }
         }
 
