--- a/src/test/java/crankspar/hearsay/HearsayTest.java
+++ b/src/test/java/crankspar/hearsay/HearsayTest.java
@@ -7,7 +7,6 @@
 import crankspar.Router.ListKind;
 import crankspar.Router.Member;
 import crankspar.Router.Role;
-import crankspar.Router.Settings;
 import crankspar.TestSettings;
 import java.util.Arrays;
 import java.util.List;
@@ -19,15 +18,10 @@
 
 class HearsayTest {
     private static final double NOW = 1_767_225_600_000.4;
-    private static final Settings FOURTEEN = TestSettings.platform(14);
 
     private static Member member(String id, Health health) { return new Member(id, "burnaby", false, 1, health, 1, "", 0); }
 
-    private static Hearsay pooler(String... ids) {
-        var h = new Hearsay(FOURTEEN);
-        h.members(ListKind.FULL, Arrays.stream(ids).map(id -> member(id, Health.RUNNING)).toList());
-        return h;
-    }
+    private static Hearsay pooler(String... ids) { return pooler(0, ids); }
 
     @Test void whatOneLearnedTheOthersHearOnce() {
         Hearsay a = pooler("x", "y");
@@ -96,8 +90,7 @@
     }
 
     private static Hearsay pooler(int me, String... ids) {
-        var settings = TestSettings.platform(14, me);
-        var h = new Hearsay(settings);
+        var h = new Hearsay(TestSettings.platform(14, me));
         h.members(ListKind.FULL, Arrays.stream(ids).map(id -> member(id, Health.RUNNING)).toList());
         return h;
     }
