--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -1,10 +1,10 @@
 package crankspar.cli;
 
 import crankspar.Balance;
-import crankspar.hearsay.Hearing;
 import crankspar.BenchLink;
 import crankspar.config.Config;
 import crankspar.config.Operator;
+import crankspar.hearsay.Hearing;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
