A model of routing by a hundred poolers, and decisions replayed letter by letter

Change: RoutingModel runs the daemon's Hearing and Balance before databases of a few cores, a line and a log, and counts over all poolers; it breaks off on a second answer, a stale read or none. It shares its clock, events and chance with DutiesModel (Timeline, taken out of it unchanged). lab routing-model prints a run. Ruled out: cold budgets that add up to too much.

--- a/src/main/java/crankspar/lab/DutiesModel.java
+++ b/src/main/java/crankspar/lab/DutiesModel.java
@@ -10,7 +10,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
 /**
@@ -18,7 +17,7 @@
  * of network, clocks and failures. The same seed plays the same run. It checks after every step, and a broken promise is an
  * exception that names the seed and the time.
  */
-public final class DutiesModel {
+public final class DutiesModel extends Timeline {
     /**
      * A world.
      *
@@ -44,8 +43,6 @@
         Broken(String what) { super(what); }
     }
 
-    private record Event(double at, long order, Runnable what) { }
-
     private static final double TICK = 10;
     private static final double SETTLE = 2000;
 
@@ -164,9 +161,6 @@
     }
 
     private final World world;
-    private final SplittableRandom random;
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Double.compare(a.at(), b.at())
-            : Long.compare(a.order(), b.order()));
     private final Instance[] instances;
     private final String[] ids;
     private final Map<String, Integer> index = new LinkedHashMap<>();
@@ -180,13 +174,12 @@
     private final boolean[][] unreachable;
     private final boolean[][] oneWay;
     private final List<Double> ages = new ArrayList<>();
-    private double now, measuredFrom = Double.NaN, longestGap, longestSeen;
+    private double measuredFrom = Double.NaN, longestGap, longestSeen;
     private double loss;
-    private long order;
 
     public DutiesModel(World world) {
+        super(world.seed());
         this.world = world;
-        random = new SplittableRandom(world.seed());
         loss = world.loss();
         ids = new String[world.databases()];
         for (int d = 0; d < ids.length; d++) {
@@ -210,19 +203,9 @@
         after(100, this::look);
     }
 
-    public double now() { return now; }
-
-    void after(double ms, Runnable what) { events.add(new Event(now + ms, order++, what)); }
-
     /** Runs for so many ms; a broken promise ends it. */
     public DutiesModel run(double ms) {
-        double end = now + ms;
-        while (!events.isEmpty() && events.peek().at() <= end) {
-            Event e = events.poll();
-            now = e.at();
-            e.what().run();
-        }
-        now = end;
+        pass(ms);
         return this;
     }
 
@@ -238,7 +221,7 @@
         if (bytes.length > 256) {
             throw broken("a datagram of " + bytes.length + " bytes");
         }
-        after(world.delayLeast() + random.nextDouble() * (world.delayMost() - world.delayLeast()), () -> {
+        after(between(world.delayLeast(), world.delayMost()), () -> {
             Instance i = instances[to];
             if (i.up && cut[from] == cut[to]) {
                 long mine = i.life;
--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -84,6 +84,29 @@
         }
     }
 
+    @Command(name = "routing-model", description = "Routing by many poolers in a deterministic model: the daemon's own decisions at sizes that"
+            + " sockets don't reach. Prints what all of them did together; a broken rule prints its seed and ends with 1.")
+    int routingModel(@Option(names = "--seed", defaultValue = "1") long seed,
+                     @Option(names = "--poolers", defaultValue = "100") int poolers,
+                     @Option(names = "--groups", defaultValue = "20", description = "each of six databases (${DEFAULT-VALUE})") int groups,
+                     @Option(names = "--per-second", defaultValue = "540", description = "requests of all clients (${DEFAULT-VALUE})") double rate,
+                     @Option(names = "--seconds", defaultValue = "20", description = "after 5 s that are not counted (${DEFAULT-VALUE})") int seconds,
+                     @Option(names = "--mute", description = "poolers' messages are all lost once it counts") boolean mute,
+                     @Option(names = "--cold", description = "a replica of each group starts cold once it counts") boolean cold,
+                     @Option(names = "--restart", defaultValue = "0", description = "share of the poolers that start anew once it counts") double restart) {
+        try {
+            var model = new RoutingModel(RoutingModel.World.of(seed, poolers, groups, rate)).run(5000).measure().mute(mute).restart(restart, 2000);
+            for (int g = 0; cold && g < groups; g++) {
+                model.cold(g, 1, 2000);
+            }
+            System.out.println(model.run(1000.0 * seconds).figures() + " " + model.counts());
+            return 0;
+        } catch (RoutingModel.Broken e) {
+            System.out.println("broken: " + e.getMessage());
+            return 1;
+        }
+    }
+
     @Command(name = "duties-bench", description = "Measures the promises of shared duties; exit 1 where one is broken.")
     int dutiesBench(@Option(names = "--spoil", description = "spoils one promise on purpose: gap or probes") String fault) throws Exception {
         return new DutiesBench(fault).run();
--- a/src/main/java/crankspar/lab/LabSettings.java
+++ b/src/main/java/crankspar/lab/LabSettings.java
@@ -1,5 +1,9 @@
 package crankspar.lab;
 
+import com.typesafe.config.ConfigFactory;
+import crankspar.Router;
+import crankspar.config.SettingsReader;
+
 /** The five classes of the brief, for operators' files of experiments. */
 final class LabSettings {
     private LabSettings() { }
@@ -30,6 +34,12 @@
             """.replace("SIBLINGS", Integer.toString(siblings));
     }
 
+    /** The same as the platform gives them, where poolers may tell each other at its price. */
+    static Router.Settings platform(int siblings) {
+        var platform = ConfigFactory.parseString(text(siblings) + "settings { Limits.MayTell = true, Prices.Peer = 0.01 }");
+        return SettingsReader.read(platform.resolve().getObject("settings").unwrapped(), 1);
+    }
+
     static String member(String id, int port, boolean primary) {
         return "{id = " + id + ", host_port = \"127.0.0.1:" + port + "\", locality = burnaby, flavor = std, cell = 1, phase = up, size = 1.0,"
                 + " up_since_ms = 0, role = " + (primary ? "primary" : "replica") + "}";
--- a/src/test/java/crankspar/PropertyTest.java
+++ b/src/test/java/crankspar/PropertyTest.java
@@ -39,7 +39,8 @@
     private static final class World implements Router.Actions {
         final Fake fake;
         final Router.Settings settings;
-        final Balance module;
+        final Router module;
+        final Trace trace = new Trace(this);
         final Random random;
         final Map<String, Owed> owed = new TreeMap<>();
         final List<Sent> out = new ArrayList<>();
@@ -53,7 +54,7 @@
             this.fake = fake;
             settings = fake.settings();
             random = new Random(seed);
-            module = new Balance(settings, this);
+            module = Trace.recording(settings, trace, Balance::new);
             module.onStart(now);
             module.onMembers(now, ListKind.OLD_COPY, IDS.stream().map(id -> Fake.member(id, "near")).toList());
         }
@@ -162,7 +163,8 @@
         }
     }
 
-    private static String play(long seed) {
+    /** The settings that a seed plays with. */
+    static Fake fake(long seed) {
         var fake = new Fake();
         fake.seed = seed;
         fake.secondCopies = seed % 2 == 0;
@@ -170,11 +172,20 @@
         fake.siblings = seed % 4 < 2 ? 3 : 60;
         fake.writes = seed % 5 == 0 ? Repeat.UNSAFE : Repeat.KEYED;
         fake.behind = seed % 7 < 4 ? Router.Behind.ANSWERS : Router.Behind.WAITS;
-        var world = new World(fake, seed);
+        return fake;
+    }
+
+    /** What one seed's module was told and did. */
+    static String trace(long seed) { return world(seed).trace.text.toString(); }
+
+    private static String play(long seed) { return world(seed).log.toString(); }
+
+    private static World world(long seed) {
+        var world = new World(fake(seed), seed);
         for (int i = 0; i < 1500; i++) {
             world.step(i);
         }
-        return world.log.toString();
+        return world;
     }
 
     @Test void randomEventsBreakNoRule() {
