--- a/src/main/java/crankspar/Balance.java
+++ b/src/main/java/crankspar/Balance.java
@@ -297,7 +297,7 @@
         }
         if (db == null) {
             db = new Db(m.id());
-            db.limit = Math.max(least, sparse || !many ? FIRST_LIMIT / settings.siblings() : FIRST_LIMIT);
+            db.limit = firstLimit();
             db.credit = random.nextDouble();
             db.trialGap = TRIAL_FIRST * scale;
             dbs.put(m.id(), db);
@@ -322,6 +322,10 @@
         }
     }
 
+    private double firstLimit() {
+        return Math.max(least, sparse || !many ? FIRST_LIMIT / settings.siblings() : FIRST_LIMIT);
+    }
+
     // ---- Who is primary: the newest note wins, before any note the list, else members are asked. ----
     private void noteRole(Db db, Role role, double at) {
         if (role == Role.UNKNOWN || at < db.roleAt) {
@@ -506,13 +510,13 @@
         pump(groups.get(db.entry.group()));
     }
 
-    /** What peers learned first-hand: a position stays true, however late it comes, and dates its role. */
+    /** What peers learned first-hand, never empty: a position stays true however late, and dates its role. */
     @Override public void onHearsay(double at, List<Told> what) {
         now = at;
-        if (sparse) {                         // from now on all in flight is known, and bounds hold for it
-            sparse = false;
-            least = LEAST;
-            dbs.values().forEach(db -> db.limit = FIRST_LIMIT);
+        if (sparse == what.get(0).inFlight() >= 0) { // bounds hold for all in flight while that is told
+            sparse = !sparse;
+            least = sparse ? Math.max(1, LEAST / settings.siblings()) : LEAST;
+            dbs.values().forEach(db -> db.limit = firstLimit());
         }
         for (Told h : what) {
             Db db = dbs.get(h.member());      // one that the own list has not named is none of ours
@@ -523,7 +527,7 @@
                 }
                 db.position = Math.max(db.position, h.position());
                 noteRole(db, h.role(), h.position());
-                db.others = h.inFlight();
+                db.others = Math.max(0, h.inFlight());
             }
         }
         groups.values().forEach(this::pump);
@@ -701,8 +705,7 @@
         boolean tooLate = w.done || w.tries >= settings.limits().mostTries() || now >= w.end;
         boolean copy = !w.out.isEmpty()
                 && (!settings.limits().secondCopies() || w.out.stream().anyMatch(a -> a.db == db));
-        boolean read = w.kind.freshness() != Freshness.WRITE;
-        boolean stale = strict && read && db.position < need(w) && !db.wasPrimary;
+        boolean stale = strict && w.rank > 0 && db.position < need(w) && !db.wasPrimary;
         if (wrongPlace || tooLate || copy || stale || again && (!repeatable(w) || extra < 1)) {
             return false;
         }
--- a/src/main/java/crankspar/Router.java
+++ b/src/main/java/crankspar/Router.java
@@ -107,8 +107,9 @@
 
     /**
      * What peers told of a member: its position (a clock time) as last heard {@code at} another, with its role as of that
-     * position, and how many of all peers' requests are in flight there. Both times are negative infinity where only
-     * that number is news: it is no sign of life.
+     * position, and how many of all peers' requests are in flight there, negative where that is not known (any more): in
+     * one call for all members or for none. Both times are negative infinity where only that number is news: it is no sign of
+     * life.
      */
     record Told(String member, Role role, double position, double at, int inFlight) { }
 
--- a/src/main/java/crankspar/hearsay/Hearsay.java
+++ b/src/main/java/crankspar/hearsay/Hearsay.java
@@ -29,23 +29,46 @@
     private static final double COST = 0.008;
     /** Bytes saved up at most, in full messages to all. */
     private static final double SAVED = 4;
+    /**
+     * A start is lent what so many requests earn: with 14 poolers a full message, with 100 three facts. Guards against a
+     * fleet that comes back at once: full messages that nobody had earned cost 0.014 of a day's worth with 100 poolers.
+     */
+    private static final double LENT = 16;
     /** A position is told once it is newer by this share of the tightest bound on a read's age, ... */
     private static final double STEP = 0.1;
+    /** ... or, where few bytes are saved up, than that of any replica of its group, by this share. */
+    private static final double SCARCE_STEP = 0.33;
     /** ... and messages go out this often, as a share of that bound. */
     private static final double PERIOD = 0.15;
     /** Where no class has a bound (ms). */
     private static final double BOUND = 300;
     /** A primary stands at the present: its place is told again after this long (ms), for those that started since. */
     private static final double PRIMARY_STEP = 1000;
+    /** ... or, where few bytes are saved up, after about as long as the list is late. */
+    private static final double SCARCE_PRIMARY_STEP = 4000;
+    /** Few are those below this share of what may be saved up: half a full message. */
+    private static final double SCARCE = 0.125;
     /** How far ahead of this clock a sender's may be, and how late a message may come (ms). */
     private static final double AHEAD_MOST = 100;
     private static final double LATE_MOST = 5000;
     /** A pooler that was not heard for so many periods has nothing in flight any more, or nobody hears it. */
     private static final double SILENT_PERIODS = 10;
+    /**
+     * Requests in flight are known while this share of the peers has been heard in the last UNHEARD ms: bounds for all of
+     * them are then off by a factor of two at the most, and each tells several times a second under any load that matters.
+     */
+    private static final double HEARD_SHARE = 0.5;
+    private static final double UNHEARD = 5000;
+
+    /** One group of the own list: the newest position told of any of its replicas. */
+    private static final class Group {
+        double freshest = Double.NEGATIVE_INFINITY;
+    }
 
     /** One database of the own list. */
     private static final class Known {
         final String id;
+        final Group group;
         boolean twins;                        // another id has the same key: neither is told or believed
         Role role = Role.UNKNOWN;
         double position = Double.NEGATIVE_INFINITY;
@@ -55,7 +78,18 @@
         int others;                           // all peers' as last told
         boolean changed;                      // that number is news to the module
 
-        Known(String id) { this.id = id; }
+        /** What the list says of its role is no news. */
+        Known(Member m, Group group) {
+            id = m.id();
+            toldRole = m.listedPrimary() ? Role.PRIMARY : Role.REPLICA;
+            this.group = group;
+        }
+
+        void told(double position, Role role) {
+            told = position;
+            toldRole = role;
+            group.freshest = role == Role.PRIMARY ? group.freshest : Math.max(group.freshest, position);
+        }
 
         double news() { return position - told; }
     }
@@ -64,12 +98,17 @@
     private record Loads(long base, double heard, List<Bulletin.Load> loads) { }
 
     private final Map<Integer, Known> known = new HashMap<>();
+    private final Map<Integer, Group> groups = new HashMap<>();
     private final Map<Integer, Loads> peers = new TreeMap<>();
+    /** When each peer was last heard, whatever it told. */
+    private final Map<Integer, Double> words = new TreeMap<>();
+    private boolean loadsKnown;
     private final int me;
     private boolean idle = true;              // told to have nothing in flight
     private final double price;
     private final int receivers;
-    private final double step;
+    private final boolean tellsLoads;
+    private final double bound;
     private final double period;
     private double saved;
     private long told, heard;
@@ -79,11 +118,11 @@
         receivers = Math.max(1, settings.siblings() - 1);
         me = settings.me();
         price = settings.prices().peer();
-        double bound = settings.classes().stream().filter(c -> c.freshness() == Router.Freshness.BOUNDED)
+        bound = settings.classes().stream().filter(c -> c.freshness() == Router.Freshness.BOUNDED)
                 .mapToDouble(Router.RequestClass::bound).min().orElse(BOUND);
-        step = STEP * bound;
         period = PERIOD * bound;
-        saved = most();
+        saved = Math.min(most(), LENT * earned());
+        tellsLoads = earned() >= Bulletin.LOAD; // else what is told of load is a chance remnant, and older than the request
     }
 
     private double most() { return SAVED * Bulletin.MOST; }
@@ -92,10 +131,9 @@
     public double period() { return period; }
 
     /** A request came: it earns what telling may cost. The price is for a full message to one receiver. */
-    public void request() {
-        double bytes = price > 0 ? Bulletin.MOST * COST / price / receivers : Bulletin.MOST;
-        saved = Math.min(most(), saved + bytes);
-    }
+    public void request() { saved = Math.min(most(), saved + earned()); }
+
+    private double earned() { return price > 0 ? Bulletin.MOST * COST / price / receivers : Bulletin.MOST; }
 
     /** The own list: only what it names is told or believed. */
     public void members(ListKind kind, List<Member> members) {
@@ -111,13 +149,14 @@
             }
             full.add(m.id());
             if (k == null) {
-                known.put(key, new Known(m.id()));
+                known.put(key, new Known(m, groups.computeIfAbsent(m.group(), g -> new Group())));
             } else if (!k.id.equals(m.id())) {
                 k.twins = true;
             }
         }
         if (kind != ListKind.CHANGES) {
             known.values().removeIf(k -> !full.contains(k.id));
+            groups.keySet().retainAll(members.stream().map(Member::group).toList());
         }
     }
 
@@ -140,25 +179,33 @@
     }
 
     /** Whether anything is worth telling. */
-    public boolean due() { return !idle || known.values().stream().anyMatch(k -> k.own > 0 || worth(k)); }
+    public boolean due() { return !idle || known.values().stream().anyMatch(k -> tellsLoads && k.own > 0 || worth(k)); }
 
+    /**
+     * Where bytes are scarce, a position is worth them if it makes its group's freshest replica fresher by a third of the
+     * bound: a read needs one that is fresh, and all poolers together tell a group's one in time where they could not tell each.
+     */
     private boolean worth(Known k) {
-        return !k.twins && k.position > k.told
-                && (k.role != k.toldRole || k.news() >= (k.role == Role.PRIMARY ? PRIMARY_STEP : step));
+        if (k.twins || k.role == Role.UNKNOWN || k.position <= k.told) {
+            return false;
+        }
+        boolean scarce = saved < SCARCE * most();
+        return k.role != k.toldRole || (k.role == Role.PRIMARY ? k.news() >= (scarce ? SCARCE_PRIMARY_STEP : PRIMARY_STEP)
+                : scarce ? k.position - k.group.freshest >= SCARCE_STEP * bound : k.news() >= STEP * bound);
     }
 
     /** The next message for all, or null: changed roles first, then what is newest to the others. */
     public byte[] next(double now) {
         int room = (int) Math.min(Bulletin.MOST, saved) - Bulletin.HEAD;
-        if (room < Bulletin.FACT) {
+        if (room < Bulletin.COUNT + Bulletin.LOAD) {
             return null;
         }
         List<Known> out = known.values().stream().filter(this::worth)
                 .sorted(Comparator.comparing((Known k) -> k.role == k.toldRole)
                         .thenComparing(k -> k.role == Role.PRIMARY).thenComparing(k -> -k.news()))
                 .limit(room / Bulletin.FACT).toList();
-        List<Bulletin.Load> loads = known.values().stream().filter(k -> k.own > 0 && !k.twins)
-                .sorted(Comparator.comparing((Known k) -> -k.own)).limit((room - out.size() * Bulletin.FACT) / Bulletin.LOAD)
+        List<Bulletin.Load> loads = known.values().stream().filter(k -> tellsLoads && k.own > 0 && !k.twins)
+                .sorted(Comparator.comparing((Known k) -> -k.own)).limit(Math.max(0, room - Bulletin.COUNT - out.size() * Bulletin.FACT) / Bulletin.LOAD)
                 .map(k -> new Bulletin.Load(Bulletin.key(k.id), k.own)).toList();
         if (out.isEmpty() && loads.isEmpty() && idle) {
             return null;
@@ -166,8 +213,7 @@
         var facts = new ArrayList<Bulletin.Fact>(out.size());
         for (Known k : out) {
             facts.add(new Bulletin.Fact(Bulletin.key(k.id), k.role, k.position));
-            k.told = k.position;
-            k.toldRole = k.role;
+            k.told(k.position, k.role);
         }
         told += facts.size();
         idle = loads.isEmpty();
@@ -180,14 +226,14 @@
     public List<Router.Told> heard(double now, byte[] bytes) {
         Bulletin b;
         try {
-            b = Bulletin.decode(bytes);
+            b = Bulletin.decode(bytes, now);
         } catch (Bulletin.Malformed e) {
             return drop(e.getMessage());
         }
         if (b.base() > now + AHEAD_MOST || b.base() < now - LATE_MOST) {
             return drop(b.base() > now ? "ahead" : "late");
         }
-        var all = new ArrayList<Router.Told>(b.facts().size());
+        var news = new ArrayList<Known>(b.facts().size());
         for (Bulletin.Fact f : b.facts()) {
             Known k = known.get(f.key());
             if (k == null || k.twins) {
@@ -195,30 +241,50 @@
                 continue;
             }
             if (f.position() > k.told) {
-                k.told = f.position();
-                k.toldRole = f.role();
-                all.add(new Router.Told(k.id, f.role(), f.position(), Math.min(now, b.base()), k.others));
+                k.told(f.position(), f.role());
+                news.add(k);
                 heard++;
             }
         }
         Loads last = peers.get(b.from());
         if (b.from() != me && b.from() <= receivers && (last == null || last.base() < b.base())) {
+            words.put(b.from(), now);
             count(last, -1);
             peers.put(b.from(), new Loads(b.base(), now, b.loads()));
             count(peers.get(b.from()), 1);
         }
-        changes(now, all);
-        return all;
+        return told(now, news, Math.min(now, b.base()));
     }
 
     /** What peers that fell silent had in flight is forgotten; the same as {@link #heard}, with nothing heard. */
-    public List<Router.Told> look(double now) {
-        var all = new ArrayList<Router.Told>();
-        changes(now, all);
+    public List<Router.Told> look(double now) { return told(now, List.of(), now); }
+
+    /** The news of one message, and the loads that changed; all of them with loads that are known, or none. */
+    private List<Router.Told> told(double now, List<Known> news, double at) {
+        forgetSilent(now);
+        var all = new ArrayList<Router.Told>(news.size());
+        for (Known k : news) {
+            all.add(new Router.Told(k.id, k.toldRole, k.told, at, loadsKnown ? k.others : -1));
+        }
+        for (Known k : known.values()) {
+            if (k.changed) {
+                k.changed = false;
+                all.add(new Router.Told(k.id, Role.UNKNOWN, Double.NEGATIVE_INFINITY, Double.NEGATIVE_INFINITY, loadsKnown ? k.others : -1));
+            }
+        }
         return all;
     }
 
-    private void changes(double now, List<Router.Told> all) {
+    /**
+     * Guards against a pooler cut off from its peers: it kept bounds meant for all poolers' requests, and saw its own alone.
+     */
+    private void forgetSilent(double now) {
+        words.values().removeIf(at -> now - at > UNHEARD);
+        boolean enough = tellsLoads && words.size() >= HEARD_SHARE * receivers;
+        if (enough != loadsKnown) {
+            loadsKnown = enough;
+            known.values().forEach(k -> k.changed = true);
+        }
         peers.values().removeIf(p -> {
             boolean silent = now - p.heard() > SILENT_PERIODS * period;
             if (silent) {
@@ -226,12 +292,6 @@
             }
             return silent;
         });
-        for (Known k : known.values()) {
-            if (k.changed) {
-                k.changed = false;
-                all.add(new Router.Told(k.id, Role.UNKNOWN, Double.NEGATIVE_INFINITY, Double.NEGATIVE_INFINITY, k.others));
-            }
-        }
     }
 
     private void count(Loads of, int sign) {
@@ -239,7 +299,7 @@
             Known k = known.get(l.key());
             if (k != null && !k.twins) {
                 k.others = Math.max(0, k.others + sign * l.count());
-                k.changed = true;
+                k.changed |= loadsKnown;
             }
         }
     }
--- a/src/test/java/crankspar/HearsayStoryTest.java
+++ b/src/test/java/crankspar/HearsayStoryTest.java
@@ -132,6 +132,24 @@
         assertThat(fake.tries).as("room is news, and the line moves at once").last().isEqualTo("waits 0 r");
     }
 
+    /** Guards against bounds for all poolers' requests that go on holding where only the own are known any more. */
+    @Test void aMemberIsBoundedByLuckAgainOnceLoadsAreUnknown() {
+        fleet().at(400);
+        told("r", Role.REPLICA, 10);
+        told("p", Role.PRIMARY, 10);
+        fake.module.onHearsay(fake.now, List.of(new Told("r", Role.UNKNOWN, Double.NEGATIVE_INFINITY, Double.NEGATIVE_INFINITY, -1)));
+        int sent = 0;
+        for (int i = 0; i < 40; i++) {        // each is late: own answers' times are all there is to go by
+            fake.at(400 + 20 * i);
+            fake.hear("r", Role.REPLICA, 0);
+            if ("r".equals(fake.ask("c" + i, Fake.BROWSE))) {
+                sent++;
+                fake.module.onOutcome(fake.now, new Router.Outcome("c" + i, 0, "r", Router.Status.OK, 280, true, Role.REPLICA, fake.now));
+            }
+        }
+        assertThat(sent).as("of 40, as answers come late").isLessThan(25);
+    }
+
     @Test void theLessBusyOfTwoIsByAllPoolersRequests() {
         fake.siblings = 14;
         fake.secondCopies = false;
