--- a/src/main/java/crankspar/hearsay/Hearsay.java
+++ b/src/main/java/crankspar/hearsay/Hearsay.java
@@ -30,7 +30,7 @@
     /** Bytes saved up at most, in full messages to all. */
     private static final double SAVED = 4;
     /**
-     * A start is lent what so many requests earn: with 14 poolers a full message, with 100 three facts. Guards against a
+     * A start is lent what so many requests earn: with 14 poolers a full message, with 100 six facts. Guards against a
      * fleet that comes back at once: full messages that nobody had earned cost 0.014 of a day's worth with 100 poolers.
      */
     private static final double LENT = 16;
