--- a/src/main/java/crankspar/lab/LabSettings.java
+++ b/src/main/java/crankspar/lab/LabSettings.java
@@ -1,11 +1,13 @@
 package crankspar.lab;
 
 import com.typesafe.config.ConfigFactory;
+import com.typesafe.config.ConfigObject;
+import com.typesafe.config.ConfigRenderOptions;
 import crankspar.Router;
 import crankspar.config.SettingsReader;
 
 /** The five classes of the brief, for operators' files of experiments. */
-final class LabSettings {
+public final class LabSettings {
     private LabSettings() { }
 
     /** {@code settings} in the words of the operator's file; {@code siblings} poolers share the servers. */
@@ -35,9 +37,16 @@
     }
 
     /** The same as the platform gives them, where poolers may tell each other at its price. */
-    static Router.Settings platform(int siblings) {
-        var platform = ConfigFactory.parseString(text(siblings) + "settings { Limits.MayTell = true, Prices.Peer = 0.01 }");
-        return SettingsReader.read(platform.resolve().getObject("settings").unwrapped(), 1);
+    static Router.Settings platform(int siblings) { return SettingsReader.read(platform(siblings, 0, "burnaby").unwrapped(), 1); }
+
+    /** One pooler's settings in the words of the platform's configuration. */
+    public static String json(int siblings, int me, String zone) {
+        return platform(siblings, me, zone).render(ConfigRenderOptions.concise());
+    }
+
+    private static ConfigObject platform(int siblings, int me, String zone) {
+        return ConfigFactory.parseString(text(siblings) + "settings { Limits.MayTell = true, Prices.Peer = 0.01, MyNumber = " + me
+                + ", Locality = " + zone + " }").resolve().getObject("settings");
     }
 
     static String member(String id, int port, boolean primary) {
--- a/src/main/java/crankspar/lab/Recording.java
+++ b/src/main/java/crankspar/lab/Recording.java
@@ -21,6 +21,8 @@
         public final long transaction;
         public final String sql;
         public final Map<String, String> settings;
+        /** When it began (Unix ms). */
+        public final long at = System.currentTimeMillis();
         public volatile Fate fate = Fate.OPEN;
 
         Executed(String server, int connection, String user, long transaction, String sql, Map<String, String> settings) {
--- /dev/null
+++ b/src/main/java/crankspar/lab/rig/DiscoveryStandIn.java
@@ -0,0 +1,269 @@
+package crankspar.lab.rig;
+
+import crankspar.Router.Health;
+import crankspar.Router.Member;
+import crankspar.discovery.MemberList;
+import crankspar.http.HttpHead;
+import crankspar.http.HttpParser;
+import crankspar.http.HttpText;
+import crankspar.net.Loop;
+import crankspar.net.Machine;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A stand-in for discovery: the whole list, a watch on changes, one call after the other at a capacity of its own, calls that
+ * waited too long answered 503, and what goes wrong with it. Its record tells when each change was written to each caller:
+ * the time from which a pooler counts as told.
+ */
+public final class DiscoveryStandIn implements AutoCloseable {
+    /** A change on its way to a caller. */
+    public record Written(double at, String caller, long revision, String member, Health health) { }
+
+    private static final double BEAT = 2000;
+    /** The changes that are kept for watches that fell behind; one further behind gets the whole list. */
+    private static final int HISTORY_MOST = 1000;
+    private static final int WRITTEN_MOST = 1_000_000;
+
+    private record Change(long revision, Member member) { }
+
+    private final Loop loop;
+    private final Loop.Listener listener;
+    private final Map<String, Member> members = new LinkedHashMap<>();
+    private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+    private final List<Change> history = new ArrayList<>();
+    private final LinkedHashSet<Caller> watches = new LinkedHashSet<>();
+    private final ArrayDeque<Runnable> calls = new ArrayDeque<>();
+    private final List<Written> written = new ArrayList<>();
+    private long revision = 1;
+    private double each, waitMost = 2000, late;
+    private boolean down, busy;
+    private long asked, failed;
+
+    public DiscoveryStandIn(Loop loop, InetSocketAddress at) throws IOException {
+        this.loop = loop;
+        listener = loop.listen(at, () -> down ? null : new Caller());
+        beat();
+    }
+
+    public InetSocketAddress address() {
+        try {
+            return listener.address();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A database as it is now; every watch hears of it, after as long as this discovery is late. */
+    public void set(Member m, InetSocketAddress address) {
+        loop.run(() -> {
+            addresses.put(m.id(), address);
+            change(m);
+        });
+    }
+
+    /** The same database in another state of health. */
+    public void health(String id, Health health) {
+        loop.run(() -> {
+            Member m = members.get(id);
+            change(new Member(m.id(), m.zone(), m.listedPrimary(), m.capacityHint(), health, m.group(), m.machine(), m.lastStart()));
+        });
+    }
+
+    private void change(Member m) {
+        if (m.health() == Health.GONE) {
+            members.remove(m.id());
+        } else {
+            members.put(m.id(), m);
+        }
+        long number = ++revision;
+        history.add(new Change(number, m));
+        if (history.size() > HISTORY_MOST) {
+            history.remove(0);
+        }
+        loop.after(late, () -> List.copyOf(watches).forEach(w -> w.tell(list(number, false, List.of(m)))));
+    }
+
+    // ---- What goes wrong.
+    /** Watches end, and calls are ended at the door. */
+    public void down(boolean on) {
+        loop.run(() -> {
+            down = on;
+            if (on) {
+                List.copyOf(watches).forEach(Caller::drop);
+            }
+        });
+    }
+
+    /** Each call takes so long (ms), and fails once it has waited longer than {@code most}. */
+    public void capacity(double each, double most) {
+        loop.run(() -> {
+            this.each = each;
+            waitMost = most;
+        });
+    }
+
+    /** Changes are told so much later (ms). */
+    public void late(double ms) { loop.run(() -> late = ms); }
+
+    /** It counts from one anew, as another service in its place: revisions before and after are not to be compared. */
+    public void renumber() {
+        loop.run(() -> {
+            revision = 1;
+            history.clear();
+            List.copyOf(watches).forEach(Caller::drop);
+        });
+    }
+
+    // ---- What was seen.
+    public List<Written> written() throws InterruptedException {
+        var all = new ArrayList<Written>();
+        loop.runAndWait(() -> all.addAll(written));
+        return all;
+    }
+
+    /** Calls that came, and those of them that failed. */
+    public long[] calls() throws InterruptedException {
+        long[] both = new long[2];
+        loop.runAndWait(() -> {
+            both[0] = asked;
+            both[1] = failed;
+        });
+        return both;
+    }
+
+    /** How many watches stand. */
+    public int watches() throws InterruptedException {
+        int[] n = new int[1];
+        loop.runAndWait(() -> n[0] = watches.size());
+        return n[0];
+    }
+
+    private MemberList list(long number, boolean complete, List<Member> which) {
+        return new MemberList(number, complete, which, addresses);
+    }
+
+    private void beat() {
+        loop.after(BEAT, () -> {
+            List.copyOf(watches).forEach(w -> w.chunk("\n"));
+            beat();
+        });
+    }
+
+    /** Calls are handled in turn. */
+    private void call(Runnable what, Runnable overdue) {
+        double came = loop.now();
+        asked++;
+        calls.add(() -> {
+            if (loop.now() - came > waitMost) {
+                failed++;
+                overdue.run();
+                busy = false;
+                next();
+            } else {
+                loop.after(each, () -> {
+                    what.run();
+                    busy = false;
+                    next();
+                });
+            }
+        });
+        next();
+    }
+
+    private void next() {
+        if (!busy && !calls.isEmpty()) {
+            busy = true;
+            calls.poll().run();
+        }
+    }
+
+    /** One connection. */
+    private final class Caller implements Machine, HttpParser.Handler {
+        private final HttpParser parser = new HttpParser(true, 0, this);
+        private Out out;
+        private String name = "";
+        private boolean over;
+
+        @Override public void opened(Out out) { this.out = out; }
+
+        @Override public void received(ByteBuffer in) {
+            try {
+                parser.feed(in);
+            } catch (HttpParser.Malformed e) {
+                in.position(in.limit());
+                drop();
+            }
+        }
+
+        @Override public void ended(String why) {
+            over = true;
+            watches.remove(this);
+        }
+
+        @Override public void head(HttpHead head) {
+            if (!(head instanceof HttpHead.Request r) || !r.target().startsWith("/api/targets")) {
+                drop();
+                return;
+            }
+            name = r.headers().getOrDefault("host", "");
+            boolean stream = r.target().contains("stream=1");
+            long index = Long.parseLong("0" + r.target().replaceAll(".*index=(\\d+).*|.*", "$1"));
+            call(() -> {
+                if (over) {
+                    return;
+                }
+                if (!stream) {
+                    byte[] all = list(revision, true, List.copyOf(members.values())).write().getBytes(StandardCharsets.UTF_8);
+                    out.write(HttpText.response(200, Map.of("Content-Type", "application/json"), all));
+                    return;
+                }
+                out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                watches.add(this);
+                boolean has = index > 0 && index <= revision && (index == revision || !history.isEmpty() && history.get(0).revision() <= index + 1);
+                tell(has ? list(revision, false, history.stream().filter(c -> c.revision() > index).map(Change::member).toList())
+                        : list(revision, true, List.copyOf(members.values())));
+            }, () -> {
+                if (!over) {
+                    out.write(HttpText.response(503, Map.of(), new byte[0]));
+                }
+            });
+        }
+
+        @Override public void body(byte[] part) { }
+        @Override public void end() { }       // no request here has a body: it is answered in its turn from its head on
+
+        void drop() {
+            over = true;
+            watches.remove(this);
+            out.reset();
+        }
+
+        void tell(MemberList list) {
+            chunk(list.write() + "\n");
+            for (Member m : list.members()) {
+                if (written.size() < WRITTEN_MOST) {
+                    written.add(new Written(loop.now(), name, list.revision(), m.id(), m.health()));
+                }
+            }
+        }
+
+        void chunk(String text) {
+            byte[] body = text.getBytes(StandardCharsets.UTF_8);
+            out.write((Integer.toHexString(body.length) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    @Override public void close() {
+        listener.close();
+        loop.run(() -> List.copyOf(watches).forEach(Caller::drop));
+    }
+}
--- /dev/null
+++ b/src/main/java/crankspar/lab/rig/PlatformProcess.java
@@ -0,0 +1,114 @@
+package crankspar.lab.rig;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One pooler as the platform runs it: the built program as a process of its own, with its configuration, its log and a folder
+ * of its own. Only this process is ever signalled, by its id; it ends with the rig.
+ */
+public final class PlatformProcess implements AutoCloseable {
+    private static final List<String> JVM = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss384k", "-XX:-UsePerfData", "-Xmx64m");
+    private static final long READY_MOST = TimeUnit.SECONDS.toNanos(20);
+
+    private final String name;
+    private final InetSocketAddress listen;
+    private final Path folder;
+    private final Path classes;
+    private Process process;
+    private Thread hook;
+
+    /** {@code jar} may be null: then it is this very program. The configuration is written to a file of its own. */
+    public PlatformProcess(String name, InetSocketAddress listen, String configuration, Path jar) throws IOException {
+        this.name = name;
+        this.listen = listen;
+        classes = jar;
+        folder = Files.createTempDirectory("rig-" + name);
+        configure(configuration);
+    }
+
+    /** What it reads at its next start, or with SIGHUP. */
+    public void configure(String configuration) throws IOException { Files.writeString(folder.resolve("config.json"), configuration); }
+
+    /** Starts it, with nothing of an earlier life, and waits until it listens. */
+    public PlatformProcess start() throws IOException, InterruptedException {
+        Path tmp = Files.createDirectories(folder.resolve("tmp"));
+        var command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        command.addAll(JVM);
+        command.addAll(List.of("-cp", classes == null ? System.getProperty("java.class.path") : classes.toString(), "crankspar.Main", "serve"));
+        var builder = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+        builder.environment().putAll(Map.of("BALANCER_CONFIG", folder.resolve("config.json").toString(), "TMPDIR", tmp.toString()));
+        process = builder.start();
+        Process mine = process;
+        hook = new Thread(mine::destroyForcibly);
+        Runtime.getRuntime().addShutdownHook(hook); // Ctrl-C ends what this rig has started
+        long until = System.nanoTime() + READY_MOST;
+        while (!listens()) {
+            if (!process.isAlive() || System.nanoTime() > until) {
+                throw new IOException(name + " does not listen; its log ends with: " + lastLine());
+            }
+            process.waitFor(20, TimeUnit.MILLISECONDS);
+        }
+        return this;
+    }
+
+    private boolean listens() {
+        try (var s = new Socket()) {
+            s.connect(listen, 200);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    public InetSocketAddress address() { return listen; }
+
+    public Path log() { return folder.resolve("log"); }
+
+    public boolean alive() { return process != null && process.isAlive(); }
+
+    private String lastLine() throws IOException {
+        List<String> lines = Files.exists(log()) ? Files.readAllLines(log()) : List.of();
+        return lines.isEmpty() ? "nothing" : lines.get(lines.size() - 1);
+    }
+
+    /** STOP, CONT, HUP, TERM or KILL; the process may be gone by then. */
+    public void signal(String what) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + what, Long.toString(process.pid())).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
+    }
+
+    /** Kills it outright. */
+    public void kill() throws InterruptedException {
+        if (process != null) {
+            process.destroyForcibly();
+            process.waitFor();
+            try {
+                Runtime.getRuntime().removeShutdownHook(hook);
+            } catch (IllegalStateException e) {
+                // the rig itself is ending
+            }
+        }
+    }
+
+    @Override public void close() throws IOException {
+        try {
+            kill();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        try (var all = Files.walk(folder)) {
+            for (Path p : all.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(p);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/crankspar/lab/rig/RigTest.java
@@ -0,0 +1,138 @@
+package crankspar.lab.rig;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import crankspar.Router.Health;
+import crankspar.lab.Recording;
+import crankspar.lab.load.Generator;
+import crankspar.lab.load.Plan;
+import crankspar.lab.load.Recorder;
+import crankspar.lab.load.Shape;
+import crankspar.lab.load.Workload;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+
+/** Three poolers, each a process of its own, and what goes wrong between them and discovery. */
+class RigTest {
+    /** The rule's 250 ms and its slack on sockets. */
+    private static final double DRAIN_MOST = 300;
+    private static final long WAIT = TimeUnit.SECONDS.toNanos(12);
+
+    /** Scoreboards and claims at a pooler, open loop, on a thread of their own. */
+    private static final class Load implements AutoCloseable {
+        private final Generator generator;
+        private final Thread thread;
+
+        Load(Rig rig, int pooler, double perSecond, double ms) throws Exception {
+            var kinds = List.of(new Workload.Kind("scoreboard", 9, 600, false, "SELECT applied_ms()"),
+                    new Workload.Kind("trade-claim", 1, 3000, true, "INSERT INTO t VALUES ($n) RETURNING applied_ms()"));
+            var w = new Workload(kinds, List.of(new Shape.Constant(perSecond)), false, 100, 1, ms, 7, Workload.Front.PLATFORM, 16, 1000, 1);
+            generator = Generator.of(w, () -> new Plan(w), rig.pooler(pooler).address(), "client", "core", 1, warning -> { });
+            thread = new Thread(() -> {
+                try {
+                    generator.run(16, 3500);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            thread.start();
+        }
+
+        Recorder ended() throws InterruptedException {
+            thread.join();
+            return generator.result(true);
+        }
+
+        @Override public void close() { generator.close(); }
+    }
+
+    private static void until(String what, BooleanSupplier holds) {
+        long end = System.nanoTime() + WAIT;
+        while (!holds.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("waited for: " + what).isLessThan(end);
+            LockSupport.parkNanos(10_000_000);
+        }
+    }
+
+    private static int watches(Rig rig) {
+        try {
+            return rig.discovery().watches();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static double lastAt(Rig rig, String database) {
+        return rig.recording().executed().stream().filter(e -> e.server.equals(database)).mapToLong(e -> e.at).max().orElse(0);
+    }
+
+    @Test void aDrainThatDiscoveryTellsIsKeptAndEveryRequestIsAnswered() throws Exception {
+        try (var rig = new Rig(3, 3, 11, null).start()) {
+            until("three watches", () -> watches(rig) == 3);
+            try (var load = new Load(rig, 0, 150, 2500)) {
+                until("both replicas serve", () -> lastAt(rig, "db-1") > 0 && lastAt(rig, "db-2") > 0);
+                rig.discovery().health("db-2", Health.DRAINING);
+                Recorder r = load.ended();
+                double told = rig.discovery().written().stream().filter(w -> w.health() == Health.DRAINING).mapToDouble(w -> w.at()).max().orElseThrow();
+                assertThat(lastAt(rig, "db-2")).isLessThan(told + DRAIN_MOST);
+                assertThat(lastAt(rig, "db-1")).as("the other replica serves on").isGreaterThan(told + DRAIN_MOST);
+                assertThat(r.count(Recorder.Outcome.OK)).isGreaterThan((long) (0.95 * r.sent()));
+                assertThat(r.count(Recorder.Outcome.UNANSWERED)).isZero();
+            }
+            assertThat(ranTwice(rig)).isZero();
+        }
+    }
+
+    private static long ranTwice(Rig rig) {
+        var claims = rig.recording().executed().stream().map((Recording.Executed e) -> e.sql).filter(s -> s.contains("INSERT")).toList();
+        return claims.size() - claims.stream().map(s -> s.replaceAll("d=\\d+", "")).distinct().count();
+    }
+
+    /** Open and silent: nothing ends the connection, and only its silence tells. */
+    @Test void aWatchThatIsSilentOneWayIsGivenUpAndBroughtUpAgain() throws Exception {
+        try (var rig = new Rig(3, 3, 12, null).start()) {
+            until("three watches", () -> watches(rig) == 3);
+            rig.toDiscovery(1).travel(Link.Way.BACK, Link.Travel.STALLED);
+            long before = rig.discovery().calls()[0];
+            until("the silent one asks anew", () -> calls(rig) > before);
+            rig.toDiscovery(1).travel(Link.Way.BACK, Link.Travel.FREE);
+            rig.discovery().health("db-1", Health.DRAINING);
+            until("it hears again, and so do the others", () -> heard(rig, "db-1") >= 3);
+        }
+    }
+
+    @Test void aPoolerThatIsKilledComesBackAndADiscoveryThatCountsAnewIsHeard() throws Exception {
+        try (var rig = new Rig(3, 2, 13, null).start()) {
+            until("three watches", () -> watches(rig) == 3);
+            rig.pooler(2).kill();
+            until("its watch ends", () -> watches(rig) == 2);
+            rig.pooler(2).start();
+            until("it watches again", () -> watches(rig) == 3);
+            rig.discovery().renumber();
+            until("all watch the new count", () -> watches(rig) == 3);
+            try (var load = new Load(rig, 2, 100, 1000)) {
+                assertThat(load.ended().count(Recorder.Outcome.OK)).isGreaterThan(80);
+            }
+        }
+    }
+
+    private static long calls(Rig rig) {
+        try {
+            return rig.discovery().calls()[0];
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static long heard(Rig rig, String member) {
+        try {
+            return rig.discovery().written().stream().filter(w -> w.member().equals(member) && w.health() == Health.DRAINING)
+                    .map(w -> w.caller()).distinct().count();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
