--- a/src/main/java/crankspar/Balance.java
+++ b/src/main/java/crankspar/Balance.java
@@ -50,7 +50,7 @@
     private static final double FRESH_WEIGHT = 0.1;
     /** A member that owes this many mean answers, none of which came, is silent (chance of error: e^-6). */
     private static final double OWED = 6;
-    /** ... or this many, if peers have heard it since, or cannot tell: it is slow, or the way there is cut. */
+    /** ... or this many, if peers have heard it since, or cannot tell: it is slow, or the way is cut. */
     private static final double OWED_MOST = 18;
     /** ... and only once nothing came for this share of the oldest one's aim: a crowd is slow, not silent. */
     private static final double SILENT_SHARE = 0.5;
