--- a/src/test/java/crankspar/HearsayStoryTest.java
+++ b/src/test/java/crankspar/HearsayStoryTest.java
@@ -65,7 +65,7 @@
         assertThat(fake.ask("two", Fake.BROWSE)).isEqualTo("r");
     }
 
-    /** Guards against silences where nobody can hear a member often: 1,019 in 25 s of a herd day, most of them false. */
+    /** Guards against silences where nobody can hear a member often: 1,995 on one herd day, most of them false. */
     @Test void whereNobodyCanTellOneLostConnectOrSlowAnswerIsNoCrash() {
         fleet().at(400);
         assertThat(fake.ask("one", Fake.BROWSE)).isEqualTo("r");
