The rig's poolers run with the flags that the lab's others have

Cause, found on rereading: PlatformProcess wrote again the flags of the runtime that PoolerProcess has. Change: one list, used by both.

--- a/src/main/java/crankspar/lab/PoolerProcess.java
+++ b/src/main/java/crankspar/lab/PoolerProcess.java
@@ -14,7 +14,8 @@
 
 /** The built pooler as a process of its own, under the limits that the deployment gives it. */
 public final class PoolerProcess implements AutoCloseable {
-    private static final List<String> JVM = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss384k", "-XX:-UsePerfData");
+    /** What every pooler of the lab's runs with, as the deployment has it. */
+    public static final List<String> JVM = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss384k", "-XX:-UsePerfData");
 
     private final Process process;
     private final BufferedReader out;
--- a/src/main/java/crankspar/lab/rig/PlatformProcess.java
+++ b/src/main/java/crankspar/lab/rig/PlatformProcess.java
@@ -1,5 +1,6 @@
 package crankspar.lab.rig;
 
+import crankspar.lab.PoolerProcess;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -15,7 +16,7 @@
  * of its own. Only this process is ever signalled, by its id; it ends with the rig.
  */
 public final class PlatformProcess implements AutoCloseable {
-    private static final List<String> JVM = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss384k", "-XX:-UsePerfData", "-Xmx64m");
+    private static final String HEAP = "-Xmx64m";
     private static final long READY_MOST = TimeUnit.SECONDS.toNanos(20);
 
     private final String name;
@@ -41,7 +42,8 @@
     public PlatformProcess start() throws IOException, InterruptedException {
         Path tmp = Files.createDirectories(folder.resolve("tmp"));
         var command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
-        command.addAll(JVM);
+        command.addAll(PoolerProcess.JVM);
+        command.add(HEAP);
         command.addAll(List.of("-cp", classes == null ? System.getProperty("java.class.path") : classes.toString(), "crankspar.Main", "serve"));
         var builder = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
