--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -12,7 +12,6 @@
 import crankspar.duties.SharedProbes;
 import crankspar.duties.SharedWatch;
 import crankspar.hearsay.Hearing;
-import crankspar.membership.Datagrams;
 import crankspar.mgmt.Calls;
 import crankspar.mgmt.Operations;
 import crankspar.net.Loop;
@@ -62,8 +61,6 @@
     /** Shares of the sockets for clients and for servers; the rest is for the runtime's own files. */
     private static final double CLIENTS = 0.55;
     private static final double SERVERS = 0.35;
-    /** How often the peers' port is tried again while a predecessor has it (ms). */
-    private static final double PORT_RETRY = 200;
     /** What one process may hold where the platform sets no limit. */
     private static final int SOCKETS = 1024;
 
@@ -78,10 +75,9 @@
     private Watch restWatch;
     private Watch poolingWatch;
     private PoolingFront pooling;
-    private volatile SharedProbes shared;
+    private final Peering peering;
     private SharedWatch sharedWatch;
     private boolean sharesWatch;
-    private volatile Datagrams peers;
     private InetSocketAddress poolingAddress;
     /** Members to start from: what a call may name before discovery's list is here. */
     private final Set<String> known = new HashSet<>();
@@ -128,6 +124,7 @@
         sharesWatch = operator != null && operator.membership() != null && operator.membership().watch();
         loop = new Loop("loop");
         loop.onPause(ms -> counters.add("pauses"));
+        peering = new Peering(loop, counters);
         String node = operator != null ? operator.name() : config.name();
         store = new Store(node, node + "#" + Long.toHexString(ThreadLocalRandom.current().nextLong()));
         presence = new Presence(shared, store.node());
@@ -164,9 +161,10 @@
                 new Replication(loop, store, counters, operator.store().periodMs(), operator.store().peers());
             }
             if (operator != null && operator.membership() != null) {
-                share(operator.membership(), config); // its datagrams have the peers' port to themselves
+                peering.share(operator.membership(), config, planned.get(0), // its datagrams have the peers' port to themselves
+                        fronts.stream().map(f -> new SharedProbes.Client(f.core(), f.members()::running)).toList(), sharedWatch);
             } else if (config != null && config.peers() != null && config.settings().limits().mayTell()) {
-                hear(config.peers(), config.settings().me(), fronts.get(0).core());
+                peering.hear(config.peers(), config.settings().me(), fronts.get(0).core());
             }
             presence.announce();
             loop.run(() -> serving = true);
@@ -273,71 +271,6 @@
         return sharedWatch;
     }
 
-    /** Probing is divided with the other poolers, where the operator's file and the settings allow it. */
-    private void share(Operator.Membership m, Config config) throws Config.Bad, IOException {
-        Config.Peers given = config == null ? null : config.peers();
-        if (m.listen() == null && given == null) {
-            throw new Config.Bad("membership.listen", "not set, and the platform tells no peers");
-        }
-        Router.Settings settings = planned.get(0);
-        if (m.probes() == null || !settings.limits().probes()) {
-            LOG.info("probing is not shared: " + (m.probes() == null ? "no duties are set" : "probes are not allowed here"));
-            return;
-        }
-        var setup = new SharedProbes.Setup(m.listen() != null ? m.listen() : given.listen(), m.listen() != null ? m.peers() : given.all(),
-                m.listen() != null ? m.me() : settings.me(), settings.zone(), settings.zones(), m.weight(), m.keys(), m.swim(), m.probes());
-        share(setup);
-    }
-
-    /** The first front's core hears what the other poolers have learned, and tells them what it has. */
-    private void hear(Config.Peers given, int me, Pooler<?, ?> core) throws IOException {
-        var others = new ArrayList<>(given.all());
-        if (me < others.size()) {
-            others.remove(me);
-        }
-        try {
-            var friends = Set.copyOf(others);
-            peers = new Datagrams(loop, counters, given.listen(), friends::contains, core::heard);
-            loop.run(() -> core.peers(message -> {
-                if (given.everyone() != null) {
-                    peers.send(given.everyone(), message);
-                } else {
-                    others.forEach(to -> peers.send(to, message));
-                }
-            }));
-        } catch (java.net.BindException e) {
-            counters.add("peers_port_taken");
-            loop.after(PORT_RETRY, () -> {
-                try {
-                    hear(given, me, core);
-                } catch (IOException again) {
-                    LOG.warning("the peers are not heard: " + again.getMessage());
-                }
-            });
-        }
-    }
-
-    /**
-     * Guards against a successor that ends because its predecessor still has the peers' port: it probes alone until
-     * that is free. Only one of two processes with one number may speak.
-     */
-    private void share(SharedProbes.Setup setup) throws IOException {
-        try {
-            shared = new SharedProbes(loop, counters, setup,
-                    fronts.stream().map(f -> new SharedProbes.Client(f.core(), f.members()::running)).toList(), sharedWatch);
-            LOG.info("probing is shared among " + setup.peers().size() + " poolers, this one at " + shared.address());
-        } catch (java.net.BindException e) {
-            counters.add("peers_port_taken");
-            loop.after(PORT_RETRY, () -> {
-                try {
-                    share(setup);
-                } catch (IOException again) {
-                    LOG.warning("probing is not shared: " + again.getMessage());
-                }
-            });
-        }
-    }
-
     /** A stop waits for the longest that any front's clients do. */
     private void wait(Router.Settings settings) {
         longest = Math.max(longest,
@@ -364,8 +297,8 @@
             if (restWatch != null && setup != null && setup.discovery() != null) {
                 restWatch.moveTo(setup.discovery());
             }
-            if (shared != null && operator != null && operator.membership() != null) {
-                shared.keys(operator.membership().keys());
+            if (peering.shared() != null && operator != null && operator.membership() != null) {
+                peering.shared().keys(operator.membership().keys());
             }
             Operator.Pooling pools = operator == null ? null : operator.pooling();
             if (pooling != null && pools != null) {
@@ -383,8 +316,8 @@
      * that closed 0.6 s after its signal was gone for 2 s before the one before it was back.
      */
     public void stop() throws InterruptedException {
-        if (shared != null) {
-            loop.run(shared::leave);
+        if (peering.shared() != null) {
+            loop.run(peering.shared()::leave);
         }
         double answered = Math.min(longest, KILL_MOST) + KILL_AFTER - SPARE;
         if (presence.another()) {
@@ -438,9 +371,9 @@
         all.add(Figure.gauge("pool_size", listed.size()));
         avoided.retainAll(listed);
         all.add(Figure.gauge("pool_ejected", avoided.size()));
-        if (serving && shared != null) {
-            shared.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
-            shared.counts().forEach((name, n) -> all.add(Figure.count(name, n)));
+        if (serving && peering.shared() != null) {
+            peering.shared().figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
+            peering.shared().counts().forEach((name, n) -> all.add(Figure.count(name, n)));
         }
         for (Served f : serving ? fronts : List.<Served>of()) {
             f.core().counts().forEach((name, n) -> all.add(Figure.count(name, n)));
@@ -555,12 +488,7 @@
 
     @Override public void close() {
         presence.close();
-        if (shared != null) {
-            shared.close();
-        }
-        if (peers != null) {
-            peers.close();
-        }
+        peering.close();
         loop.close();
     }
 }
--- /dev/null
+++ b/src/main/java/crankspar/cli/Peering.java
@@ -0,0 +1,110 @@
+package crankspar.cli;
+
+import crankspar.Router;
+import crankspar.config.Config;
+import crankspar.config.Operator;
+import crankspar.core.Counters;
+import crankspar.core.Pooler;
+import crankspar.duties.SharedProbes;
+import crankspar.duties.SharedWatch;
+import crankspar.membership.Datagrams;
+import crankspar.net.Loop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.logging.Logger;
+
+/** The ways to the other poolers: hearsay's datagrams where these are plain, or membership's with what is divided by it. */
+final class Peering implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(Peering.class.getName());
+    /** How often the peers' port is tried again while a predecessor has it (ms). */
+    private static final double PORT_RETRY = 200;
+
+    private final Loop loop;
+    private final Counters counters;
+    private volatile SharedProbes shared;
+    private volatile Datagrams peers;
+
+    Peering(Loop loop, Counters counters) {
+        this.loop = loop;
+        this.counters = counters;
+    }
+
+    /** Null where nothing is shared, or not yet. */
+    SharedProbes shared() { return shared; }
+
+    /** Probing is divided with the other poolers, where the operator's file and the settings allow it. */
+    void share(Operator.Membership m, Config config, Router.Settings settings, List<SharedProbes.Client> clients, SharedWatch watch)
+            throws Config.Bad, IOException {
+        Config.Peers given = config == null ? null : config.peers();
+        if (m.listen() == null && given == null) {
+            throw new Config.Bad("membership.listen", "not set, and the platform tells no peers");
+        }
+        if (m.probes() == null || !settings.limits().probes()) {
+            LOG.info("probing is not shared: " + (m.probes() == null ? "no duties are set" : "probes are not allowed here"));
+            return;
+        }
+        share(new SharedProbes.Setup(m.listen() != null ? m.listen() : given.listen(), m.listen() != null ? m.peers() : given.all(),
+                m.listen() != null ? m.me() : settings.me(), settings.zone(), settings.zones(), m.weight(), m.keys(), m.swim(), m.probes()),
+                clients, watch);
+    }
+
+    /**
+     * Guards against a successor that ends because its predecessor still has the peers' port: it probes alone until
+     * that is free. Only one of two processes with one number may speak.
+     */
+    private void share(SharedProbes.Setup setup, List<SharedProbes.Client> clients, SharedWatch watch) throws IOException {
+        try {
+            shared = new SharedProbes(loop, counters, setup, clients, watch);
+            LOG.info("probing is shared among " + setup.peers().size() + " poolers, this one at " + shared.address());
+        } catch (java.net.BindException e) {
+            counters.add("peers_port_taken");
+            loop.after(PORT_RETRY, () -> {
+                try {
+                    share(setup, clients, watch);
+                } catch (IOException again) {
+                    LOG.warning("probing is not shared: " + again.getMessage());
+                }
+            });
+        }
+    }
+
+    /** The first front's core hears what the other poolers have learned, and tells them what it has. */
+    void hear(Config.Peers given, int me, Pooler<?, ?> core) throws IOException {
+        var others = new ArrayList<InetSocketAddress>(given.all());
+        if (me < others.size()) {
+            others.remove(me);
+        }
+        try {
+            var friends = Set.copyOf(others);
+            peers = new Datagrams(loop, counters, given.listen(), friends::contains, core::heard);
+            loop.run(() -> core.peers(message -> {
+                if (given.everyone() != null) {
+                    peers.send(given.everyone(), message);
+                } else {
+                    others.forEach(to -> peers.send(to, message));
+                }
+            }));
+        } catch (java.net.BindException e) {
+            counters.add("peers_port_taken");
+            loop.after(PORT_RETRY, () -> {
+                try {
+                    hear(given, me, core);
+                } catch (IOException again) {
+                    LOG.warning("the peers are not heard: " + again.getMessage());
+                }
+            });
+        }
+    }
+
+    @Override public void close() {
+        if (shared != null) {
+            shared.close();
+        }
+        if (peers != null) {
+            peers.close();
+        }
+    }
+}
