Audit: numbered stands, a ledger, and stragglers that are brought up or shut out

Nobody could tell which pooler acted on which list, and one cut off from discovery sent on for good by the list that it had. Change: package audit. A fenced pooler's module hears that all members drain, so that Balance alone still answers. cli/Auditing assembles it; off unless the operator's file has audit, and then lazily. Ruled out while building: three of all told in turn, with three digests before one counts: at 500 poolers a drain never reached the one without discovery (each is heard by one peer every 33 s).

--- /dev/null
+++ b/src/main/java/crankspar/cli/Auditing.java
@@ -0,0 +1,155 @@
+package crankspar.cli;
+
+import crankspar.Router;
+import crankspar.audit.Auditor;
+import crankspar.audit.Digest;
+import crankspar.audit.Pages;
+import crankspar.audit.Stand.Origin;
+import crankspar.audit.Standing;
+import crankspar.config.Config;
+import crankspar.config.Operator;
+import crankspar.core.Counters;
+import crankspar.core.Front;
+import crankspar.core.Pooler;
+import crankspar.discovery.Watch;
+import crankspar.membership.Datagrams;
+import crankspar.net.Loop;
+import crankspar.store.Store;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.zip.CRC32;
+
+/** Puts the audit between the parts that it hears and those that carry out what it decides. The first front is audited. */
+final class Auditing implements AutoCloseable {
+    private final Loop loop;
+    private final Auditor auditor;
+    private final Datagrams own;
+
+    /** What of the daemon it needs: the first front with its list and its watch (or null), and all fronts to shut. */
+    record Parts(Loop loop, Counters counters, Store store, Peering peering, List<Front> fronts, List<Directory> directories, Watch watch,
+                 BooleanSupplier leaving) { }
+
+    Auditing(Parts parts, Operator.Audit setup, Config config, String name, Router.Settings settings) throws Config.Bad, IOException, InterruptedException {
+        loop = parts.loop();
+        Config.Peers given = config == null ? null : config.peers();
+        if (setup.listen() == null && given == null) {
+            throw new Config.Bad("audit.listen", "not set, and the platform tells no peers");
+        }
+        List<InetSocketAddress> all = setup.listen() != null ? setup.peers() : given.all();
+        int me = setup.listen() != null ? setup.me() : settings.me();
+        var standing = new Standing.Settings(me, Math.min(Digest.POOLERS_MOST, all.size()), setup.lease(), setup.share());
+        var to = new Auditor.Setup(name, build(), setup.folder(), setup.stragglers(), standing,
+                settings.classes().stream().map(Router.RequestClass::name).toList(), ThreadLocalRandom.current().nextLong());
+        var socket = new Datagrams[1];
+        auditor = new Auditor(loop, parts.counters(), to, new Auditor.Hands() {
+            @Override public void ask() {
+                if (parts.watch() != null) {
+                    parts.watch().ask();
+                }
+            }
+
+            @Override public void fence(boolean on) {
+                parts.directories().forEach(d -> d.fence(on));
+                parts.fronts().forEach(f -> {
+                    f.leaving(on || parts.leaving().getAsBoolean());
+                    if (on) {
+                        f.drain();
+                    } else if (!parts.leaving().getAsBoolean()) {
+                        f.resume();
+                    }
+                });
+            }
+
+            @Override public void drained(Set<String> ids) { parts.directories().forEach(d -> d.byPeers(ids)); }
+
+            @Override public void tell(int pooler, byte[] bytes) {
+                if (socket[0] != null) {
+                    socket[0].send(all.get(pooler), bytes);
+                } else {
+                    parts.peering().tell(all.get(pooler), bytes);
+                }
+            }
+        });
+        if (setup.listen() != null) {
+            var friends = Set.copyOf(all);
+            socket[0] = new Datagrams(loop, parts.counters(), setup.listen(), friends::contains, auditor::told);
+        } else {
+            parts.peering().also(Digest.VERSION, auditor::told);
+        }
+        own = socket[0];
+        loop.runAndWait(() -> {
+            auditor.configured(config != null ? config.text() : name, Origin.FILE);
+            if (parts.watch() != null) {
+                auditor.discovery(parts.watch().address().toString(), Origin.FILE);
+                parts.watch().onWord(auditor::word);
+            }
+            auditor.marked(0, parts.store().under(Directory.DRAIN).keySet(), Origin.FILE);
+            long[] place = new long[1];
+            parts.store().onChange(e -> {
+                if (e.key().startsWith(Directory.DRAIN)) {
+                    auditor.marked(++place[0], parts.store().under(Directory.DRAIN).keySet(), Origin.OPERATOR);
+                }
+            });
+            parts.directories().get(0).hearer(auditor::listed);
+            auditor.start();
+        });
+    }
+
+    /** From now on what this core sends is kept; {@code naming} gives a query's own name. */
+    <Q> void attach(Pooler<Q, ?> core, Function<Q, String> naming) { core.audit(auditor, naming); }
+
+    /** Files have been read anew. */
+    void reloaded(Config config, Watch watch) {
+        if (config != null) {
+            auditor.configured(config.text(), Origin.OPERATOR);
+        }
+        if (watch != null) {
+            auditor.discovery(watch.address().toString(), Origin.OPERATOR);
+        }
+    }
+
+    void paused(double ms) { auditor.paused(ms); }
+
+    boolean fenced() { return auditor.fenced(); }
+
+    String page(String page, Map<String, String> query) { return Pages.page(auditor, page, query); }
+
+    Map<String, Long> figures() { return auditor.figures(); }
+
+    Map<String, Long> counts() { return auditor.counts(); }
+
+    /** The version, and a checksum of the archive that runs: two builds of one version are told apart. */
+    private static String build() {
+        String version = Auditing.class.getPackage().getImplementationVersion();
+        try {
+            Path at = Path.of(Auditing.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            if (Files.isRegularFile(at)) {
+                var crc = new CRC32();
+                crc.update(Files.readAllBytes(at));
+                return (version == null ? "" : version) + "+" + Long.toHexString(crc.getValue());
+            }
+        } catch (IOException | java.net.URISyntaxException | RuntimeException e) {
+            // said as not packaged
+        }
+        return version == null ? "(not packaged)" : version;
+    }
+
+    @Override public void close() {
+        try {
+            loop.runAndWait(auditor::close);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (own != null) {
+            own.close();
+        }
+    }
+}
--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -71,11 +71,13 @@
     /** The fronts that are set up, in the order in which they were built. */
     private final List<Served> fronts = new ArrayList<>();
     private final List<Router.Settings> planned = new ArrayList<>();
+    private Pooler<Statement, PgAnswer> platformCore;
     private Watch pgWatch;
     private Watch restWatch;
     private Watch poolingWatch;
     private PoolingFront pooling;
     private final Peering peering;
+    private volatile Auditing auditing;
     private SharedWatch sharedWatch;
     private boolean sharesWatch;
     private InetSocketAddress poolingAddress;
@@ -123,7 +125,12 @@
         }
         sharesWatch = operator != null && operator.membership() != null && operator.membership().watch();
         loop = new Loop("loop");
-        loop.onPause(ms -> counters.add("pauses"));
+        loop.onPause(ms -> {
+            counters.add("pauses");
+            if (auditing != null) {
+                auditing.paused(ms);
+            }
+        });
         peering = new Peering(loop, counters);
         String node = operator != null ? operator.name() : config.name();
         store = new Store(node, node + "#" + Long.toHexString(ThreadLocalRandom.current().nextLong()));
@@ -166,6 +173,9 @@
             } else if (config != null && config.peers() != null && config.settings().limits().mayTell()) {
                 peering.hear(config.peers(), config.settings().me(), fronts.get(0).core());
             }
+            if (operator != null && operator.audit() != null) {
+                audit(operator, config);
+            }
             presence.announce();
             loop.run(() -> serving = true);
         } catch (IOException | RuntimeException e) {
@@ -214,6 +224,7 @@
             listed.await((long) LIST_MOST, TimeUnit.MILLISECONDS);
             Thread.sleep((long) LOOK_ROUND);
         }
+        platformCore = core;
         pgAddress = front.listen(config.listen());
         fronts.add(new Served(front, core, later[0]));
         wait(settings);
@@ -271,6 +282,17 @@
         return sharedWatch;
     }
 
+    private void audit(Operator operator, Config config) throws Config.Bad, IOException, InterruptedException {
+        Watch watch = pgWatch != null ? pgWatch : restWatch != null ? restWatch : poolingWatch;
+        auditing = new Auditing(new Auditing.Parts(loop, counters, store, peering, fronts.stream().map(Served::front).toList(),
+                fronts.stream().map(Served::members).toList(), watch, () -> leaving), operator.audit(), config, operator.name(), planned.get(0));
+        if (platformCore != null) {
+            auditing.attach(platformCore, statement -> statement.names().get("id"));
+        } else {
+            auditing.attach(fronts.get(0).core(), query -> null);
+        }
+    }
+
     /** A stop waits for the longest that any front's clients do. */
     private void wait(Router.Settings settings) {
         longest = Math.max(longest,
@@ -307,6 +329,9 @@
                     poolingWatch.moveTo(pools.discovery());
                 }
             }
+            if (auditing != null) {
+                auditing.reloaded(config, pgWatch);
+            }
         });
     }
 
@@ -335,12 +360,19 @@
             f.core().whenQuiet(() -> loop.after(50, quiet::countDown)); // the last bytes leave
         }));
         quiet.await((long) (open + longest + 500), TimeUnit.MILLISECONDS);
+        if (auditing != null) {
+            auditing.close();
+        }
         presence.close();
         loop.runAndWait(() -> System.err.println("counters " + counters));
     }
 
     // ---- What operators ask, on the loop.
-    @Override public boolean ready() { return serving && !leaving; }
+    @Override public boolean ready() { return serving && !leaving && !fenced(); }
+
+    private boolean fenced() { return auditing != null && auditing.fenced(); }
+
+    @Override public String audit(String page, java.util.Map<String, String> query) { return auditing == null ? null : auditing.page(page, query); }
 
     @Override public List<Figure> figures() {
         var all = new ArrayList<Figure>();
@@ -378,6 +410,10 @@
         for (Served f : serving ? fronts : List.<Served>of()) {
             f.core().counts().forEach((name, n) -> all.add(Figure.count(name, n)));
         }
+        if (auditing != null) {
+            auditing.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
+            auditing.counts().forEach((name, n) -> all.add(Figure.count(name, n)));
+        }
         if (serving && pooling != null) {
             pooling.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
         }
@@ -447,8 +483,10 @@
             LOG.info("an operator has this pooler serve again");
             leaving = false;
             fronts.forEach(f -> {
-                f.front().leaving(false);
-                f.front().resume();
+                f.front().leaving(fenced());
+                if (!fenced()) {
+                    f.front().resume();
+                }
             });
         }
         return Done.YES;
@@ -470,6 +508,9 @@
             look(until, done);
         });
         done.await((long) (answered + SPARE), TimeUnit.MILLISECONDS);
+        if (auditing != null) {
+            auditing.close();
+        }
         presence.close();
         loop.runAndWait(() -> System.err.println("counters " + counters));
     }
@@ -488,6 +529,9 @@
 
     @Override public void close() {
         presence.close();
+        if (auditing != null) {
+            auditing.close();
+        }
         peering.close();
         loop.close();
     }
--- a/src/main/java/crankspar/cli/Directory.java
+++ b/src/main/java/crankspar/cli/Directory.java
@@ -12,9 +12,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -36,6 +38,15 @@
     private final Pooler<?, ?> pooler;
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+    private Hearer hearer = (revision, all, byDiscovery) -> { };
+    private long revision;
+    private boolean fenced;
+    private Set<String> byPeers = Set.of();
+
+    /** Who hears each list as it comes in force, whole. */
+    interface Hearer {
+        void listed(long revision, Collection<Member> members, boolean byDiscovery);
+    }
 
     Directory(Pooler.Time clock, double ramp, Store store, String front, Addressed pool, Pooler<?, ?> pooler) {
         this.clock = clock;
@@ -59,6 +70,7 @@
             }
         }
         take(list);
+        revision = list.revision();
         pooler.start(marked(list.members()));
     }
 
@@ -66,8 +78,58 @@
         take(list);
         pooler.members(list.complete() ? ListKind.FULL : ListKind.CHANGES, marked(list.members()));
         keep(list.revision());
+        revision = list.revision();
+        hearer.listed(revision, members.values(), true);
+    }
+
+    /** Hears of the list that is in force, and of each that follows. */
+    void hearer(Hearer hearer) {
+        this.hearer = hearer;
+        hearer.listed(revision, members.values(), false);
     }
 
+    /**
+     * Nothing is sent to any member, or what the list says holds again: the module hears that all drain. Guards against a
+     * pooler that acts on a list which may be too old; the module alone still says what becomes of each request.
+     */
+    void fence(boolean on) {
+        if (fenced != on) {
+            fenced = on;
+            overlaid(members.keySet());
+        }
+    }
+
+    /** These drain, as other poolers say; what the own list says of all others holds. */
+    void byPeers(Set<String> ids) {
+        var changed = new HashSet<>(ids);
+        changed.addAll(byPeers);
+        changed.removeIf(id -> ids.contains(id) && byPeers.contains(id));
+        byPeers = ids;
+        overlaid(changed);
+    }
+
+    private void overlaid(Collection<String> ids) {
+        var told = new ArrayList<Member>();
+        for (String id : ids) {
+            Member m = members.get(id);
+            if (m == null) {
+                continue;
+            }
+            if (!usable(m)) {
+                pool.forget(id);
+            } else if (addresses.containsKey(id)) {
+                pool.locate(id, addresses.get(id));
+            }
+            told.add(mark(m));
+        }
+        pooler.members(ListKind.CHANGES, told);
+    }
+
+    private boolean usable(Member m) { return m.health() == Health.RUNNING && !kept(m.id()); }
+
+    /** Whether something beside the list has it drain: an operator's mark, peers' word, or that nothing may be sent at all. */
+    private boolean kept(String id) { return fenced || byPeers.contains(id) || banned(id); }
+
     void watchLost() { pooler.watchLost(); }
 
     /** Whether discovery lists it. */
@@ -77,7 +139,7 @@
     Map<String, String> running() {
         var all = new LinkedHashMap<String, String>();
         for (Member m : members.values()) {
-            if (m.health() == Health.RUNNING && !banned(m.id())) {
+            if (usable(m)) {
                 all.put(m.id(), m.zone());
             }
         }
@@ -101,7 +163,7 @@
             } else {
                 members.put(m.id(), m);
             }
-            if (m.health() != Health.RUNNING || banned(m.id())) {
+            if (!usable(m)) {
                 pool.forget(m.id());
             }
         }
@@ -121,7 +183,7 @@
      */
     private Member mark(Member m) {
         return m.health() != Health.RUNNING ? m : new Member(m.id(), m.zone(), m.listedPrimary(), m.capacityHint(),
-                banned(m.id()) ? Health.DRAINING : Health.RUNNING, m.group(), m.machine(),
+                kept(m.id()) ? Health.DRAINING : Health.RUNNING, m.group(), m.machine(),
                 Math.max(m.lastStart(), returned(m.id())));
     }
 
@@ -149,7 +211,7 @@
                     StructuredData.of("member", "id", m.id(), "drain", e.value() != null, "by", e.node()));
             if (e.value() != null) {
                 pool.forget(m.id());
-            } else if (m.health() == Health.RUNNING && addresses.containsKey(m.id())) {
+            } else if (usable(m) && addresses.containsKey(m.id())) {
                 pool.locate(m.id(), addresses.get(m.id()));
             }
             pooler.members(ListKind.CHANGES, List.of(mark(m)));
--- a/src/main/java/crankspar/cli/Peering.java
+++ b/src/main/java/crankspar/cli/Peering.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
 
 /** The ways to the other poolers: hearsay's datagrams where these are plain, or membership's with what is divided by it. */
@@ -26,6 +27,8 @@
     private final Counters counters;
     private volatile SharedProbes shared;
     private volatile Datagrams peers;
+    private volatile byte alsoFirst;
+    private volatile Consumer<byte[]> also;
 
     Peering(Loop loop, Counters counters) {
         this.loop = loop;
@@ -71,6 +74,19 @@
         }
     }
 
+    /** From now on datagrams that begin with this byte go there, where poolers hear each other at the platform's port. */
+    void also(byte first, Consumer<byte[]> taker) {
+        alsoFirst = first;
+        also = taker;
+    }
+
+    /** Sends to a pooler of this number, where the platform's port is open; on the loop. */
+    void tell(InetSocketAddress to, byte[] message) {
+        if (peers != null) {
+            peers.send(to, message);
+        }
+    }
+
     /** The first front's core hears what the other poolers have learned, and tells them what it has. */
     void hear(Config.Peers given, int me, Pooler<?, ?> core) throws IOException {
         var others = new ArrayList<InetSocketAddress>(given.all());
@@ -79,7 +95,13 @@
         }
         try {
             var friends = Set.copyOf(others);
-            peers = new Datagrams(loop, counters, given.listen(), friends::contains, core::heard);
+            peers = new Datagrams(loop, counters, given.listen(), friends::contains, message -> {
+                if (also != null && message.length > 0 && message[0] == alsoFirst) {
+                    also.accept(message);
+                } else {
+                    core.heard(message);
+                }
+            });
             loop.run(() -> core.peers(message -> {
                 if (given.everyone() != null) {
                     peers.send(given.everyone(), message);
--- a/src/main/java/crankspar/config/Operator.java
+++ b/src/main/java/crankspar/config/Operator.java
@@ -18,7 +18,7 @@
  * is one line with file, line, key, what was found and what is allowed.
  */
 public record Operator(String name, String text, Router.Settings settings, InetSocketAddress mgmt, Rest rest,
-                       StoreSetup store, Syslog syslog, Pooling pooling, Membership membership, List<String> inForce) {
+                       StoreSetup store, Syslog syslog, Pooling pooling, Membership membership, Audit audit, List<String> inForce) {
     /** The REST front, with a discovery to watch, a fixed list of members, or both. */
     public record Rest(InetSocketAddress listen, InetSocketAddress discovery, MemberList members) { }
 
@@ -34,6 +34,12 @@
                              crankspar.membership.Swim.Settings swim, crankspar.duties.Duties.Settings probes,
                              boolean watch) { }
 
+    /**
+     * The audit: where its datagrams come (without an address of its own, {@code listen} null, the platform's peers are taken), the
+     * ledger's folder or null, and whether a straggler shuts itself out.
+     */
+    public record Audit(InetSocketAddress listen, List<InetSocketAddress> peers, int me, Path folder, boolean stragglers, double lease, double share) { }
+
     /** The store: a snapshot's file (or null) and the peers whose changes are pulled. */
     public record StoreSetup(Path snapshot, List<InetSocketAddress> peers, double periodMs) { }
 
@@ -60,8 +66,9 @@
         Router.Settings settings = settings(o);
         Pooling pooling = PoolingReader.read(o.part("pooling"), settings);
         Membership membership = MembershipReader.read(o.part("membership"), o.part("duties"), file);
+        Audit audit = AuditReader.read(o.part("audit"), membership);
         o.done();
-        return new Operator(name, text, settings, mgmt, rest, store, syslog, pooling, membership, OperatorFile.lines(inForce));
+        return new Operator(name, text, settings, mgmt, rest, store, syslog, pooling, membership, audit, OperatorFile.lines(inForce));
     }
 
     private static Router.Settings settings(Section o) throws Config.Bad {
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -88,6 +88,18 @@
         void tell(boolean ok, double elapsed, Role role, double position);
     }
 
+    /** Who keeps what was sent under which stand; see the package {@code audit}. Off the path of a request where there is none. */
+    public interface Audit {
+        enum Answer { SERVED, REFUSED, FAILED }
+        /** The number of the present stand. */
+        int stand();
+        /** An attempt's last byte has left; the number of the stand that it was sent under. */
+        int sent(String request, String member, int requestClass, double now);
+        void answered(String request, Answer how, int requestClass, double now);
+        /** What an answer told of its member; {@code position} is Unix ms or NaN. */
+        void role(String member, Role role, double position);
+    }
+
     /** The list of members: ends of a watch come back through {@link #watchLost}. */
     public interface Discovery {
         void watch(boolean on);
@@ -112,11 +124,13 @@
         final Reply<A> reply;
         final double taken;
         final double deadline;
-        int sent;
+        final String name;
+        int sent, stand;
         boolean mayHaveRun, over, begun;
         Attempt out;
 
-        Owed(Ask<Q> ask, Reply<A> reply, double now) {
+        Owed(Ask<Q> ask, Reply<A> reply, double now, String name) {
+            this.name = name;
             this.ask = ask;
             this.reply = reply;
             taken = now;
@@ -131,6 +145,7 @@
         final String member;
         final double sent = now();
         Call call;
+        int stand;
         boolean ended, written, told;
 
         Attempt(String request, Owed owed, String member) {
@@ -145,6 +160,9 @@
             if (!written) {
                 written = true;
                 figures.written();
+                if (audit != null) {
+                    stand = audit.sent(owed.name, member, owed.ask.requestClass(), now());
+                }
             }
         }
 
@@ -174,6 +192,8 @@
     private int owing;
     private Runnable whenQuiet = () -> { };
     private Probes probes;
+    private Audit audit;
+    private java.util.function.Function<Q, String> naming;
     private Peers peers = message -> { };
     private double lastAnswer = Double.POSITIVE_INFINITY;
 
@@ -212,7 +232,8 @@
         double now = now();
         double ttl = Math.max(0, Math.min(asked.ttl(), lastAnswer - now));
         var ask = new Ask<>(asked.requestClass(), ttl, asked.session(), asked.mark(), asked.group(), asked.query());
-        var o = new Owed(ask, reply, now);
+        String name = audit == null ? null : naming.apply(ask.query());
+        var o = new Owed(ask, reply, now, name == null ? id : name);
         owed.put(id, o);
         owing++;
         // A mark told in the same millisecond may lie ahead of this clock: it is a mark all the same.
@@ -405,6 +426,9 @@
 
     private void end(Attempt a, Status status, AttemptEnd.Note note) {
         a.ended = true;
+        if (audit != null && note.role() != Role.UNKNOWN) {
+            audit.role(a.member, note.role(), note.position());
+        }
         if (a.owed.out == a) {
             a.owed.out = null;
         }
@@ -438,6 +462,11 @@
     private void answer(String id, Owed o, FinalAnswer<A> answer) {
         conclude(id, o);
         figures.answered(o.ask.requestClass(), answer);
+        if (audit != null) {
+            o.stand = audit.stand();
+            audit.answered(o.name, answer instanceof FinalAnswer.Served<A> ? Audit.Answer.SERVED
+                    : answer instanceof FinalAnswer.Refused<A> ? Audit.Answer.REFUSED : Audit.Answer.FAILED, o.ask.requestClass(), now());
+        }
         counters.add("answered_" + answer.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT));
         o.reply.answer(answer);
         quiet();
@@ -488,6 +517,12 @@
         event(() -> module.onProbe(now(), new Router.ProbeResult(member, ok, elapsed, ok ? role : Role.UNKNOWN, position)));
     }
 
+    /** From now on what is sent and answered is kept there; {@code naming} gives a query's own name, or null where it has none. */
+    public void audit(Audit audit, java.util.function.Function<Q, String> naming) {
+        this.audit = audit;
+        this.naming = naming;
+    }
+
     /** Probes at once over this core's connections, and tells what came of it, once. */
     public void probeNow(String member, Probed told) {
         counters.add("probes");
--- a/src/main/java/crankspar/discovery/Watch.java
+++ b/src/main/java/crankspar/discovery/Watch.java
@@ -39,6 +39,7 @@
     private final Runnable lost;
     private InetSocketAddress address;
     private long revision;
+    private Runnable word = () -> { };
     private Session session;
     /** The watch at an address that discovery has left: its end is no news. */
     private Session former;
@@ -73,6 +74,11 @@
         }
     }
 
+    /** Runs after each line that discovery has written, lists and empty ones alike: what is in force is the present list then. */
+    public void onWord(Runnable what) { word = what; }
+
+    public InetSocketAddress address() { return address; }
+
     /** Whether a watch stands and has brought something. */
     public boolean up() { return session != null && session.told && !session.once; }
 
@@ -196,6 +202,9 @@
                         list(text);
                     }
                 }
+                if (!over && former != this) {
+                    word.run();
+                }
                 if (once && !over) {
                     drop();
                     session = session == this ? null : session;
--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -107,6 +107,22 @@
         }
     }
 
+    @Command(name = "audit-model", description = "Stragglers in a deterministic model: the daemon's own decisions at sizes that sockets don't reach."
+            + " One pooler is cut from discovery; a drain that does not reach all ends with 1.")
+    int auditModel(@Option(names = "--seed", defaultValue = "1") long seed,
+                   @Option(names = "--poolers", defaultValue = "3,14,100,500", split = ",", description = "sizes (${DEFAULT-VALUE})") java.util.List<Integer> sizes,
+                   @Option(names = "--loss", defaultValue = "0.2", description = "share of datagrams lost (${DEFAULT-VALUE})") double loss) {
+        try {
+            for (int n : sizes) {
+                System.out.println(AuditModel.figures(AuditModel.World.of(seed, n, loss)));
+            }
+            return 0;
+        } catch (AuditModel.Broken e) {
+            System.out.println("broken: " + e.getMessage());
+            return 1;
+        }
+    }
+
     @Command(name = "duties-bench", description = "Measures the promises of shared duties; exit 1 where one is broken.")
     int dutiesBench(@Option(names = "--spoil", description = "spoils one promise on purpose: gap or probes") String fault) throws Exception {
         return new DutiesBench(fault).run();
--- a/src/main/java/crankspar/mgmt/Calls.java
+++ b/src/main/java/crankspar/mgmt/Calls.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 
@@ -19,6 +20,7 @@
 public final class Calls {
     private static final String PREFIX = "edge_balancer.";
     private static final String MEMBERS = "/-/league-databases/";
+    private static final String AUDIT = "/-/audit/";
     /** Guards against callers that connect and finish no call: the oldest of them makes room. */
     private static final int MOST = 16;
     /** A caller waits 1 s, so that a call which is not whole after this long (ms) is nobody's. */
@@ -60,7 +62,7 @@
         String method = switch (path) {
             case "/-/ready", "/-/metrics" -> "GET";
             case "/-/drain", "/-/resume" -> "POST";
-            default -> member ? "POST" : null;
+            default -> member ? "POST" : path.startsWith(AUDIT) ? "GET" : null;
         };
         if (method == null) {
             return said(404, "nothing is here");
@@ -73,10 +75,28 @@
             case "/-/metrics" -> said(200, metrics());
             case "/-/drain" -> said(operations.drain(), "drains");
             case "/-/resume" -> said(operations.resume(), "serves");
-            default -> member(path.substring(MEMBERS.length()).split("/"));
+            default -> path.startsWith(AUDIT) ? audit(path.substring(AUDIT.length()), head.target())
+                    : member(path.substring(MEMBERS.length()).split("/"));
         };
     }
 
+    private byte[] audit(String page, String target) {
+        var query = new LinkedHashMap<String, String>();
+        if (target.indexOf('?') >= 0) {
+            for (String pair : target.substring(target.indexOf('?') + 1).split("&")) {
+                String[] words = pair.split("=", 2);
+                try {
+                    query.put(words[0], words.length < 2 ? "" : URLDecoder.decode(words[1], StandardCharsets.UTF_8));
+                } catch (IllegalArgumentException e) {
+                    return said(400, "cannot be read: " + pair);
+                }
+            }
+        }
+        String json = operations.audit(page, query);
+        return json == null ? said(404, "no audit is here") : HttpText.response(200, Map.of("Content-Type", "application/json", "Connection", "close"),
+                json.getBytes(StandardCharsets.UTF_8));
+    }
+
     private byte[] member(String[] words) {
         String id;
         try {
--- a/src/main/java/crankspar/mgmt/Operations.java
+++ b/src/main/java/crankspar/mgmt/Operations.java
@@ -20,4 +20,6 @@
     Done enable(String id);
     Done drain();
     Done resume();
+    /** A page of the audit as JSON, or null where no audit is set up or it has no such page. */
+    default String audit(String page, java.util.Map<String, String> query) { return null; }
 }
