--- a/src/main/java/crankspar/Balance.java
+++ b/src/main/java/crankspar/Balance.java
@@ -50,7 +50,7 @@
     private static final double FRESH_WEIGHT = 0.1;
     /** A member that owes this many mean answers, none of which came, is silent (chance of error: e^-6). */
     private static final double OWED = 6;
-    /** ... or this many, if peers have heard it since: then its answer is slow, or the way to it is cut. */
+    /** ... or this many, if peers have heard it since, or cannot tell: it is slow, or the way is cut. */
     private static final double OWED_MOST = 18;
     /** ... and only once nothing came for this share of the oldest one's aim: a crowd is slow, not silent. */
     private static final double SILENT_SHARE = 0.5;
@@ -825,7 +825,7 @@
                 }
             }
             case CONNECT_FAILED -> {
-                if (++db.strikes >= STRIKES || now - db.seen() > UNHEARD) {
+                if (++db.strikes >= STRIKES || !sparse && now - db.seen() > UNHEARD) {
                     db.lost = true;
                     fallSilent(db);
                 } else {
@@ -971,7 +971,7 @@
                 rescue(a, false);
             }
         }
-        if (owed > (db.told > oldest.sent ? OWED_MOST : OWED) && quiet && !db.silent) {
+        if (owed > (sparse || db.told > oldest.sent ? OWED_MOST : OWED) && quiet && !db.silent) {
             fallSilent(db);
         }
     }
--- a/src/test/java/crankspar/HearsayStoryTest.java
+++ b/src/test/java/crankspar/HearsayStoryTest.java
@@ -65,8 +65,25 @@
         assertThat(fake.ask("two", Fake.BROWSE)).isEqualTo("r");
     }
 
+    /** Guards against silences where nobody can hear a member often: 1,995 on one herd day, most of them false. */
+    @Test void whereNobodyCanTellOneLostConnectOrSlowAnswerIsNoCrash() {
+        fleet().at(400);
+        assertThat(fake.ask("one", Fake.BROWSE)).isEqualTo("r");
+        fake.at(600);
+        fake.end("one", Router.Status.CONNECT_FAILED, Role.UNKNOWN, 0);
+        assertThat(fake.module.avoided()).isEmpty();
+        fake.hear("r", Role.REPLICA, 0);
+        fake.at(900);
+        assertThat(fake.ask("slow", Fake.BROWSE)).isEqualTo("r");
+        fake.at(1200);
+        assertThat(fake.module.avoided()).isEmpty();
+        fake.at(2100);
+        assertThat(fake.module.avoided()).as("it owes too many answers").contains("r");
+    }
+
     @Test void oneLostConnectAtAMemberThatNobodyHearsIsACrash() {
         fleet().at(400);
+        told("p", Role.PRIMARY, 10);
         assertThat(fake.ask("one", Fake.BROWSE)).isEqualTo("r");
         fake.at(1300);
         fake.end("one", Router.Status.CONNECT_FAILED, Role.UNKNOWN, 0);
@@ -76,6 +93,7 @@
     /** A cold return that a peer met first: it is not pushed over by those who only heard of it. */
     @Test void aLostMemberThatAPeerHearsAgainIsTakenForCold() {
         fleet().at(400);
+        told("p", Role.PRIMARY, 10);
         fake.ask("one", Fake.BROWSE);
         fake.at(1300);
         fake.end("one", Router.Status.CONNECT_FAILED, Role.UNKNOWN, 0);
