--- a/src/main/java/crankspar/cli/Auditing.java
+++ b/src/main/java/crankspar/cli/Auditing.java
@@ -86,7 +86,7 @@
         }
         own = socket[0];
         loop.runAndWait(() -> {
-            auditor.configured(config != null ? config.text() : name, Origin.FILE);
+            auditor.configured(shared(settings), Origin.FILE);
             if (parts.watch() != null) {
                 auditor.discovery(parts.watch().address().toString(), Origin.FILE);
                 parts.watch().onWord(auditor::word);
@@ -109,7 +109,7 @@
     /** Files have been read anew. */
     void reloaded(Config config, Watch watch) {
         if (config != null) {
-            auditor.configured(config.text(), Origin.OPERATOR);
+            auditor.configured(shared(config.settings()), Origin.OPERATOR);
         }
         if (watch != null) {
             auditor.discovery(watch.address().toString(), Origin.OPERATOR);
@@ -126,6 +126,12 @@
 
     Map<String, Long> counts() { return auditor.counts(); }
 
+    /** What of the settings is the same at every pooler: not its number, its zone and its seed. */
+    private static String shared(Router.Settings s) {
+        return new Router.Settings(0, "", s.zones(), 0, s.siblings(), s.round(), s.askDiscovery(), s.classes(), s.behind(), s.patience(), s.roleInList(),
+                s.sessionMarks(), s.tellsPosition(), s.commitWaits(), s.countedFrom(), s.reports(), s.rules(), s.limits(), s.prices()).toString();
+    }
+
     /** The version, and a checksum of the archive that runs: two builds of one version are told apart. */
     private static String build() {
         String version = Auditing.class.getPackage().getImplementationVersion();
--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -19,7 +19,7 @@
 /** The command line. */
 @Command(name = "crankspar", description = "A pooler for shards of a primary and its replicas.",
         synopsisSubcommandLabel = "COMMAND", mixinStandardHelpOptions = true,
-        versionProvider = Commands.Version.class)
+        versionProvider = Commands.Version.class, subcommands = AuditCommand.class)
 public final class Commands implements Runnable {
     /** Exit code for a configuration that cannot be used. */
     static final int BAD_CONFIG = 2;
--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -8,7 +8,8 @@
 
 /** The commands under {@code lab}: stand-ins and experiments, never part of what serves. */
 @Command(name = "lab", description = "Stand-ins and experiments of our own.", synopsisSubcommandLabel = "COMMAND",
-        mixinStandardHelpOptions = true, subcommands = {crankspar.lab.load.LoadCommand.class, crankspar.lab.experiment.ExperimentCommand.class})
+        mixinStandardHelpOptions = true, subcommands = {crankspar.lab.load.LoadCommand.class, crankspar.lab.experiment.ExperimentCommand.class,
+                crankspar.lab.rig.RigCommand.class})
 public final class LabCommand implements Runnable {
     @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
--- a/src/main/java/crankspar/lab/PgServer.java
+++ b/src/main/java/crankspar/lab/PgServer.java
@@ -28,7 +28,7 @@
     volatile boolean primary = true;
     volatile boolean draining;
     volatile double lag;
-    volatile double work;
+    public volatile double work;
     private volatile double coldFactor = 1, coldFor, coldSince;
     volatile int cores = 64;
     volatile int connectionsMost = 10_000;
@@ -159,14 +159,14 @@
     private double stalledUntil;
 
     /** One of a group: a primary's commits go to the others' logs. */
-    void group(java.util.List<PgServer> all, double delay, double cost) {
+    public void group(java.util.List<PgServer> all, double delay, double cost) {
         group = java.util.List.copyOf(all);
         replay = new Replay(delay);
         applyCost = cost;
         grouped = true;
     }
 
-    Replay replay() { return replay; }
+    public Replay replay() { return replay; }
 
     /** A write has been committed here. */
     void committed() {
@@ -185,7 +185,7 @@
     }
 
     /** On the loop: dead, with its connections cut and new ones ended at once, or back. */
-    void crashed(boolean on) {
+    public void crashed(boolean on) {
         crashed = on;
         if (on) {
             new java.util.ArrayList<>(backends.values()).forEach(b -> b.cut("crashed"));
@@ -194,13 +194,15 @@
 
     boolean crashed() { return crashed; }
 
+    public boolean isPrimary() { return primary; }
+
     /** On the loop: nothing is done until then. */
-    void stalled(double until) { stalledUntil = until; }
+    public void stalled(double until) { stalledUntil = until; }
 
     boolean isStalled() { return stalledUntil > loop.now(); }
 
     /** On the loop: the first living other member of its group is primary in its place. */
-    void swapPrimary() {
+    public void swapPrimary() {
         for (PgServer s : group) {
             if (primary && s != this && !s.crashed) {
                 primary = false;
@@ -210,7 +212,7 @@
     }
 
     /** The position that it would tell now (Unix ms). */
-    double position() { return primary ? loop.now() : grouped ? replay.position(loop.now()) : loop.now() - lag; }
+    public double position() { return primary ? loop.now() : grouped ? replay.position(loop.now()) : loop.now() - lag; }
 
     long nextTransaction() { return ++nextTransaction; }
 
--- a/src/main/java/crankspar/lab/Replay.java
+++ b/src/main/java/crankspar/lab/Replay.java
@@ -6,7 +6,7 @@
  * How far a replica has applied its primary's log: one thread takes entry after entry, each for its own time, and stands
  * still while a long read holds it. Times are ms on the fleet's one clock; a class without a clock of its own.
  */
-final class Replay {
+public final class Replay {
     private record Entry(double commit, double arrives, double cost) { }
 
     private static final int ENTRIES_MOST = 200_000;
@@ -34,7 +34,7 @@
     void block(double until) { blockedUntil = Math.max(blockedUntil, until); }
 
     /** From now on each entry takes so many times as long. */
-    void slower(double factor) { slower = factor; }
+    public void slower(double factor) { slower = factor; }
 
     /** The position that it would tell: all of the log up to then is applied. */
     double position(double now) {
--- a/src/main/java/crankspar/lab/load/Generator.java
+++ b/src/main/java/crankspar/lab/load/Generator.java
@@ -248,6 +248,11 @@
         return new Generator(workload, plans, dialect, threads, warn);
     }
 
+    /** As the platform's clients, with ids that begin with {@code run} and a dot. */
+    public static Generator platform(Workload workload, InetSocketAddress target, String run) throws IOException {
+        return new Generator(workload, () -> new Plan(workload), new PgDialect(workload, target, "client", "core", run), 1, warning -> { });
+    }
+
     /** Connects {@code warm} of the connections, then sends; returns once all have ended, or after {@code grace} ms more. */
     public Generator run(int warm, double grace) throws InterruptedException {
         connect(warm);
--- a/src/main/java/crankspar/lab/load/PgDialect.java
+++ b/src/main/java/crankspar/lab/load/PgDialect.java
@@ -18,9 +18,15 @@
     private final InetSocketAddress target;
     private final String user;
     private final String database;
-    private final String run = Long.toString(System.nanoTime(), 36);
+    private final String run;
 
     PgDialect(Workload workload, InetSocketAddress target, String user, String database) {
+        this(workload, target, user, database, Long.toString(System.nanoTime(), 36));
+    }
+
+    /** Ids of the platform's statements begin with {@code run}. */
+    PgDialect(Workload workload, InetSocketAddress target, String user, String database, String run) {
+        this.run = run;
         this.workload = workload;
         this.target = target;
         this.user = user;
--- a/src/main/java/crankspar/lab/load/Recorder.java
+++ b/src/main/java/crankspar/lab/load/Recorder.java
@@ -34,7 +34,7 @@
     private final long[][] outcomes;
     private final List<Second> seconds = new ArrayList<>();
     private final double lateMost;
-    private long sent, tooLate;
+    private long sent, tooLate, unsent;
 
     public Recorder(List<String> kinds, double lateMost) {
         this.kinds = List.copyOf(kinds);
@@ -58,6 +58,7 @@
     /** It ended; times are ms from the start. */
     public void ended(int kind, double meant, double left, double now, Outcome outcome) {
         outcomes[kind][outcome.ordinal()]++;
+        unsent += outcome == Outcome.UNANSWERED && Double.isNaN(left) ? 1 : 0;
         int second = (int) Math.min(SECONDS_MOST, meant / 1000);
         while (seconds.size() <= second) {
             seconds.add(new Second());
@@ -76,6 +77,7 @@
     public void add(Recorder other) {
         sent += other.sent;
         tooLate += other.tooLate;
+        unsent += other.unsent;
         late.add(other.late);
         for (int i = 0; i < latency.length; i++) {
             latency[i].add(other.latency[i]);
@@ -105,6 +107,8 @@
         }
         return n;
     }
+    /** Those of the unanswered that no connection took: nobody owed them an answer. */
+    public long unsent() { return unsent; }
     /** The share of sends that left too late. */
     public double tooLate() { return sent == 0 ? 0 : tooLate / (double) sent; }
     public long count(Outcome o) {
--- a/src/main/java/crankspar/lab/load/WorkloadReader.java
+++ b/src/main/java/crankspar/lab/load/WorkloadReader.java
@@ -15,7 +15,11 @@
     private WorkloadReader() { }
 
     public static Workload read(Path file) throws Config.Bad {
-        Section w = OperatorFile.read(file, new ArrayList<>());
+        return read(OperatorFile.read(file, new ArrayList<>()));
+    }
+
+    /** The same under a key of another file. */
+    public static Workload read(Section w) throws Config.Bad {
         var kinds = new ArrayList<Workload.Kind>();
         for (Map.Entry<String, Section> e : w.parts("classes").entrySet()) {
             Section c = e.getValue();
--- a/src/main/java/crankspar/lab/rig/DiscoveryStandIn.java
+++ b/src/main/java/crankspar/lab/rig/DiscoveryStandIn.java
@@ -18,6 +18,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * A stand-in for discovery: the whole list, a watch on changes, one call after the other at a capacity of its own, calls that
@@ -36,9 +37,11 @@
     private record Change(long revision, Member member) { }
 
     private final Loop loop;
-    private final Loop.Listener listener;
+    private final Sockets.Door listener;
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+    /** By who calls (its Host header): where each database is for it, as addresses may vary from one pooler to the next. */
+    private final Map<String, Map<String, InetSocketAddress>> seenBy = new LinkedHashMap<>();
     private final List<Change> history = new ArrayList<>();
     private final LinkedHashSet<Caller> watches = new LinkedHashSet<>();
     private final ArrayDeque<Runnable> calls = new ArrayDeque<>();
@@ -46,11 +49,13 @@
     private long revision = 1;
     private double each, waitMost = 2000, late;
     private boolean down, busy;
+    private List<Member> old;
+    private Predicate<String> reaches = caller -> true;
     private long asked, failed;
 
-    public DiscoveryStandIn(Loop loop, InetSocketAddress at) throws IOException {
+    public DiscoveryStandIn(Loop loop, Sockets sockets, InetSocketAddress at) throws IOException {
         this.loop = loop;
-        listener = loop.listen(at, () -> down ? null : new Caller());
+        listener = sockets.listen(at, () -> down ? null : new Caller());
         beat();
     }
 
@@ -70,6 +75,14 @@
         });
     }
 
+    /** Where a database is for the pooler that calls discovery by this name. */
+    public void seen(String caller, String id, InetSocketAddress address) {
+        loop.run(() -> seenBy.computeIfAbsent(caller, k -> new LinkedHashMap<>()).put(id, address));
+    }
+
+    /** Whether what is written now arrives at who calls by this name: else it is no telling. */
+    public void reaches(Predicate<String> reaches) { loop.run(() -> this.reaches = reaches); }
+
     /** The same database in another state of health. */
     public void health(String id, Health health) {
         loop.run(() -> {
@@ -89,7 +102,7 @@
         if (history.size() > HISTORY_MOST) {
             history.remove(0);
         }
-        loop.after(late, () -> List.copyOf(watches).forEach(w -> w.tell(list(number, false, List.of(m)))));
+        loop.after(late, () -> List.copyOf(watches).forEach(w -> w.tell(number, false, List.of(m))));
     }
 
     // ---- What goes wrong.
@@ -114,6 +127,9 @@
     /** Changes are told so much later (ms). */
     public void late(double ms) { loop.run(() -> late = ms); }
 
+    /** Calls for the whole list get the one of now from here on, whatever changes; or the present one again. */
+    public void old(boolean on) { loop.run(() -> old = on ? List.copyOf(members.values()) : null); }
+
     /** It counts from one anew, as another service in its place: revisions before and after are not to be compared. */
     public void renumber() {
         loop.run(() -> {
@@ -147,10 +163,15 @@
         return n[0];
     }
 
-    private MemberList list(long number, boolean complete, List<Member> which) {
-        return new MemberList(number, complete, which, addresses);
+    private MemberList list(String caller, long number, boolean complete, List<Member> which) {
+        var at = new LinkedHashMap<>(addresses);
+        at.putAll(seenBy.getOrDefault(caller, Map.of()));
+        at.keySet().retainAll(which.stream().map(Member::id).toList());
+        return new MemberList(number, complete, which, at);
     }
 
+    private List<Member> listed() { return old != null ? old : List.copyOf(members.values()); }
+
     private void beat() {
         loop.after(BEAT, () -> {
             List.copyOf(watches).forEach(w -> w.chunk("\n"));
@@ -222,15 +243,14 @@
                     return;
                 }
                 if (!stream) {
-                    byte[] all = list(revision, true, List.copyOf(members.values())).write().getBytes(StandardCharsets.UTF_8);
+                    byte[] all = list(name, revision, true, listed()).write().getBytes(StandardCharsets.UTF_8);
                     out.write(HttpText.response(200, Map.of("Content-Type", "application/json"), all));
                     return;
                 }
                 out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
                 watches.add(this);
                 boolean has = index > 0 && index <= revision && (index == revision || !history.isEmpty() && history.get(0).revision() <= index + 1);
-                tell(has ? list(revision, false, history.stream().filter(c -> c.revision() > index).map(Change::member).toList())
-                        : list(revision, true, List.copyOf(members.values())));
+                tell(revision, !has, has ? history.stream().filter(c -> c.revision() > index).map(Change::member).toList() : listed());
             }, () -> {
                 if (!over) {
                     out.write(HttpText.response(503, Map.of(), new byte[0]));
@@ -247,10 +267,11 @@
             out.reset();
         }
 
-        void tell(MemberList list) {
+        void tell(long number, boolean complete, List<Member> which) {
+            MemberList list = list(name, number, complete, which);
             chunk(list.write() + "\n");
             for (Member m : list.members()) {
-                if (written.size() < WRITTEN_MOST) {
+                if (written.size() < WRITTEN_MOST && reaches.test(name)) {
                     written.add(new Written(loop.now(), name, list.revision(), m.id(), m.health()));
                 }
             }
--- a/src/main/java/crankspar/lab/rig/Link.java
+++ b/src/main/java/crankspar/lab/rig/Link.java
@@ -35,17 +35,19 @@
 
     private final Loop loop;
     private final InetSocketAddress to;
-    private final Loop.Listener listener;
+    private final Sockets sockets;
+    private final Sockets.Door listener;
     private final Map<Way, Travel> travel = new EnumMap<>(Way.class);
     private final Set<Pair> pairs = new HashSet<>();
     private boolean refuses;
 
-    public Link(Loop loop, InetSocketAddress at, InetSocketAddress to) throws IOException {
+    public Link(Loop loop, Sockets sockets, InetSocketAddress at, InetSocketAddress to) throws IOException {
         this.loop = loop;
         this.to = to;
+        this.sockets = sockets;
         travel.put(Way.THERE, Travel.FREE);
         travel.put(Way.BACK, Travel.FREE);
-        listener = loop.listen(at, () -> refuses ? null : new Pair().near);
+        listener = sockets.listen(at, () -> refuses ? null : new Pair().near);
     }
 
     public InetSocketAddress address() {
@@ -64,6 +66,9 @@
         });
     }
 
+    /** On the loop: whether bytes move this way now. */
+    boolean moves(Way way) { return !travel.get(way).stalled(); }
+
     /** Silent both ways, open connections and new ones; once it is back, what waited comes late. */
     public void cut(boolean on) {
         for (Way way : Way.values()) {
@@ -118,7 +123,7 @@
         @Override public void opened(Out out) {
             this.out = out;
             if (way == Way.THERE) {
-                loop.connect(to, pair.far);
+                sockets.connect(to, pair.far);
             }
             other().flow.move();
         }
--- a/src/main/java/crankspar/lab/rig/PlatformProcess.java
+++ b/src/main/java/crankspar/lab/rig/PlatformProcess.java
@@ -22,19 +22,33 @@
     private final String name;
     private final InetSocketAddress listen;
     private final Path folder;
-    private final Path classes;
+    private final boolean operated;
+    private Path jar;
     private Process process;
     private Thread hook;
 
-    /** {@code jar} may be null: then it is this very program. The configuration is written to a file of its own. */
-    public PlatformProcess(String name, InetSocketAddress listen, String configuration, Path jar) throws IOException {
+    /**
+     * {@code jar} may be null: then it is this very program. The configuration is written to a file of its own; so is the
+     * operator's where there is one, with {@code FOLDER} standing for this process's own folder.
+     */
+    public PlatformProcess(String name, InetSocketAddress listen, String configuration, String operator, Path jar) throws IOException {
         this.name = name;
         this.listen = listen;
-        classes = jar;
+        this.jar = jar;
         folder = Files.createTempDirectory("rig-" + name);
+        operated = operator != null;
+        if (operated) {
+            Files.writeString(folder.resolve("operator.conf"), operator.replace("FOLDER", folder.toString()));
+        }
         configure(configuration);
     }
 
+    /** The next start is of another version. */
+    public void jar(Path jar) { this.jar = jar; }
+
+    /** Its own folder: its log, what it is told, and what it keeps. */
+    public Path folder() { return folder; }
+
     /** What it reads at its next start, or with SIGHUP. */
     public void configure(String configuration) throws IOException { Files.writeString(folder.resolve("config.json"), configuration); }
 
@@ -44,7 +58,10 @@
         var command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(PoolerProcess.JVM);
         command.add(HEAP);
-        command.addAll(List.of("-cp", classes == null ? System.getProperty("java.class.path") : classes.toString(), "crankspar.Main", "serve"));
+        command.addAll(List.of("-cp", jar == null ? System.getProperty("java.class.path") : jar.toString(), "crankspar.Main", "serve"));
+        if (operated) {
+            command.addAll(List.of("--operator", folder.resolve("operator.conf").toString()));
+        }
         var builder = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
         builder.environment().putAll(Map.of("BALANCER_CONFIG", folder.resolve("config.json").toString(), "TMPDIR", tmp.toString()));
@@ -101,6 +118,15 @@
         }
     }
 
+    /** Ends it, and leaves its folder. */
+    public void end() {
+        try {
+            kill();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Override public void close() throws IOException {
         try {
             kill();
--- a/src/main/java/crankspar/lab/rig/Rig.java
+++ b/src/main/java/crankspar/lab/rig/Rig.java
@@ -21,51 +21,103 @@
  * ends is reached through the links only, so that any of them can be made to fail.
  */
 public final class Rig implements AutoCloseable {
+    /**
+     * Who is there. A group is a primary and so many replicas, each with so many cores and so much work (ms) for a statement.
+     *
+     * @param operator the operator's file of every pooler, or null; {@code FOLDER} stands for a pooler's own folder
+     * @param jar an earlier version that all run, or null for this program
+     * @param discoveryEach how long discovery takes for a call (ms), {@code discoveryMost} after how long one that waits fails
+     */
+    public record Parties(int poolers, int groups, int replicas, double work, int cores, String operator, Path jar, double discoveryEach, double discoveryMost) {
+        /** An operator's file with the audit as a pooler of its own would have it. */
+        public static final String AUDITED = "name = rig, audit { folder = \"FOLDER/audit\" }\n";
+
+        public static Parties of(int poolers, int replicas) { return new Parties(poolers, 1, replicas, 5, 3, null, null, 0, 2000); }
+
+        public Parties audited() { return new Parties(poolers, groups, replicas, work, cores, AUDITED, jar, discoveryEach, discoveryMost); }
+
+        public Parties jar(Path of) { return new Parties(poolers, groups, replicas, work, cores, operator, of, discoveryEach, discoveryMost); }
+    }
+
     private static final List<String> ZONES = List.of("burnaby", "surrey", "richmond");
+    /** The brief's times of the log on its way to a replica, and of applying one write (ms). */
+    private static final double LOG_DELAY = 8;
+    private static final double APPLY = 1;
 
     private final Loop loop = new Loop("rig");
+    private final Sockets sockets = new Sockets(loop);
     private final Recording recording = new Recording();
     private final DiscoveryStandIn discovery;
     private final Map<String, PgServer> databases = new LinkedHashMap<>();
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final List<PlatformProcess> poolers = new ArrayList<>();
+    private final List<InetSocketAddress> calls = new ArrayList<>();
+    private final List<String> configurations = new ArrayList<>();
     private final List<Link> toDiscovery = new ArrayList<>();
+    private final List<Link> fromClients = new ArrayList<>();
+    private final List<Map<String, Link>> toDatabases = new ArrayList<>();
     private final DatagramNet datagrams;
+    private final Parties parties;
 
     /** So many poolers and one group of so many databases, its first the primary; {@code jar} may be null: this program. */
-    public Rig(int poolers, int databases, long seed, Path jar) throws IOException {
-        discovery = new DiscoveryStandIn(loop, anyPort(0));
-        for (int d = 0; d < databases; d++) {
-            String id = "db-" + d;
-            var server = new PgServer(loop, id, recording).role(d == 0).work(5, 3);
-            server.listen(anyPort(0));
-            this.databases.put(id, server);
-            var m = new Member(id, ZONES.get(d % ZONES.size()), d == 0, 1, Health.RUNNING, 0, "std", 0);
-            members.put(id, m);
-            discovery.set(m, server.address());
+    public Rig(int poolers, int databases, long seed, Path jar) throws IOException { this(Parties.of(poolers, databases - 1).jar(jar), seed); }
+
+    public Rig(Parties parties, long seed) throws IOException {
+        this.parties = parties;
+        discovery = new DiscoveryStandIn(loop, sockets, anyPort(0));
+        discovery.capacity(parties.discoveryEach(), parties.discoveryMost());
+        for (int g = 0; g < parties.groups(); g++) {
+            var group = new ArrayList<PgServer>();
+            for (int d = 0; d <= parties.replicas(); d++) {
+                String id = "db-" + (g == 0 ? "" : g + "-") + d;
+                var server = new PgServer(loop, id, recording).role(d == 0).work(parties.work(), parties.cores());
+                server.listen(anyPort(0));
+                databases.put(id, server);
+                group.add(server);
+                var m = new Member(id, ZONES.get(d % ZONES.size()), d == 0, 1, Health.RUNNING, g, "std", 0);
+                members.put(id, m);
+                discovery.set(m, server.address());
+            }
+            group.forEach(s -> s.group(group, LOG_DELAY, APPLY));
         }
-        var peers = new InetSocketAddress[poolers];
-        var listens = new InetSocketAddress[poolers];
-        for (int i = 0; i < poolers; i++) {
+        int n = parties.poolers();
+        var peers = new InetSocketAddress[n];
+        var listens = new InetSocketAddress[n];
+        for (int i = 0; i < n; i++) {
             peers[i] = free(i + 1);
             listens[i] = free(i + 1);
+            calls.add(free(i + 1));
         }
         datagrams = new DatagramNet(loop, seed, peers);
-        for (int i = 0; i < poolers; i++) {
-            var link = new Link(loop, anyPort(i + 1), discovery.address());
+        discovery.reaches(this::reaches);
+        for (int i = 0; i < n; i++) {
+            var link = new Link(loop, sockets, anyPort(i + 1), discovery.address());
             toDiscovery.add(link);
+            var ways = new LinkedHashMap<String, Link>();
+            for (Map.Entry<String, PgServer> e : databases.entrySet()) {
+                var way = new Link(loop, sockets, anyPort(i + 1), e.getValue().address());
+                ways.put(e.getKey(), way);
+                discovery.seen(text(link.address()), e.getKey(), way.address());
+            }
+            toDatabases.add(ways);
+            fromClients.add(new Link(loop, sockets, anyPort(i + 1), listens[i]));
             var others = new ArrayList<String>();
-            for (int j = 0; j < poolers; j++) {
+            for (int j = 0; j < n; j++) {
                 others.add("\"" + text(datagrams.address(i, j)) + "\"");
             }
             String configuration = "{\"name\": \"p" + i + "\", \"listen\": \"" + text(listens[i]) + "\", \"discovery\": \"" + text(link.address())
                     + "\", \"seed\": \"" + Long.toHexString(seed + i) + "\", \"limits\": {\"cores\": 1, \"memory_mb\": 192, \"sockets\": 1024},"
-                    + " \"peer_listen\": \"" + text(peers[i]) + "\", \"peers\": [" + String.join(", ", others) + "],"
-                    + " \"settings\": " + LabSettings.json(poolers, i, ZONES.get(i % ZONES.size())) + "}";
-            this.poolers.add(new PlatformProcess("p" + i, listens[i], configuration, jar));
+                    + " \"mgmt\": \"" + text(calls.get(i)) + "\", \"peer_listen\": \"" + text(peers[i]) + "\", \"peers\": [" + String.join(", ", others) + "],"
+                    + " \"settings\": " + LabSettings.json(n, i, ZONES.get(i % ZONES.size())) + "}";
+            configurations.add(configuration);
+            poolers.add(new PlatformProcess("p" + i, listens[i], configuration, parties.operator(), parties.jar()));
         }
     }
 
+    private boolean reaches(String caller) {
+        return toDiscovery.stream().filter(l -> text(l.address()).equals(caller)).allMatch(l -> l.moves(Link.Way.BACK));
+    }
+
     /** Starts every pooler; a failure ends what had started. */
     public Rig start() throws IOException, InterruptedException {
         try {
@@ -92,25 +144,87 @@
         }
     }
 
-    private static String text(InetSocketAddress a) { return a.getHostString() + ":" + a.getPort(); }
+    public static String text(InetSocketAddress a) { return a.getHostString() + ":" + a.getPort(); }
 
+    // ---- What goes wrong at a database.
+    /** Its process dies: connections are reset and new ones refused. */
+    public void crash(String id) { loop.run(() -> databases.get(id).crashed(true)); }
+
+    /** It is back, {@code factor} times slower at first and warm after {@code ms}; discovery lists its start. */
+    public void comeBack(String id, double factor, double ms) {
+        loop.run(() -> {
+            PgServer s = databases.get(id);
+            s.cold(factor, ms);
+            s.crashed(false);
+            Member m = members.get(id);
+            var started = new Member(m.id(), m.zone(), m.listedPrimary(), m.capacityHint(), Health.RUNNING, m.group(), m.machine(), Math.floor(loop.now()));
+            members.put(id, started);
+            discovery.set(started, s.address());
+        });
+    }
+
+    /** Each statement takes so many times as long, or 1: as before. */
+    public void slow(String id, double factor) { loop.run(() -> databases.get(id).work = parties.work() * factor); }
+
+    /** It takes over from the primary of its group, which lives on as a replica; discovery hears of it {@code late} ms later. */
+    public void handOver(String from, double late) {
+        loop.run(() -> {
+            databases.get(from).swapPrimary();
+            loop.after(late, () -> members.replaceAll((id, m) -> {
+                boolean primary = databases.get(id).isPrimary();
+                if (primary == m.listedPrimary()) {
+                    return m;
+                }
+                var now = new Member(m.id(), m.zone(), primary, m.capacityHint(), m.health(), m.group(), m.machine(), m.lastStart());
+                discovery.set(now, databases.get(id).address());
+                return now;
+            }));
+        });
+    }
+
+    public Parties parties() { return parties; }
     public Recording recording() { return recording; }
     public DiscoveryStandIn discovery() { return discovery; }
     public DatagramNet datagrams() { return datagrams; }
     public PlatformProcess pooler(int i) { return poolers.get(i); }
     public PgServer database(String id) { return databases.get(id); }
+    public List<String> databases() { return List.copyOf(databases.keySet()); }
+    /** Where operators call a pooler. */
+    public String calls(int pooler) { return text(calls.get(pooler)); }
+    public List<String> calls() { return calls.stream().map(Rig::text).toList(); }
+    /** By what name discovery knows a pooler: the address that it calls. */
+    public String caller(int pooler) { return text(toDiscovery.get(pooler).address()); }
+    public String configuration(int pooler) { return configurations.get(pooler); }
     /** The way from a pooler to discovery. */
     public Link toDiscovery(int pooler) { return toDiscovery.get(pooler); }
+    public Link toDatabase(int pooler, String id) { return toDatabases.get(pooler).get(id); }
+    /** Clients reach a pooler by this. */
+    public Link fromClients(int pooler) { return fromClients.get(pooler); }
     public double now() { return loop.now(); }
+    public Loop loop() { return loop; }
+
+    /** Ends what it started; logs and ledgers stay where they are, and their folders are told. */
+    public List<Path> keep() throws IOException {
+        poolers.forEach(PlatformProcess::end);
+        closeRest();
+        return poolers.stream().map(PlatformProcess::folder).toList();
+    }
 
     @Override public void close() throws IOException {
         for (PlatformProcess p : poolers) {
             p.close();
         }
+        closeRest();
+    }
+
+    private void closeRest() throws IOException {
         toDiscovery.forEach(Link::close);
+        fromClients.forEach(Link::close);
+        toDatabases.forEach(w -> w.values().forEach(Link::close));
         datagrams.close();
         discovery.close();
         databases.values().forEach(PgServer::close);
+        sockets.close();
         loop.close();
     }
 }
