--- a/src/main/java/crankspar/audit/Findings.java
+++ b/src/main/java/crankspar/audit/Findings.java
@@ -33,7 +33,7 @@
         double at(double theirs) { return theirs - offset; }
     }
 
-    /** {@code behind}: how much longer ago (ms) the newest pooler's list was taken up than this one has had its other one; nought where it has the newest. */
+    /** {@code behind}: for how long (ms) others have had the list that most have, and this one not; nought where it has it. */
     public record Line(View view, double behind, boolean sameBuild, boolean sameConfiguration) { }
 
     /** A span in which poolers acted on different versions; {@code end} is NaN where it lasts. {@code by} names who was on what. */
@@ -50,7 +50,7 @@
     private Findings() { }
 
     /** Every pooler against the most and the newest of them. */
-    public static List<Line> fleet(List<View> views) {
+    public static List<Line> fleet(List<View> views, double now) {
         Stand newest = views.stream().map(View::now).max(Comparator.comparingDouble(Stand::at)).orElse(null);
         // The list that most hold; of two that as many hold, the one taken up last.
         Map<List<Object>, Long> held = views.stream().collect(Collectors.groupingBy(v -> List.<Object>of(v.now().revision(), v.now().content()), Collectors.counting()));
@@ -61,8 +61,7 @@
             boolean same = List.<Object>of(v.now().revision(), v.now().content()).equals(usual);
             double since = views.stream().filter(o -> List.<Object>of(o.now().revision(), o.now().content()).equals(usual))
                     .mapToDouble(o -> o.at(listTaken(o))).min().orElse(0);
-            double latest = views.stream().mapToDouble(o -> o.at(o.now().at())).max().orElse(0);
-            lines.add(new Line(v, same ? 0 : Math.max(0, latest - since), newest == null || v.now().build().equals(newest.build()),
+            lines.add(new Line(v, same ? 0 : Math.max(0, now - since), newest == null || v.now().build().equals(newest.build()),
                     newest == null || v.now().configuration() == newest.configuration()));
         }
         return lines;
--- a/src/main/java/crankspar/audit/Standing.java
+++ b/src/main/java/crankspar/audit/Standing.java
@@ -84,8 +84,10 @@
     static final double SEEN = 2000;
     /** How much later (ms) a peer's other list must be confirmed than this one to be held the newer: words cross on their way. */
     static final double MARGIN = 500;
-    /** Between wanting to go out and going (ms): peers that want to as well hear of it. */
-    static final double WANT = 500;
+    /** A newer list that others tell is behind only after this (ms): each hears of a change a little before or after the next. */
+    static final double CROSS = 250;
+    /** Between wanting to go out and going (ms): by then a dozen peers have heard of it, and those that want to as well have told. */
+    static final double WANT = 2000;
     /** A return is confirmed for so long (ms) before anything is sent. */
     static final double RETURN = 500;
     /** Discovery is asked again after this (ms), then twice as long each time up to the most. */
@@ -111,7 +113,7 @@
 
     private static final class Peer {
         final int life;
-        int formerLife = -1, count, digests;
+        int count, digests;
         int least, leastBefore;
         double spanBegan, heard, confirmed;
         Digest digest;
@@ -134,7 +136,7 @@
     private List<Effect> effects = new ArrayList<>();
     private State state = State.CURRENT;
     private Claim mine = new Claim(0, 0);
-    private double own, since, wantedSince = Double.NaN, returning, askAt = Double.NaN, askGap = ASK_AGAIN, believedSince = Double.NaN;
+    private double own, since, wantedSince = Double.NaN, returning, askAt = Double.NaN, toldSince = Double.NaN, askGap = ASK_AGAIN, believedSince = Double.NaN;
     private int asked;
 
     /** At the start the given list counts as confirmed: the rules bear it for a lease. */
@@ -213,16 +215,14 @@
         }
         Peer p = peers.get(d.from());
         if (p == null || p.life != d.life()) {
-            if (p != null && p.formerLife == d.life()) {
-                count("dropped_old");
+            if (p != null && seen(p, now)) {  // two lives at once: forged, or on its way since before a restart
+                count("dropped_life");
                 return;
             }
-            var next = new Peer(d.life());
-            next.formerLife = p == null ? -1 : p.life;
-            next.spanBegan = now;
-            next.least = next.leastBefore = gap(now, d);
-            peers.put(d.from(), next);
-            p = next;
+            p = new Peer(d.life());
+            p.spanBegan = now;
+            p.least = p.leastBefore = gap(now, d);
+            peers.put(d.from(), p);
         } else if ((short) (d.count() - p.count) <= 0) {
             count("dropped_old");             // doubled or overtaken
             return;
@@ -350,9 +350,14 @@
         } else if (Double.isNaN(believedSince)) {
             believedSince = now;
         }
+        if (!believed && !hinted) {
+            toldSince = Double.NaN;
+        } else if (Double.isNaN(toldSince)) {
+            toldSince = now;
+        }
         double age = now - confirmed(now);
-        String why = believed ? "two peers have another list" : hinted ? "a peer tells a newer list" : age > UNCONFIRMED
-                ? "unconfirmed for " + Math.round(age) + " ms" : null;
+        String why = now - toldSince >= CROSS ? believed ? "two peers have another list" : "a peer tells a newer list"
+                : age > UNCONFIRMED ? "unconfirmed for " + Math.round(age) + " ms" : null;
         String reason = reason(now, age, believed);
         if (reason == null) {
             wantedSince = Double.NaN;
--- a/src/main/java/crankspar/cli/AuditCommand.java
+++ b/src/main/java/crankspar/cli/AuditCommand.java
@@ -90,7 +90,7 @@
         return answer(from, (views, now) -> {
             var rows = new ArrayList<Map<String, Object>>();
             boolean passed = false;
-            for (Findings.Line l : Findings.fleet(views)) {
+            for (Findings.Line l : Findings.fleet(views, now)) {
                 Stand s = l.view().now();
                 var r = new LinkedHashMap<String, Object>();
                 r.put("pooler", l.view().pooler());
--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -285,7 +285,7 @@
     private void audit(Operator operator, Config config) throws Config.Bad, IOException, InterruptedException {
         Watch watch = pgWatch != null ? pgWatch : restWatch != null ? restWatch : poolingWatch;
         auditing = new Auditing(new Auditing.Parts(loop, counters, store, peering, fronts.stream().map(Served::front).toList(),
-                fronts.stream().map(Served::members).toList(), watch, () -> leaving), operator.audit(), config, operator.name(), planned.get(0));
+                fronts.stream().map(Served::members).toList(), watch, () -> leaving), operator.audit(), config, config != null ? config.name() : operator.name(), planned.get(0));
         if (platformCore != null) {
             auditing.attach(platformCore, statement -> statement.names().get("id"));
         } else {
--- a/src/main/java/crankspar/lab/rig/DatagramNet.java
+++ b/src/main/java/crankspar/lab/rig/DatagramNet.java
@@ -76,6 +76,9 @@
         }
     }
 
+    /** A datagram that seems to come from one pooler, which has not sent it. */
+    public void forge(int from, int to, byte[] bytes) { loop.run(() -> pass(new End(from, to), bytes)); }
+
     private void read() {
         var buffer = ByteBuffer.allocate(LARGEST);
         try {
--- a/src/main/java/crankspar/lab/rig/RigCommand.java
+++ b/src/main/java/crankspar/lab/rig/RigCommand.java
@@ -30,6 +30,8 @@
     private static final int WIDTH = 1000;
     private static final int HEIGHT = 500;
     private static final int LANE = 26;
+    /** Names of faults beneath the lanes are spread over so many lines. */
+    private static final int LINES = 4;
 
     @Parameters(paramLabel = "FILE") private Path file;
     @Option(names = "--seed", description = "the first run's; further runs count up from it") private Long seed;
@@ -121,7 +123,7 @@
     static void plot(Play.Outcome o, Path file) throws IOException {
         System.setProperty("java.awt.headless", "true");
         int n = o.byPooler().size();
-        var image = new BufferedImage(WIDTH, HEIGHT + (n + 1) * LANE, BufferedImage.TYPE_INT_RGB);
+        var image = new BufferedImage(WIDTH, HEIGHT + (n + LINES) * LANE, BufferedImage.TYPE_INT_RGB);
         Graphics2D g = image.createGraphics();
         g.setColor(Color.WHITE);
         g.fillRect(0, 0, image.getWidth(), image.getHeight());
@@ -154,10 +156,12 @@
         }
         g.setStroke(new BasicStroke(1, BasicStroke.CAP_BUTT, BasicStroke.JOIN_BEVEL, 0, new float[] {4, 4}, 0));
         g.setColor(Color.RED);
+        int line = 0;
         for (Step s : o.scenario().steps()) {
             int px = at(s.at() / 1000, whole);
-            g.drawLine(px, HEIGHT, px, HEIGHT + n * LANE);
-            g.drawString(s.fault().word() + " " + String.join(",", s.who()), px, HEIGHT + n * LANE + 16);
+            int below = HEIGHT + n * LANE + 16 + line++ % LINES * (LANE - 6);
+            g.drawLine(px, HEIGHT, px, below);
+            g.drawString(s.fault().word() + " " + String.join(",", s.who()), px + 2, below);
         }
         g.dispose();
         ImageIO.write(image, "png", file.toFile());
