--- a/src/main/java/crankspar/lab/rig/PlatformProcess.java
+++ b/src/main/java/crankspar/lab/rig/PlatformProcess.java
@@ -67,6 +67,8 @@
         builder.environment().putAll(Map.of("BALANCER_CONFIG", folder.resolve("config.json").toString(), "TMPDIR", tmp.toString()));
         process = builder.start();
         Process mine = process;
+        Guardian.began(mine.pid());
+        mine.onExit().thenRun(() -> Guardian.ended(mine.pid()));
         hook = new Thread(mine::destroyForcibly);
         Runtime.getRuntime().addShutdownHook(hook); // Ctrl-C ends what this rig has started
         long until = System.nanoTime() + READY_MOST;
@@ -92,6 +94,8 @@
 
     public Path log() { return folder.resolve("log"); }
 
+    public long id() { return process.pid(); }
+
     public boolean alive() { return process != null && process.isAlive(); }
 
     private String lastLine() throws IOException {
