--- a/src/main/java/crankspar/cli/Warmup.java
+++ b/src/main/java/crankspar/cli/Warmup.java
@@ -71,7 +71,10 @@
     }
 
     /** Requests served, for the log and the test. */
-    int run(Router.Settings settings, List<Member> known, double most) {
+    int run(Router.Settings settings, List<Member> known, double most) { return run(settings, known, most, REQUESTS, null); }
+
+    /** So many requests, kept by an audit where one is given. */
+    int run(Router.Settings settings, List<Member> known, double most, int requests, Pooler.Audit audit) {
         long began = System.nanoTime();
         work = WORK * settings.classes().stream().mapToDouble(Router.RequestClass::aim).min().orElse(200);
         var members = new ArrayList<Member>();
@@ -82,10 +85,13 @@
         }
         var pooler = new Pooler<Statement, PgAnswer>(settings, this, this, this, counters, Hearing.before(Balance::new));
         pooler.peers(pooler::heard);
+        if (audit != null) {
+            pooler.audit(audit, statement -> statement.names().get("id"));
+        }
         var front = new PgFront(null, settings, counters, pooler, Integer.MAX_VALUE);
         pooler.start(members);
         Machine client = null;
-        for (int i = 0; i < REQUESTS && (System.nanoTime() - began) / 1e6 < most; i++) {
+        for (int i = 0; i < requests && (System.nanoTime() - began) / 1e6 < most; i++) {
             if (i % 50 == 0) {
                 client = front.session();
                 client.opened(new Sink(bytes -> { }));
