--- a/src/main/java/crankspar/lab/rig/RigCommand.java
+++ b/src/main/java/crankspar/lab/rig/RigCommand.java
@@ -3,10 +3,11 @@
 import crankspar.config.Config;
 import crankspar.lab.load.Recorder;
 import crankspar.lab.rig.Scenario.Step;
+import de.erichseifert.vectorgraphics2d.Processors;
+import de.erichseifert.vectorgraphics2d.VectorGraphics2D;
+import de.erichseifert.vectorgraphics2d.util.PageSize;
 import java.awt.BasicStroke;
 import java.awt.Color;
-import java.awt.Graphics2D;
-import java.awt.image.BufferedImage;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -14,7 +15,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
-import javax.imageio.ImageIO;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.style.markers.SeriesMarkers;
@@ -101,7 +101,7 @@
         Files.createDirectories(out);
         String base = o.scenario().name().replaceAll("[^A-Za-z0-9-]", "-") + "-" + o.scenario().seed();
         Files.writeString(out.resolve(base + ".json"), json(o));
-        plot(o, out.resolve(base + ".png"));
+        plot(o, out.resolve(base + ".svg"));
     }
 
     static String json(Play.Outcome o) {
@@ -123,10 +123,10 @@
     static void plot(Play.Outcome o, Path file) throws IOException {
         System.setProperty("java.awt.headless", "true");
         int n = o.byPooler().size();
-        var image = new BufferedImage(WIDTH, HEIGHT + (n + LINES) * LANE, BufferedImage.TYPE_INT_RGB);
-        Graphics2D g = image.createGraphics();
+        int height = HEIGHT + (n + LINES) * LANE;
+        var g = new VectorGraphics2D();
         g.setColor(Color.WHITE);
-        g.fillRect(0, 0, image.getWidth(), image.getHeight());
+        g.fillRect(0, 0, WIDTH, height);
         XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(o.scenario().name() + ", seed " + o.scenario().seed() + (o.good() ? "" : ": broken"))
                 .xAxisTitle("seconds").yAxisTitle("requests a second").build();
         List<Recorder.Second> seconds = o.all().seconds();
@@ -163,8 +163,9 @@
             g.drawLine(px, HEIGHT, px, below);
             g.drawString(s.fault().word() + " " + String.join(",", s.who()), px + 2, below);
         }
-        g.dispose();
-        ImageIO.write(image, "png", file.toFile());
+        try (var to = Files.newOutputStream(file)) {
+            Processors.get("svg").getDocument(g.getCommands(), new PageSize(WIDTH, height)).writeTo(to);
+        }
     }
 
     private static int at(double second, double whole) { return 40 + (int) ((WIDTH - 60) * second / whole); }
