Rig: each request without an answer is followed through its pooler's audit

Change: the load keeps the first that left and heard nothing, and the play asks the audit what became of each.

--- a/src/main/java/crankspar/lab/load/Generator.java
+++ b/src/main/java/crankspar/lab/load/Generator.java
@@ -46,12 +46,18 @@
         Under(Asked asked) { this.asked = asked; }
     }
 
+    /** A request that left and had no answer in time: its number, how late it left, how long it waited (ms). */
+    public record Silent(long number, double late, double waited) { }
+
+    private static final int SILENT_MOST = 20;
+
     private final class Worker {
         final Loop loop;
         final int number;
         final Iterator<Asked> plan;
         final Recorder recorder;
         final Checker checker = new Checker();
+        final List<Silent> silent = new ArrayList<>();
         final ArrayDeque<Client> idle = new ArrayDeque<>();
         final ArrayDeque<Under> waiting = new ArrayDeque<>();
         final List<ArrayDeque<Under>> byKind = new ArrayList<>();
@@ -203,6 +209,9 @@
                 while (!line.isEmpty() && (line.peek().over || now - line.peek().asked.at() > giveUp + slack)) {
                     Under u = line.poll();
                     if (!u.over) {
+                        if (u.client != null && silent.size() < SILENT_MOST) {
+                            silent.add(new Silent(u.asked.number(), u.left - u.asked.at(), now - u.left));
+                        }
                         end(u, Outcome.UNANSWERED);
                         if (u.client != null) {
                             u.client.close();
@@ -308,6 +317,9 @@
         return sum;
     }
 
+    /** The first of those that left and had no answer. */
+    public List<Silent> silent() { return workers.stream().flatMap(w -> w.silent.stream()).toList(); }
+
     /** What the checkers of all threads found. */
     public List<Checker> checkers() { return workers.stream().map(w -> w.checker).toList(); }
 
--- a/src/main/java/crankspar/lab/rig/Play.java
+++ b/src/main/java/crankspar/lab/rig/Play.java
@@ -1,6 +1,8 @@
 package crankspar.lab.rig;
 
 import crankspar.Router.Health;
+import crankspar.audit.Asked;
+import crankspar.audit.Findings;
 import crankspar.lab.load.Checker;
 import crankspar.lab.load.Generator;
 import crankspar.lab.load.Recorder;
@@ -307,6 +309,16 @@
         rig.discovery().health(id, on ? Health.DRAINING : Health.RUNNING);
     }
 
+    /** What a pooler's audit says of a request; nothing where it has none. */
+    private String touched(String id, int pooler) {
+        try {
+            var view = new Asked().view(rig.calls(pooler));
+            return Findings.request(List.of(view), id).stream().map(e -> e.getValue().kind() + " " + e.getValue().database() + " at " + Math.round(e.getValue().at())).toList().toString();
+        } catch (Asked.Mute e) {
+            return e.getMessage();
+        }
+    }
+
     // ---- What came of it.
     private Outcome outcome(List<Generator> generators) throws InterruptedException {
         var by = new ArrayList<Recorder>();
@@ -340,6 +352,11 @@
         var executed = rig.recording().executed();
         var rules = new Rules().answers(asked).once(executed).drains(drains, executed).cold(returns, executed).fresh(stale, unseen, words);
         var broken = new ArrayList<>(rules.broken());
+        for (int i = 0; i < generators.size(); i++) {
+            for (Generator.Silent q : excused[i] ? List.<Generator.Silent>of() : generators.get(i).silent()) {
+                broken.add("    p" + i + "." + q.number() + " left " + Math.round(q.late()) + " ms late and waited " + Math.round(q.waited()) + " ms: " + touched("p" + i + "." + q.number(), i));
+            }
+        }
         broken.addAll(failed);
         return new Outcome(scenario, by, all, broken, rules.counts(), List.of());
     }
