--- a/src/test/java/crankspar/lab/rig/AuditRigTest.java
+++ b/src/test/java/crankspar/lab/rig/AuditRigTest.java
@@ -166,6 +166,41 @@
         }
     }
 
+    private static int call(Rig rig, int pooler, String what) throws Exception {
+        return HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create("http://" + rig.calls(pooler) + what)).POST(HttpRequest.BodyPublishers.noBody()).build(),
+                HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    /** Each half keeps its own operators' marks, nobody is shut out for them, and the audit says where they differ. */
+    @Test void aFleetInHalvesKeepsTheMarksOfBothSidesAndTheAuditNamesThem() throws Exception {
+        try (var rig = started(4, 44); var even = new RigLoad(rig, 0, 80, 4000, 8); var odd = new RigLoad(rig, 1, 80, 4000, 8)) {
+            until("both serve", () -> sent(rig.recording().executed(), "p0", "db-1", 0) > 0 && sent(rig.recording().executed(), "p1", "db-2", 0) > 0);
+            for (int[] pair : new int[][] {{0, 1}, {0, 3}, {2, 1}, {2, 3}}) {
+                rig.datagrams().travel(pair[0], pair[1], DatagramNet.Travel.CUT);
+                rig.datagrams().travel(pair[1], pair[0], DatagramNet.Travel.CUT);
+            }
+            assertThat(call(rig, 0, "/-/league-databases/db-1/disable")).isEqualTo(200);
+            assertThat(call(rig, 1, "/-/league-databases/db-2/disable")).isEqualTo(200);
+            double told = rig.now();
+            even.ended();
+            odd.ended();
+            List<Executed> executed = rig.recording().executed();
+            assertThat(sent(executed, "p0", "db-1", told + Rules.DRAIN_MOST)).isZero();
+            assertThat(sent(executed, "p1", "db-2", told + Rules.DRAIN_MOST)).isZero();
+            assertThat(sent(executed, "p0", "db-2", told + Rules.DRAIN_MOST)).isPositive();
+            for (int p = 0; p < 4; p++) {
+                assertThat(state(rig, p)).isEqualTo("current");
+            }
+            assertThat(audit("database", "db-1", "--poolers", poolers(rig)).out()).contains("operator").contains("never told");
+            Said conflicts = audit("conflicts", "--poolers", poolers(rig));
+            assertThat(conflicts.out()).contains("and on");
+            rig.datagrams().travel(DatagramNet.Travel.USUAL);
+            assertThat(call(rig, 0, "/-/league-databases/db-1/enable")).isEqualTo(200);
+            assertThat(call(rig, 1, "/-/league-databases/db-2/enable")).isEqualTo(200);
+            until("all hold the same again", () -> audit("conflicts", "--poolers", poolers(rig)).out().lines().noneMatch(l -> l.contains("and on")));
+        }
+    }
+
     /** A configuration that one missed, a pooler that was killed, a ledger that is torn, a port that is none. */
     @Test void theAuditNamesAnOldConfigurationReadsTheDeadAndSaysWhoIsMute() throws Exception {
         try (var rig = started(3, 43); var load = new RigLoad(rig, 2, 100, 1500, 8)) {
