Audit reread: an answer allocates nothing, no audit without peers, fewer copies

Cause, seen on reading the whole change once more: Auditor.role made objects at every answer of a primary, and benchmarks/audit timed a stand-in that left this call out, so that "0 bytes" was not shown for it; a drain that two peers told was kept for good where its database left the list meanwhile; an audit whose pooler has no way to its peers (membership at a port of its own, or settings that let poolers tell nothing) was accepted, and each pooler would have taken itself for alone; a digest carried 12 bytes that nobody read. One Broken and one way to say it for three models, one Rig.until, Rig.start waits for the watches itself, Link and DiscoveryStandIn no longer wrap the same error. No check is loosened.

--- a/src/main/java/crankspar/audit/Auditor.java
+++ b/src/main/java/crankspar/audit/Auditor.java
@@ -70,6 +70,8 @@
     private final Set<String> byPeers = new HashSet<>();
     private final Set<String> marked = new HashSet<>();
     private final Map<Integer, String> names = new HashMap<>();
+    /** Of the listed; each number is an object once, so that an answer costs none. */
+    private final Map<String, Integer> groups = new HashMap<>();
     private final AtomicLong unwritten = new AtomicLong();
     private int count;
     private int flushedStand;
@@ -103,12 +105,7 @@
     }
 
     // ---- What the core does.
-    @Override public int stand() { return ledger.stand(); }
-
-    @Override public int sent(String request, String member, int requestClass, double now) {
-        ledger.sent(request, member, requestClass, now);
-        return ledger.stand();
-    }
+    @Override public void sent(String request, String member, int requestClass, double now) { ledger.sent(request, member, requestClass, now); }
 
     @Override public void answered(String request, Pooler.Audit.Answer how, int requestClass, double now) {
         ledger.answered(request, switch (how) {
@@ -119,9 +116,9 @@
     }
 
     @Override public void role(String member, Role role, double position) {
-        Member m = role == Role.PRIMARY ? listed.get(member) : null;
-        if (m != null && !Double.isNaN(position)) {
-            stand(new Stands.Event.Primary(m.group(), member, position));
+        Integer group = role == Role.PRIMARY && !Double.isNaN(position) ? groups.get(member) : null;
+        if (group != null && !stands.holds(group, member, position)) {
+            stand(new Stands.Event.Primary(group, member, position));
         }
     }
 
@@ -137,9 +134,7 @@
         marked.stream().filter(id -> !ids.contains(id)).forEach(id -> notice(new Notice(id, now, false, origin)));
         marked.clear();
         marked.addAll(ids);
-        if (stand(new Stands.Event.Marked(place, ids, origin))) {
-            tell(gossip.news(now, seen(now)));
-        }
+        stand(new Stands.Event.Marked(place, ids, origin));
     }
 
     /** The list in force, whole, as it was given at the start or as discovery tells it now. */
@@ -166,7 +161,11 @@
         listed.putAll(next);
         draining.entrySet().removeIf(e -> !listed.containsKey(e.getKey()) && now - e.getValue() > GONE_TOLD);
         names.clear();
-        listed.keySet().forEach(id -> names.put(Digest.key(id), id));
+        groups.clear();
+        listed.forEach((id, m) -> {
+            names.put(Digest.key(id), id);
+            groups.put(id, m.group());
+        });
         boolean news = stand(new Stands.Event.Listed(revision, listed.values(), origin));
         if (byDiscovery) {
             word();
@@ -243,8 +242,7 @@
             drains.add(Digest.key(ids.get(i)));
         }
         byte[] bytes = new Digest(setup.standing().me(), (int) setup.life() & 0xffff, ++count & 0xffff, (int) (long) now, standing.state(), standing.wants(),
-                Digest.hash(s.build()), s.configuration(), s.revision(), s.content(), s.marked(), (int) Math.min(Digest.NEVER, now - standing.confirmed(now)),
-                drains).encode();
+                s.revision(), s.content(), (int) Math.min(Digest.NEVER, now - standing.confirmed(now)), drains).encode();
         counters.add("audit_digests");
         whom.forEach(p -> hands.tell(p, bytes));
     }
@@ -270,9 +268,9 @@
     }
 
     private void byPeers(double now, Standing.Effect.Drained d) {
-        String id = names.get(d.key());
-        if (id == null || setup.stragglers() && !(d.on() ? byPeers.add(id) : byPeers.remove(id))) {
-            return;
+        String id = d.on() ? names.get(d.key()) : byPeers.stream().filter(b -> Digest.key(b) == d.key()).findFirst().orElse(null);
+        if (id == null || !(d.on() ? byPeers.add(id) : byPeers.remove(id))) {
+            return;                           // one that left the list meanwhile must not stay out when it is back
         }
         notice(new Notice(id, now, d.on(), Origin.PEER));
         LOG.info("audit: " + id + (d.on() ? " drains, as two peers say" : " is as the own list has it"));
--- a/src/main/java/crankspar/audit/Digest.java
+++ b/src/main/java/crankspar/audit/Digest.java
@@ -1,14 +1,13 @@
 package crankspar.audit;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.CRC32;
 
 /**
  * A pooler's stand in a few bytes, for the others: how far its list goes and when it was last known to be the present one, what
- * has lately begun to drain there, and whether it is shut out. A head of 39 bytes, four for each drain, a checksum of four.
+ * has lately begun to drain there, and whether it is shut out. A head of 27 bytes, four for each drain, a checksum of four.
  *
  * <p>Times are ages (ms) at the sender's clock {@code stamp}: the clocks of two poolers are never compared, only how the gap
  * between them changes.
@@ -18,8 +17,8 @@
  * @param confirmed how long ago (ms) its list was last known to be the present one, {@link #NEVER} at the most
  * @param drains databases that its list has as draining or gone, by a hash of their ids, the latest first
  */
-public record Digest(int from, int life, int count, int stamp, Standing.State state, boolean wants, int build, int configuration,
-                     long revision, int content, int marked, int confirmed, List<Integer> drains) {
+public record Digest(int from, int life, int count, int stamp, Standing.State state, boolean wants, long revision, int content,
+                     int confirmed, List<Integer> drains) {
     /** Bytes that are no digest: dropped and counted, by why. */
     public static final class Malformed extends Exception {
         Malformed(String why) { super(why, null, false, false); }
@@ -29,7 +28,7 @@
     public static final byte VERSION = 0x51;
     /** What the platform lets through between poolers (bytes). */
     public static final int MOST = 256;
-    static final int HEAD = 1 + 2 + 2 + 2 + 4 + 1 + 4 + 4 + 8 + 4 + 4 + 2 + 1;
+    static final int HEAD = 1 + 2 + 2 + 2 + 4 + 1 + 8 + 4 + 2 + 1;
     static final int DRAIN = 4;
     static final int SUM = 4;
     public static final int DRAINS_MOST = 16;
@@ -41,20 +40,14 @@
 
     public static int key(String id) { return id.hashCode(); }
 
-    public static int hash(String text) {
-        var crc = new CRC32();
-        crc.update(text.getBytes(StandardCharsets.UTF_8));
-        return (int) crc.getValue();
-    }
-
     private static short age(int ms) { return (short) Math.min(0xffff, (Math.max(0, ms) + STEP - 1) / STEP); }
 
     public byte[] encode() {
         int n = Math.min(DRAINS_MOST, drains.size());
         var b = ByteBuffer.allocate(HEAD + n * DRAIN + SUM);
         b.put(VERSION).putShort((short) from).putShort((short) life).putShort((short) count).putInt(stamp)
-                .put((byte) (state.ordinal() | (wants ? 0x80 : 0))).putInt(build).putInt(configuration).putLong(revision).putInt(content)
-                .putInt(marked).putShort(age(confirmed)).put((byte) n);
+                .put((byte) (state.ordinal() | (wants ? 0x80 : 0))).putLong(revision).putInt(content)
+                .putShort(age(confirmed)).put((byte) n);
         for (int key : drains.subList(0, n)) {
             b.putInt(key);
         }
@@ -84,11 +77,8 @@
         if ((word & 0x7f) >= Standing.State.values().length) {
             throw new Malformed("state");
         }
-        int build = b.getInt();
-        int configuration = b.getInt();
         long revision = b.getLong();
         int content = b.getInt();
-        int marked = b.getInt();
         int confirmed = (b.getShort() & 0xffff) * STEP;
         int n = b.get() & 0xff;
         if (n > DRAINS_MOST || b.remaining() != n * DRAIN + SUM || revision < 0) {
@@ -98,7 +88,6 @@
         for (int i = 0; i < n; i++) {
             drains.add(b.getInt());
         }
-        return new Digest(from, life, count, stamp, Standing.State.values()[word & 0x7f], (word & 0x80) != 0, build, configuration, revision,
-                content, marked, confirmed, drains);
+        return new Digest(from, life, count, stamp, Standing.State.values()[word & 0x7f], (word & 0x80) != 0, revision, content, confirmed, drains);
     }
 }
--- a/src/main/java/crankspar/audit/Stands.java
+++ b/src/main/java/crankspar/audit/Stands.java
@@ -29,7 +29,10 @@
         record Primary(int group, String member, double position) implements Event { }
     }
 
-    private record Named(String member, double position) { }
+    private static final class Named {
+        String member;
+        double position;
+    }
 
     static final int KEPT = 256;
     /** Groups whose primary is remembered; a site has some dozens. */
@@ -74,20 +77,30 @@
         }
         var e = (Event.Primary) event;
         Named known = primaries.get(e.group());
-        if (known != null && !(e.position() > known.position()) || known == null && primaries.size() >= GROUPS_MOST) {
-            return null;
-        }
-        primaries.put(e.group(), new Named(e.member(), e.position()));
-        if (known != null && known.member().equals(e.member())) {
+        if (holds(e.group(), e.member(), e.position()) || known != null && !(e.position() > known.position) || known == null && primaries.size() >= GROUPS_MOST) {
             return null;
         }
+        Named named = known == null ? new Named() : known;
+        named.member = e.member();
+        named.position = e.position();
+        primaries.put(e.group(), named);
         return next(at, Origin.DISCOVERY, s.configuration(), s.generation(), s.discovery(), s.epoch(), s.revision(), s.content(), s.marks(), s.marked(), primaries().hashCode());
     }
 
+    /** Whether it is known already that this one is primary, as at nearly every answer: its position is taken, and no object is made. */
+    public boolean holds(Integer group, String member, double position) {
+        Named known = primaries.get(group);
+        if (known == null || !known.member.equals(member)) {
+            return false;
+        }
+        known.position = Math.max(known.position, position);
+        return true;
+    }
+
     /** Who is primary by group, as the newest position has it. */
     public Map<Integer, String> primaries() {
         var all = new TreeMap<Integer, String>();
-        primaries.forEach((g, n) -> all.put(g, n.member()));
+        primaries.forEach((g, n) -> all.put(g, n.member));
         return all;
     }
 
--- a/src/main/java/crankspar/cli/Auditing.java
+++ b/src/main/java/crankspar/cli/Auditing.java
@@ -40,8 +40,9 @@
     Auditing(Parts parts, Operator.Audit setup, Config config, String name, Router.Settings settings) throws Config.Bad, IOException, InterruptedException {
         loop = parts.loop();
         Config.Peers given = config == null ? null : config.peers();
-        if (setup.listen() == null && given == null) {
-            throw new Config.Bad("audit.listen", "not set, and the platform tells no peers");
+        if (setup.listen() == null && (given == null || !config.settings().limits().mayTell())) {
+            // Guards against a fleet of which each pooler takes itself for alone, and shuts itself out with discovery.
+            throw new Config.Bad("audit.listen", "not set, and the platform " + (given == null ? "tells no peers" : "lets poolers tell each other nothing"));
         }
         List<InetSocketAddress> all = setup.listen() != null ? setup.peers() : given.all();
         int me = setup.listen() != null ? setup.me() : settings.me();
--- a/src/main/java/crankspar/cli/PathCost.java
+++ b/src/main/java/crankspar/cli/PathCost.java
@@ -12,6 +12,9 @@
 
     private PathCost() { }
 
+    /** Those that the path's requests go to. */
+    public static List<Router.Member> members() { return Warmup.members(List.of("z"), 1); }
+
     /** {@code audit} may be null. */
     public static Cost of(Router.Settings settings, int requests, Pooler.Audit audit) {
         var bean = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
--- a/src/main/java/crankspar/cli/Warmup.java
+++ b/src/main/java/crankspar/cli/Warmup.java
@@ -77,12 +77,8 @@
     int run(Router.Settings settings, List<Member> known, double most, int requests, Pooler.Audit audit) {
         long began = System.nanoTime();
         work = WORK * settings.classes().stream().mapToDouble(Router.RequestClass::aim).min().orElse(200);
-        var members = new ArrayList<Member>();
         int group = known.isEmpty() ? 1 : known.get(0).group();
-        for (int i = 0; i < 6; i++) {
-            members.add(new Member("w" + i, settings.zones().get(i % settings.zones().size()), i == 0, 1,
-                    Health.RUNNING, group, "", 0));
-        }
+        List<Member> members = members(settings.zones(), group);
         var pooler = new Pooler<Statement, PgAnswer>(settings, this, this, this, counters, Hearing.before(Balance::new));
         pooler.peers(pooler::heard);
         if (audit != null) {
@@ -112,6 +108,15 @@
         return (int) counters.get("answered_served");
     }
 
+    /** A primary and five replicas. */
+    static List<Member> members(List<String> zones, int group) {
+        var members = new ArrayList<Member>();
+        for (int i = 0; i < 6; i++) {
+            members.add(new Member("w" + i, zones.get(i % zones.size()), i == 0, 1, Health.RUNNING, group, "", 0));
+        }
+        return members;
+    }
+
     private void pass(double ms) {
         double to = now + ms;
         while (!timers.isEmpty() && timers.peek().at() <= to) {
--- a/src/main/java/crankspar/config/AuditReader.java
+++ b/src/main/java/crankspar/config/AuditReader.java
@@ -17,8 +17,8 @@
         InetSocketAddress listen = a.addressOrNull("listen");
         List<InetSocketAddress> peers = a.addresses("peers");
         int me = a.count("number", 0, 0, Digest.POOLERS_MOST - 1);
-        if (listen == null && membership != null && membership.listen() == null) {
-            throw a.bad("listen", "not set, and membership has the platform's port for peers; allowed is a literal address and port");
+        if (listen == null && membership != null) {
+            throw a.bad("listen", "not set, and with membership nobody listens at the platform's port for the audit; allowed is a literal address and port");
         }
         if (listen != null && (peers.isEmpty() || peers.size() > Digest.POOLERS_MOST)) {
             throw a.bad("peers", "found " + peers.size() + ", allowed are 1 to " + Digest.POOLERS_MOST + " addresses, this pooler's own among them");
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -91,10 +91,8 @@
     /** Who keeps what was sent under which stand; see the package {@code audit}. Off the path of a request where there is none. */
     public interface Audit {
         enum Answer { SERVED, REFUSED, FAILED }
-        /** The number of the present stand. */
-        int stand();
-        /** An attempt's last byte has left; the number of the stand that it was sent under. */
-        int sent(String request, String member, int requestClass, double now);
+        /** An attempt's last byte has left; it counts under the present stand. */
+        void sent(String request, String member, int requestClass, double now);
         void answered(String request, Answer how, int requestClass, double now);
         /** What an answer told of its member; {@code position} is Unix ms or NaN. */
         void role(String member, Role role, double position);
@@ -125,7 +123,7 @@
         final double taken;
         final double deadline;
         final String name;
-        int sent, stand;
+        int sent;
         boolean mayHaveRun, over, begun;
         Attempt out;
 
@@ -145,7 +143,6 @@
         final String member;
         final double sent = now();
         Call call;
-        int stand;
         boolean ended, written, told;
 
         Attempt(String request, Owed owed, String member) {
@@ -161,7 +158,7 @@
                 written = true;
                 figures.written();
                 if (audit != null) {
-                    stand = audit.sent(owed.name, member, owed.ask.requestClass(), now());
+                    audit.sent(owed.name, member, owed.ask.requestClass(), now());
                 }
             }
         }
@@ -463,7 +460,6 @@
         conclude(id, o);
         figures.answered(o.ask.requestClass(), answer);
         if (audit != null) {
-            o.stand = audit.stand();
             audit.answered(o.name, answer instanceof FinalAnswer.Served<A> ? Audit.Answer.SERVED
                     : answer instanceof FinalAnswer.Refused<A> ? Audit.Answer.REFUSED : Audit.Answer.FAILED, o.ask.requestClass(), now());
         }
--- a/src/main/java/crankspar/lab/AuditModel.java
+++ b/src/main/java/crankspar/lab/AuditModel.java
@@ -19,11 +19,6 @@
         public static World of(long seed, int poolers, double loss) { return new World(seed, poolers, loss, 1.4, 29, 10_000, Standing.Settings.SHARE); }
     }
 
-    /** What has gone wrong, in words. */
-    public static final class Broken extends RuntimeException {
-        Broken(String what) { super(what); }
-    }
-
     private static final double BEAT = 2000;
     private static final double TICK = 100;
     private static final double ASKED = 40;
@@ -92,8 +87,8 @@
             if (down || whom.isEmpty()) {
                 return;
             }
-            Digest d = new Digest(me, life, ++count & 0xffff, (int) (long) clock(), standing.state(), standing.wants(), 1, 1, lies ? revision + 1000 : revision,
-                    lies ? 666 : content, 0, lies ? 0 : (int) Math.min(Digest.NEVER, clock() - standing.confirmed(clock())), new ArrayList<>(lies ? List.of(7) : drains.descendingSet()));
+            Digest d = new Digest(me, life, ++count & 0xffff, (int) (long) clock(), standing.state(), standing.wants(), lies ? revision + 1000 : revision,
+                    lies ? 666 : content, lies ? 0 : (int) Math.min(Digest.NEVER, clock() - standing.confirmed(clock())), new ArrayList<>(lies ? List.of(7) : drains.descendingSet()));
             byte[] bytes = d.encode();
             for (int to : whom) {
                 sent++;
--- a/src/main/java/crankspar/lab/DutiesModel.java
+++ b/src/main/java/crankspar/lab/DutiesModel.java
@@ -38,11 +38,6 @@
     /** What a run was like. */
     public record Figures(double probesByDatabase, double longestGap, double datagramsByInstance, double age95, long takeovers, long wrongDeaths) { }
 
-    /** A promise that was broken. */
-    public static final class Broken extends RuntimeException {
-        Broken(String what) { super(what); }
-    }
-
     private static final double TICK = 10;
     private static final double SETTLE = 2000;
 
--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -59,6 +59,17 @@
         return new PoolingBench(fault).run();
     }
 
+    /** Prints what a model found; 1 where something in it broke. */
+    private static int told(java.util.function.Supplier<?> model) {
+        try {
+            System.out.println(model.get());
+            return 0;
+        } catch (Timeline.Broken e) {
+            System.out.println("broken: " + e.getMessage());
+            return 1;
+        }
+    }
+
     @Command(name = "duties-model", description = "Membership and duties in a deterministic model: the daemon's own classes at sizes that"
             + " sockets don't reach. A broken promise prints its seed and ends with 1.")
     int dutiesModel(@Option(names = "--seed", defaultValue = "1") long seed,
@@ -72,17 +83,13 @@
         var w = DutiesModel.World.of(seed, instances, databases, loss);
         var world = new DutiesModel.World(seed, instances, databases, w.zones(), loss, w.delayLeast(), w.delayMost(), w.drift(), bound, alone,
                 w.duties(), w.swim());
-        try {
+        return told(() -> {
             var model = new DutiesModel(world).run(5000).measure();
             for (int i = 0; i < kills; i++) {
                 model.kill(i).run(1000);
             }
-            System.out.println(model.run(1000.0 * Math.max(1, seconds - kills)).figures());
-            return 0;
-        } catch (DutiesModel.Broken e) {
-            System.out.println("broken: " + e.getMessage());
-            return 1;
-        }
+            return model.run(1000.0 * Math.max(1, seconds - kills)).figures();
+        });
     }
 
     @Command(name = "routing-model", description = "Routing by many poolers in a deterministic model: the daemon's own decisions at sizes that"
@@ -95,17 +102,13 @@
                      @Option(names = "--mute", description = "poolers' messages are all lost once it counts") boolean mute,
                      @Option(names = "--cold", description = "a replica of each group starts cold once it counts") boolean cold,
                      @Option(names = "--restart", defaultValue = "0", description = "share of the poolers that start anew once it counts") double restart) {
-        try {
+        return told(() -> {
             var model = new RoutingModel(RoutingModel.World.of(seed, poolers, groups, rate)).run(5000).measure().mute(mute).restart(restart, 2000);
             for (int g = 0; cold && g < groups; g++) {
                 model.cold(g, 1, 2000);
             }
-            System.out.println(model.run(1000.0 * seconds).figures() + " " + model.counts());
-            return 0;
-        } catch (RoutingModel.Broken e) {
-            System.out.println("broken: " + e.getMessage());
-            return 1;
-        }
+            return model.run(1000.0 * seconds).figures() + " " + model.counts();
+        });
     }
 
     @Command(name = "audit-model", description = "Stragglers in a deterministic model: the daemon's own decisions at sizes that sockets don't reach."
@@ -113,15 +116,11 @@
     int auditModel(@Option(names = "--seed", defaultValue = "1") long seed,
                    @Option(names = "--poolers", defaultValue = "3,14,100,500", split = ",", description = "sizes (${DEFAULT-VALUE})") java.util.List<Integer> sizes,
                    @Option(names = "--loss", defaultValue = "0.2", description = "share of datagrams lost (${DEFAULT-VALUE})") double loss) {
-        try {
-            for (int n : sizes) {
-                System.out.println(AuditModel.figures(AuditModel.World.of(seed, n, loss)));
-            }
-            return 0;
-        } catch (AuditModel.Broken e) {
-            System.out.println("broken: " + e.getMessage());
-            return 1;
+        int broken = 0;
+        for (int n : sizes) {
+            broken = Math.max(broken, told(() -> AuditModel.figures(AuditModel.World.of(seed, n, loss))));
         }
+        return broken;
     }
 
     @Command(name = "audit-bench", description = "Measures the audit's promises between real processes; exit 1 where one is broken.")
--- a/src/main/java/crankspar/lab/LabSettings.java
+++ b/src/main/java/crankspar/lab/LabSettings.java
@@ -37,10 +37,7 @@
     }
 
     /** The same as the platform gives them, where poolers may tell each other at its price. */
-    static Router.Settings platform(int siblings) { return SettingsReader.read(platform(siblings, 0, "burnaby").unwrapped(), 1); }
-
-    /** The platform's, read. */
-    public static Router.Settings read(int siblings) { return platform(siblings); }
+    public static Router.Settings platform(int siblings) { return SettingsReader.read(platform(siblings, 0, "burnaby").unwrapped(), 1); }
 
     /** One pooler's settings in the words of the platform's configuration. */
     public static String json(int siblings, int me, String zone) {
--- a/src/main/java/crankspar/lab/RoutingModel.java
+++ b/src/main/java/crankspar/lab/RoutingModel.java
@@ -54,11 +54,6 @@
     public record Figures(long asked, double served, long refused, double telling, long opened, double coldPeak, long coldSent, int fullest,
                           double toPrimary) { }
 
-    /** A rule that was broken. */
-    public static final class Broken extends RuntimeException {
-        Broken(String what) { super(what); }
-    }
-
     private static final double[] SHARES = {0.46, 0.42, 0.032, 0.023, 0.058};
     private static final double[][] WORK = {{32, 55}, {32, 55}, {79, 140}, {530, 920}, {53, 92}};
     private static final int CORES = 3;
--- a/src/main/java/crankspar/lab/Timeline.java
+++ b/src/main/java/crankspar/lab/Timeline.java
@@ -5,6 +5,11 @@
 
 /** What the deterministic models share: a clock of their own, events in order, and one source of chance. The same seed plays the same run. */
 abstract class Timeline {
+    /** What has gone wrong in a model, in words, with its seed. */
+    public static final class Broken extends RuntimeException {
+        Broken(String what) { super(what, null, false, false); }
+    }
+
     private record Event(double at, long order, Runnable what) { }
 
     private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Double.compare(a.at(), b.at())
--- a/src/main/java/crankspar/lab/rig/AuditBench.java
+++ b/src/main/java/crankspar/lab/rig/AuditBench.java
@@ -3,10 +3,12 @@
 import crankspar.Router.Health;
 import crankspar.Router.Role;
 import crankspar.audit.Asked;
+import crankspar.audit.Auditor;
 import crankspar.audit.Findings;
 import crankspar.audit.Ledger;
 import crankspar.audit.Standing;
 import crankspar.cli.PathCost;
+import crankspar.core.Counters;
 import crankspar.core.Pooler;
 import crankspar.lab.LabSettings;
 import crankspar.lab.Promises;
@@ -16,8 +18,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.BooleanSupplier;
 
 /**
  * The promises of the audit, measured between real processes: how soon every pooler acts on a drain while one is cut from
@@ -63,27 +65,6 @@
         return promises.tell();
     }
 
-    private static void until(String what, double most, BooleanSupplier holds) {
-        long end = System.nanoTime() + (long) (most * 1e6);
-        while (!holds.getAsBoolean()) {
-            if (System.nanoTime() > end) {
-                throw new IllegalStateException("waited in vain: " + what);
-            }
-            LockSupport.parkNanos(5_000_000);
-        }
-    }
-
-    private static void ready(Rig rig) throws Exception {
-        rig.start();
-        until("all watch", 15_000, () -> {
-            try {
-                return rig.discovery().watches() == POOLERS;
-            } catch (InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-    }
-
     private static List<RigLoad> load(Rig rig, double ms) throws Exception {
         var all = new ArrayList<RigLoad>();
         for (int i = 0; i < POOLERS; i++) {
@@ -103,7 +84,7 @@
     /** One is cut from discovery and all peers while a drain is told: when does it stop sending there, and when is it back? */
     private void straggler(Rig rig, String name) throws Exception {
         try (rig) {
-            ready(rig);
+            rig.start();
             List<RigLoad> loads = load(rig, 13_000);
             LockSupport.parkNanos(2_000_000_000L);
             rig.toDiscovery(1).cut(true);
@@ -112,12 +93,12 @@
             rig.discovery().health("db-2", Health.DRAINING);
             boolean audited = name.isEmpty() && spoil == null;
             if (audited) {
-                until("it is out", 9000, () -> view(rig, 1).state().equals("fenced"));
+                Rig.until("it is out", 9000, () -> view(rig, 1).state().equals("fenced"));
                 double out = rig.now() - cut;
                 promises.put("behind_to_fenced_ms", Promises.round(out));
                 promises.keep(out <= Standing.Settings.LEASE + 500, "one cut from all is out by the end of its lease");
             } else {
-                until("a lease and two seconds", 9000, () -> rig.now() > cut + Standing.Settings.LEASE + 2000);
+                Rig.until("a lease and two seconds", 9000, () -> rig.now() > cut + Standing.Settings.LEASE + 2000);
             }
             LockSupport.parkNanos(1_000_000_000L);
             long late = rig.recording().executed().stream().filter(e -> e.server.equals("db-2") && e.sql.contains("id=p1.") && e.at > cut + Rules.TOLD_MOST + Rules.DRAIN_MOST).count();
@@ -129,7 +110,7 @@
             rig.toDiscovery(1).cut(false);
             rig.datagrams().travel(DatagramNet.Travel.USUAL);
             if (audited) {
-                until("it is back", 9000, () -> view(rig, 1).state().equals("current"));
+                Rig.until("it is back", 9000, () -> view(rig, 1).state().equals("current"));
                 promises.put("healed_to_current_ms", Promises.round(rig.now() - healed));
                 promises.keep(rig.now() - healed <= BACK_MOST, "it is back by itself");
             }
@@ -140,7 +121,7 @@
     /** Drains and undrains with one pooler after the other cut from discovery. */
     private void rounds(Rig rig) throws Exception {
         try (rig) {
-            ready(rig);
+            rig.start();
             List<RigLoad> loads = load(rig, ROUNDS * 1800.0);
             LockSupport.parkNanos(1_500_000_000L);
             var told = new double[ROUNDS];
@@ -214,13 +195,14 @@
      * Bytes are the same in every round.
      */
     private void cost() {
-        var settings = LabSettings.read(POOLERS);
-        var calls = new Kept();
+        var settings = LabSettings.platform(POOLERS);
+        Auditor calls = auditor();
         double own = Double.POSITIVE_INFINITY;
         for (int round = 0; round < PAIRS; round++) {
             long began = System.nanoTime();
             for (int i = 0; i < CALLS; i++) {
-                calls.sent("r1", "db-2", i % 5, i);
+                calls.sent("r1", "w0", i % 5, i);
+                calls.role("w0", Role.PRIMARY, i);
                 calls.answered("r1", Pooler.Audit.Answer.SERVED, i % 5, i);
             }
             own = Math.min(own, (System.nanoTime() - began) / (double) CALLS);
@@ -229,7 +211,7 @@
         double[] bytes = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         for (int round = 0; round < PAIRS; round++) {
             for (int with = 0; with < 2; with++) {
-                PathCost.Cost c = PathCost.of(settings, PATHS, with == 1 ? new Kept() : null);
+                PathCost.Cost c = PathCost.of(settings, PATHS, with == 1 ? auditor() : null);
                 nanos[with] = Math.min(nanos[with], c.nanos());
                 bytes[with] = Math.min(bytes[with], c.bytes());
             }
@@ -243,19 +225,25 @@
         promises.keep(own / nanos[0] < COST_MOST, "the audit costs under 1 % of a request");
     }
 
-    /** The daemon's ledger behind the core, as the auditor has it. */
-    private static final class Kept implements Pooler.Audit {
-        private final Ledger ledger = new Ledger(5);
-
-        @Override public int stand() { return ledger.stand(); }
-
-        @Override public int sent(String request, String member, int requestClass, double now) {
-            ledger.sent(request, member, requestClass, now);
-            return ledger.stand();
+    /** The daemon's own, on a clock that stands still; it knows the members of the path. */
+    private static Auditor auditor() {
+        var time = new Pooler.Time() {
+            @Override public double now() { return 1_700_000_000_000.0; }
+            @Override public void after(double ms, Runnable what) { }
+        };
+        var hands = new Auditor.Hands() {
+            @Override public void ask() { }
+            @Override public void fence(boolean on) { }
+            @Override public void drained(Set<String> ids) { }
+            @Override public void tell(int pooler, byte[] bytes) { }
+        };
+        try {
+            var a = new Auditor(time, new Counters(), new Auditor.Setup("p0", "build", null, true,
+                    new Standing.Settings(0, POOLERS, Standing.Settings.LEASE, Standing.Settings.SHARE), List.of("a", "b", "c", "d", "e"), 1), hands);
+            a.listed(1, PathCost.members(), true);
+            return a;
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e); // it has no file
         }
-
-        @Override public void answered(String request, Answer how, int requestClass, double now) { ledger.answered(request, Ledger.Kind.SERVED, requestClass, now); }
-
-        @Override public void role(String member, Role role, double position) { }
     }
 }
--- a/src/main/java/crankspar/lab/rig/DiscoveryStandIn.java
+++ b/src/main/java/crankspar/lab/rig/DiscoveryStandIn.java
@@ -59,13 +59,7 @@
         beat();
     }
 
-    public InetSocketAddress address() {
-        try {
-            return listener.address();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
+    public InetSocketAddress address() { return listener.address(); }
 
     /** A database as it is now; every watch hears of it, after as long as this discovery is late. */
     public void set(Member m, InetSocketAddress address) {
--- a/src/main/java/crankspar/lab/rig/Link.java
+++ b/src/main/java/crankspar/lab/rig/Link.java
@@ -50,13 +50,7 @@
         listener = sockets.listen(at, () -> refuses ? null : new Pair().near);
     }
 
-    public InetSocketAddress address() {
-        try {
-            return listener.address();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
+    public InetSocketAddress address() { return listener.address(); }
 
     /** From now on bytes travel so, those on their way among them. */
     public void travel(Way way, Travel how) {
--- a/src/main/java/crankspar/lab/rig/PlatformProcess.java
+++ b/src/main/java/crankspar/lab/rig/PlatformProcess.java
@@ -109,9 +109,6 @@
                 .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
     }
 
-    /** Processor time since its start (microseconds), as the machine counts it. */
-    public long cpuMicros() { return process.info().totalCpuDuration().map(d -> d.toNanos() / 1000).orElse(0L); }
-
     /** Kills it outright. */
     public void kill() throws InterruptedException {
         if (process != null) {
--- a/src/main/java/crankspar/lab/rig/Play.java
+++ b/src/main/java/crankspar/lab/rig/Play.java
@@ -27,7 +27,6 @@
     }
 
     private static final double GRACE = 4000;
-    private static final long WATCH_MOST = TimeUnit.SECONDS.toNanos(15);
 
     private final Scenario scenario;
     private final Rig rig;
@@ -75,13 +74,6 @@
     private Outcome run() throws IOException, InterruptedException {
         rig.start();
         int n = scenario.parties().poolers();
-        long until = System.nanoTime() + WATCH_MOST;
-        while (rig.discovery().watches() < n) {
-            if (System.nanoTime() > until) {
-                throw new IOException("not all poolers watch discovery");
-            }
-            TimeUnit.MILLISECONDS.sleep(10);
-        }
         Workload w = scenario.load();
         var generators = new ArrayList<Generator>();
         var threads = new ArrayList<Thread>();
@@ -309,16 +301,20 @@
         rig.discovery().health(id, on ? Health.DRAINING : Health.RUNNING);
     }
 
-    /** What a pooler's audit says of a request; nothing where it has none. */
-    private String touched(String id, int pooler) {
+    /** What a pooler's audit tells, or null where it has none. */
+    private Findings.View view(int pooler) {
         try {
-            var view = new Asked().view(rig.calls(pooler));
-            return Findings.request(List.of(view), id).stream().map(e -> e.getValue().kind() + " " + e.getValue().database() + " at " + Math.round(e.getValue().at())).toList().toString();
+            return new Asked().view(rig.calls(pooler));
         } catch (Asked.Mute e) {
-            return e.getMessage();
+            return null;
         }
     }
 
+    private static String touched(String id, Findings.View view) {
+        return view == null ? "no audit" : Findings.request(List.of(view), id).stream()
+                .map(e -> e.getValue().kind() + " " + e.getValue().database() + " at " + Math.round(e.getValue().at())).toList().toString();
+    }
+
     // ---- What came of it.
     private Outcome outcome(List<Generator> generators) throws InterruptedException {
         var by = new ArrayList<Recorder>();
@@ -353,8 +349,9 @@
         var rules = new Rules().answers(asked).once(executed).drains(drains, executed).cold(returns, executed).fresh(stale, unseen, words);
         var broken = new ArrayList<>(rules.broken());
         for (int i = 0; i < generators.size(); i++) {
+            Findings.View view = excused[i] || generators.get(i).silent().isEmpty() ? null : view(i);
             for (Generator.Silent q : excused[i] ? List.<Generator.Silent>of() : generators.get(i).silent()) {
-                broken.add("    p" + i + "." + q.number() + " left " + Math.round(q.late()) + " ms late and waited " + Math.round(q.waited()) + " ms: " + touched("p" + i + "." + q.number(), i));
+                broken.add("    p" + i + "." + q.number() + " left " + Math.round(q.late()) + " ms late and waited " + Math.round(q.waited()) + " ms: " + touched("p" + i + "." + q.number(), view));
             }
         }
         broken.addAll(failed);
--- a/src/main/java/crankspar/lab/rig/Rig.java
+++ b/src/main/java/crankspar/lab/rig/Rig.java
@@ -15,6 +15,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 
 /**
  * Several poolers as processes, one discovery, groups of databases, and a link between every two of them. What stands at the
@@ -43,6 +45,8 @@
     /** The brief's times of the log on its way to a replica, and of applying one write (ms). */
     private static final double LOG_DELAY = 8;
     private static final double APPLY = 1;
+    /** How long anything here may take that depends on how busy the machine is (ms). */
+    public static final double WAIT = 15_000;
 
     private final Loop loop = new Loop("rig");
     private final Sockets sockets = new Sockets(loop);
@@ -118,19 +122,41 @@
         return toDiscovery.stream().filter(l -> text(l.address()).equals(caller)).allMatch(l -> l.moves(Link.Way.BACK));
     }
 
-    /** Starts every pooler; a failure ends what had started. */
+    /** Starts every pooler and waits until all watch discovery; a failure ends what had started. */
     public Rig start() throws IOException, InterruptedException {
         try {
             for (PlatformProcess p : poolers) {
                 p.start();
             }
-        } catch (IOException | InterruptedException e) {
+            until("all poolers watch discovery", WAIT, () -> watches() == poolers.size());
+        } catch (IOException | InterruptedException | RuntimeException e) {
             close();
             throw e;
         }
         return this;
     }
 
+    /** How many watches stand at discovery. */
+    public int watches() {
+        try {
+            return discovery.watches();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Looks every 5 ms; an exception names what has not come about within so many ms. */
+    public static void until(String what, double most, BooleanSupplier holds) {
+        long end = System.nanoTime() + (long) (most * 1e6);
+        while (!holds.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new IllegalStateException("waited " + Math.round(most) + " ms in vain: " + what);
+            }
+            LockSupport.parkNanos(5_000_000);
+        }
+    }
+
     /** A loopback address of its own for each party. */
     private static InetSocketAddress anyPort(int party) throws IOException {
         return new InetSocketAddress(InetAddress.getByName("127.0.0." + (10 + party)), 0);
--- a/src/main/java/crankspar/lab/rig/Sockets.java
+++ b/src/main/java/crankspar/lab/rig/Sockets.java
@@ -68,7 +68,13 @@
             listen(key, SelectionKey.OP_ACCEPT);
         }
 
-        public InetSocketAddress address() throws IOException { return (InetSocketAddress) server.getLocalAddress(); }
+        public InetSocketAddress address() {
+            try {
+                return (InetSocketAddress) server.getLocalAddress();
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        }
 
         @Override public void ready(int what) {
             try {
--- a/src/test/java/crankspar/audit/DigestTest.java
+++ b/src/test/java/crankspar/audit/DigestTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 class DigestTest {
-    private static final Digest ONE = new Digest(7, 0xabcd, 65_535, -5, Standing.State.CATCHING_UP, true, 11, 12, 1L << 40, -3, 14, 230, List.of(1, -2));
+    private static final Digest ONE = new Digest(7, 0xabcd, 65_535, -5, Standing.State.CATCHING_UP, true, 1L << 40, -3, 230, List.of(1, -2));
 
     @Test void isReadAsItWasWritten() throws Exception {
         assertThat(Digest.decode(ONE.encode())).isEqualTo(ONE);
@@ -21,13 +21,13 @@
     /** Nothing is told as fresher than it was. */
     @Property(seed = "20261201", tries = 300) void agesAreRoundedUp(@ForAll int confirmed) throws Exception {
         int age = confirmed & 0xfffff;
-        var d = new Digest(0, 0, 0, 0, Standing.State.CURRENT, false, 0, 0, 0, 0, 0, age, List.of());
+        var d = new Digest(0, 0, 0, 0, Standing.State.CURRENT, false, 0, 0, age, List.of());
         int told = Digest.decode(d.encode()).confirmed();
         assertThat(told >= age || told == Digest.NEVER).isTrue();
     }
 
     @Test void theMostFitsIntoADatagram() throws Exception {
-        var d = new Digest(1023, 1, 1, 1, Standing.State.CURRENT, false, 1, 1, Long.MAX_VALUE, 1, 1, 1, Collections.nCopies(Digest.DRAINS_MOST + 9, 5));
+        var d = new Digest(1023, 1, 1, 1, Standing.State.CURRENT, false, Long.MAX_VALUE, 1, 1, Collections.nCopies(Digest.DRAINS_MOST + 9, 5));
         assertThat(d.encode().length).isLessThanOrEqualTo(Digest.MOST);
         assertThat(Digest.decode(d.encode()).drains()).hasSize(Digest.DRAINS_MOST);
     }
--- a/src/test/java/crankspar/audit/StandingTest.java
+++ b/src/test/java/crankspar/audit/StandingTest.java
@@ -31,7 +31,7 @@
     private StandingTest told(int from, long revision, int age, State state, Integer... drains) { return told(from, revision, (int) revision * 7, age, state, drains); }
 
     private StandingTest told(int from, long revision, int content, int age, State state, Integer... drains) {
-        return step(new Event.Told(new Digest(from, 1, ++count[from], (int) (long) now + 5_000_000, state, false, 1, 1, revision, content, 0, age, List.of(drains))));
+        return step(new Event.Told(new Digest(from, 1, ++count[from], (int) (long) now + 5_000_000, state, false, revision, content, age, List.of(drains))));
     }
 
     /** All of these tell the same, every 200 ms, for so long. */
@@ -180,9 +180,9 @@
         pass(1000, () -> told(1, 3, 0, State.CURRENT));
         int stamp = (int) (long) sent + 5_000_000 + 1000;
         now = sent + 11_000;
-        step(new Event.Told(new Digest(1, 1, 1000, stamp, State.CURRENT, false, 1, 1, 3, 21, 0, 0, List.of())));
+        step(new Event.Told(new Digest(1, 1, 1000, stamp, State.CURRENT, false, 3, 21, 0, List.of())));
         assertThat(standing.confirmed(now)).isLessThan(sent + 2000);
-        step(new Event.Told(new Digest(1, 1, 999, stamp + 10_000, State.CURRENT, false, 1, 1, 3, 21, 0, 0, List.of())));
+        step(new Event.Told(new Digest(1, 1, 999, stamp + 10_000, State.CURRENT, false, 3, 21, 0, List.of())));
         assertThat(standing.counts()).containsEntry("dropped_old", 1L);
     }
 
@@ -224,7 +224,7 @@
             int kind = random.nextInt(10);
             Event e = kind < 5 ? new Event.Tick() : kind == 5 ? new Event.Heard(random.nextInt(4), random.nextInt(2)) : kind == 6 ? new Event.Paused(300)
                     : new Event.Told(new Digest(random.nextInt(6), random.nextInt(2), i, (int) (long) now - random.nextInt(300), State.values()[random.nextInt(5)],
-                            random.nextBoolean(), 1, 1, random.nextInt(4), random.nextInt(2), 0, random.nextInt(9000), List.of(random.nextInt(3))));
+                            random.nextBoolean(), random.nextInt(4), random.nextInt(2), random.nextInt(9000), List.of(random.nextInt(3))));
             for (Effect f : standing.step(now, e)) {
                 if (f instanceof Effect.Fence x) {
                     assertThat(x.on()).isNotEqualTo(fenced);
--- a/src/test/java/crankspar/lab/rig/AuditRigTest.java
+++ b/src/test/java/crankspar/lab/rig/AuditRigTest.java
@@ -21,7 +21,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
@@ -29,29 +28,12 @@
 
 /** The audit and stragglers among poolers that are processes of their own, with faults between them. */
 class AuditRigTest {
-    private static final long WAIT = TimeUnit.SECONDS.toNanos(15);
     /** Two peers tell, a third of a second apart at the most where datagrams are lost, and the core acts. */
     private static final double BY_PEERS = 1500;
 
-    private static void until(String what, BooleanSupplier holds) {
-        long end = System.nanoTime() + WAIT;
-        while (!holds.getAsBoolean()) {
-            assertThat(System.nanoTime()).as("waited for: " + what).isLessThan(end);
-            LockSupport.parkNanos(10_000_000);
-        }
-    }
+    private static void until(String what, BooleanSupplier holds) { Rig.until(what, Rig.WAIT, holds); }
 
-    private static Rig started(int poolers, long seed) throws Exception {
-        Rig rig = new Rig(Rig.Parties.of(poolers, 2).audited(), seed).start();
-        until("all watch", () -> {
-            try {
-                return rig.discovery().watches() == poolers;
-            } catch (InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        return rig;
-    }
+    private static Rig started(int poolers, long seed) throws Exception { return new Rig(Rig.Parties.of(poolers, 2).audited(), seed).start(); }
 
     private record Said(int code, String out, String err) {
         List<?> rows() throws Exception { return (List<?>) Json.object(out).get("rows"); }
@@ -97,7 +79,7 @@
             double told = rig.now();
             rig.discovery().health("db-2", Health.DRAINING);
             for (int i = 0; i < 20; i++) {
-                rig.datagrams().forge(2, 1, new Digest(2, 9, i, (int) (long) rig.now(), Standing.State.CURRENT, false, 1, 1, 1 << 30, 5, 0, 0,
+                rig.datagrams().forge(2, 1, new Digest(2, 9, i, (int) (long) rig.now(), Standing.State.CURRENT, false, 1 << 30, 5, 0,
                         List.of(Digest.key("db-1"))).encode());
             }
             Recorder mine = load.ended();
--- a/src/test/java/crankspar/lab/rig/RigTest.java
+++ b/src/test/java/crankspar/lab/rig/RigTest.java
@@ -7,8 +7,6 @@
 import crankspar.lab.load.Recorder;
 import java.nio.file.Files;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -18,23 +16,8 @@
 class RigTest {
     /** The rule's 250 ms and its slack on sockets. */
     private static final double DRAIN_MOST = 300;
-    private static final long WAIT = TimeUnit.SECONDS.toNanos(12);
 
-    private static void until(String what, BooleanSupplier holds) {
-        long end = System.nanoTime() + WAIT;
-        while (!holds.getAsBoolean()) {
-            assertThat(System.nanoTime()).as("waited for: " + what).isLessThan(end);
-            LockSupport.parkNanos(10_000_000);
-        }
-    }
-
-    private static int watches(Rig rig) {
-        try {
-            return rig.discovery().watches();
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
+    private static void until(String what, BooleanSupplier holds) { Rig.until(what, Rig.WAIT, holds); }
 
     private static double lastAt(Rig rig, String database) {
         return rig.recording().executed().stream().filter(e -> e.server.equals(database)).mapToLong(e -> e.at).max().orElse(0);
@@ -42,7 +25,6 @@
 
     @Test void aDrainThatDiscoveryTellsIsKeptAndEveryRequestIsAnswered() throws Exception {
         try (var rig = new Rig(3, 3, 11, null).start()) {
-            until("three watches", () -> watches(rig) == 3);
             try (var load = new RigLoad(rig, 0, 150, 2500, 16)) {
                 until("both replicas serve", () -> lastAt(rig, "db-1") > 0 && lastAt(rig, "db-2") > 0);
                 rig.discovery().health("db-2", Health.DRAINING);
@@ -65,7 +47,6 @@
     /** Open and silent: nothing ends the connection, and only its silence tells. */
     @Test void aWatchThatIsSilentOneWayIsGivenUpAndBroughtUpAgain() throws Exception {
         try (var rig = new Rig(3, 3, 12, null).start()) {
-            until("three watches", () -> watches(rig) == 3);
             rig.toDiscovery(1).travel(Link.Way.BACK, Link.Travel.STALLED);
             long before = rig.discovery().calls()[0];
             until("the silent one asks anew", () -> calls(rig) > before);
@@ -77,13 +58,12 @@
 
     @Test void aPoolerThatIsKilledComesBackAndADiscoveryThatCountsAnewIsHeard() throws Exception {
         try (var rig = new Rig(3, 2, 13, null).start()) {
-            until("three watches", () -> watches(rig) == 3);
             rig.pooler(2).kill();
-            until("its watch ends", () -> watches(rig) == 2);
+            until("its watch ends", () -> rig.watches() == 2);
             rig.pooler(2).start();
-            until("it watches again", () -> watches(rig) == 3);
+            until("it watches again", () -> rig.watches() == 3);
             rig.discovery().renumber();
-            until("all watch the new count", () -> watches(rig) == 3);
+            until("all watch the new count", () -> rig.watches() == 3);
             try (var load = new RigLoad(rig, 2, 100, 1000, 16)) {
                 assertThat(load.ended().count(Recorder.Outcome.OK)).isGreaterThan(80);
             }
@@ -97,7 +77,6 @@
     @ParameterizedTest @ValueSource(longs = {21, 22, 23})
     void aPoolerThatWasStoppedHearsOfTheDrainBeforeItSends(long seed) throws Exception {
         try (var rig = new Rig(3, 3, seed, null).start()) {
-            until("three watches", () -> watches(rig) == 3);
             try (var load = new RigLoad(rig, 0, 200, seed == 22 ? 6500 : 3000, 16)) {
                 until("both replicas serve", () -> lastAt(rig, "db-1") > 0 && lastAt(rig, "db-2") > 0);
                 rig.pooler(0).signal("STOP");
