Pushed lists are followed from the start; a silent watch is asked twice before 6 s

Also by reading: after a silence the second call came 2.5 s + up to 1.5 s after the first one, later than the 6 s after which what was missed counts as told; a call that waited in line for 2.5 s was dropped and lost its place; an indented list ended the watch; bytes that never made a list kept it up for ever.

Tests: PushedListTest plays real poolers against a pushing and an asking discovery (drain, silence, an agent's return, a new process with an old list).

--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -209,7 +209,7 @@
                 settings.limits().dialTimeout(), settings.limits().connIdle(), servers);
         var later = new Directory[1];
         var listed = new CountDownLatch(1);
-        pgWatch = new Watch(loop, config.discovery(), config.known().revision(), counters, list -> {
+        pgWatch = new Watch(loop, config.discovery(), config.known().revision(), counters, Watch.Terms.of(settings), list -> {
             later[0].listed(list);
             listed.countDown();
         }, () -> later[0].watchLost());
@@ -217,6 +217,7 @@
         var front = new PgFront(loop, settings, counters, core, clients);
         loop.runAndWait(() -> {
             later[0] = new Directory(loop, settings.rules().rampTime(), store, "pg", pool, core);
+            follow(pgWatch, settings, later[0]);
             later[0].start(config.known());
         });
         if (presence.another()) {
@@ -236,12 +237,13 @@
             throws IOException, InterruptedException {
         var later = new Directory[1];
         restWatch = setup.discovery() == null ? null : new Watch(loop, setup.discovery(), setup.members().revision(),
-                counters, list -> later[0].listed(list), () -> later[0].watchLost());
+                counters, Watch.Terms.of(settings), list -> later[0].listed(list), () -> later[0].watchLost());
         Pooler.Discovery discovery = restWatch == null ? on -> { } : watching(restWatch);
         RestFront.Parts rest = RestFront.build(loop, settings, counters, discovery, Balance::new, clients, servers);
         rest.front().add(StoreResource.PATH, new StoreResource(store, counters));
         loop.runAndWait(() -> {
             later[0] = new Directory(loop, settings.rules().rampTime(), store, "rest", rest.pool(), rest.pooler());
+            follow(restWatch, settings, later[0]);
             later[0].start(setup.members());
             if (setup.discovery() == null) {
                 later[0].listed(setup.members()); // a fixed list is the present one
@@ -256,11 +258,12 @@
     private void pooling(Operator.Pooling setup, Router.Settings settings) throws IOException, InterruptedException {
         var later = new Directory[1];
         poolingWatch = setup.discovery() == null ? null : new Watch(loop, setup.discovery(), setup.members().revision(),
-                counters, list -> later[0].listed(list), () -> later[0].watchLost());
+                counters, Watch.Terms.of(settings), list -> later[0].listed(list), () -> later[0].watchLost());
         Pooler.Discovery discovery = poolingWatch == null ? on -> { } : watching(poolingWatch);
         PoolingFront.Parts parts = PoolingFront.build(loop, settings, counters, discovery, Balance::new, setup.setup(), setup.servers());
         loop.runAndWait(() -> {
             later[0] = new Directory(loop, settings.rules().rampTime(), store, "pooling", parts.connections(), parts.core());
+            follow(poolingWatch, settings, later[0]);
             later[0].start(setup.members());
             if (setup.discovery() == null) {
                 later[0].listed(setup.members()); // a fixed list is the present one
@@ -273,6 +276,15 @@
         LOG.info("the pooling front listens at " + poolingAddress);
     }
 
+    /** Where lists are pushed nobody asks for a watch, and none may be missing; elsewhere the module says when. */
+    private static void follow(Watch watch, Router.Settings settings, Directory members) {
+        if (watch != null && !settings.askDiscovery()) {
+            members.await();
+            watch.onWord(members::word);
+            watch.watch(true);
+        }
+    }
+
     /** The first front's watch is shared where that is set; further ones keep their own. */
     private Pooler.Discovery watching(Watch watch) {
         if (!sharesWatch || sharedWatch != null) {
--- a/src/main/java/crankspar/cli/Directory.java
+++ b/src/main/java/crankspar/cli/Directory.java
@@ -40,7 +40,7 @@
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
     private Hearer hearer = (revision, all, byDiscovery) -> { };
     private long revision;
-    private boolean fenced;
+    private boolean fenced, unheard;
     private Set<String> byPeers = Set.of();
 
     /** Who hears each list as it comes in force, whole. */
@@ -82,6 +82,20 @@
         hearer.listed(revision, members.values(), true);
     }
 
+    /**
+     * Nothing is sent to any member before discovery's first word. Guards against the list to start from where lists are
+     * pushed: what the agent has counts as told from this process's first moment on.
+     */
+    void await() { unheard = true; }
+
+    /** Discovery has spoken: what is in force is the present list. */
+    void word() {
+        if (unheard) {
+            unheard = false;
+            overlaid(List.copyOf(members.keySet()));
+        }
+    }
+
     /** Hears of the list that is in force, and of each that follows. */
     void hearer(Hearer hearer) {
         this.hearer = hearer;
@@ -127,8 +141,8 @@
 
     private boolean usable(Member m) { return m.health() == Health.RUNNING && !kept(m.id()); }
 
-    /** Whether something beside the list has it drain: an operator's mark, peers' word, or that nothing may be sent at all. */
-    private boolean kept(String id) { return fenced || byPeers.contains(id) || banned(id); }
+    /** Whether something beside the list has it drain: an operator's mark, peers' word, or that nothing may be sent at all (yet). */
+    private boolean kept(String id) { return fenced || unheard || byPeers.contains(id) || banned(id); }
 
     void watchLost() { pooler.watchLost(); }
 
--- a/src/main/java/crankspar/lab/rig/AuditBench.java
+++ b/src/main/java/crankspar/lab/rig/AuditBench.java
@@ -57,7 +57,7 @@
         }
         Rig.Parties parties = Rig.Parties.of(POOLERS, 2).audited();
         if ("drain".equals(spoil)) {
-            parties = new Rig.Parties(POOLERS, 1, 2, 5, 3, UNSHUT, null, 0, 2000);
+            parties = new Rig.Parties(POOLERS, 1, 2, 5, 3, UNSHUT, null, 0, 2000, false);
         }
         straggler(new Rig(parties, 7), "");
         if (spoil == null || spoil.equals("ledger")) {
--- a/src/main/java/crankspar/lab/rig/Rig.java
+++ b/src/main/java/crankspar/lab/rig/Rig.java
@@ -29,16 +29,20 @@
      * @param operator the operator's file of every pooler, or null; {@code FOLDER} stands for a pooler's own folder
      * @param jar an earlier version that all run, or null for this program
      * @param discoveryEach how long discovery takes for a call (ms), {@code discoveryMost} after how long one that waits fails
+     * @param pushed whether discovery is taken for each pooler's own agent
      */
-    public record Parties(int poolers, int groups, int replicas, double work, int cores, String operator, Path jar, double discoveryEach, double discoveryMost) {
+    public record Parties(int poolers, int groups, int replicas, double work, int cores, String operator, Path jar, double discoveryEach, double discoveryMost,
+                          boolean pushed) {
         /** An operator's file with the audit as a pooler of its own would have it. */
         public static final String AUDITED = "name = rig, audit { folder = \"FOLDER/audit\" }\n";
 
-        public static Parties of(int poolers, int replicas) { return new Parties(poolers, 1, replicas, 5, 3, null, null, 0, 2000); }
+        public static Parties of(int poolers, int replicas) { return new Parties(poolers, 1, replicas, 5, 3, null, null, 0, 2000, false); }
 
-        public Parties audited() { return new Parties(poolers, groups, replicas, work, cores, AUDITED, jar, discoveryEach, discoveryMost); }
+        public Parties audited() { return new Parties(poolers, groups, replicas, work, cores, AUDITED, jar, discoveryEach, discoveryMost, pushed); }
 
-        public Parties jar(Path of) { return new Parties(poolers, groups, replicas, work, cores, operator, of, discoveryEach, discoveryMost); }
+        public Parties jar(Path of) { return new Parties(poolers, groups, replicas, work, cores, operator, of, discoveryEach, discoveryMost, pushed); }
+
+        public Parties pushed(boolean on) { return new Parties(poolers, groups, replicas, work, cores, operator, jar, discoveryEach, discoveryMost, on); }
     }
 
     private static final List<String> ZONES = List.of("burnaby", "surrey", "richmond");
@@ -112,7 +116,7 @@
             String configuration = "{\"name\": \"p" + i + "\", \"listen\": \"" + text(listens[i]) + "\", \"discovery\": \"" + text(link.address())
                     + "\", \"seed\": \"" + Long.toHexString(seed + i) + "\", \"limits\": {\"cores\": 1, \"memory_mb\": 192, \"sockets\": 1024},"
                     + " \"mgmt\": \"" + text(calls.get(i)) + "\", \"peer_listen\": \"" + text(peers[i]) + "\", \"peers\": [" + String.join(", ", others) + "],"
-                    + " \"settings\": " + LabSettings.json(n, i, ZONES.get(i % ZONES.size())) + "}";
+                    + " \"settings\": " + LabSettings.json(n, i, ZONES.get(i % ZONES.size())).replace("on_request", parties.pushed() ? "pushed" : "on_request") + "}";
             configurations.add(configuration);
             poolers.add(new PlatformProcess("p" + i, listens[i], configuration, parties.operator(), parties.jar()));
         }
@@ -221,6 +225,12 @@
     /** By what name discovery knows a pooler: the address that it calls. */
     public String caller(int pooler) { return text(toDiscovery.get(pooler).address()); }
     public String configuration(int pooler) { return configurations.get(pooler); }
+
+    /** The same with the list as it is now as the one to start from. */
+    public String configurationWithList(int pooler) throws InterruptedException {
+        return configurations.get(pooler).replaceFirst("\\{", "{\"known\": " + discovery.whole(caller(pooler)).replace("$", "\\$") + ", ");
+    }
+
     /** The way from a pooler to discovery. */
     public Link toDiscovery(int pooler) { return toDiscovery.get(pooler); }
     public Link toDatabase(int pooler, String id) { return toDatabases.get(pooler).get(id); }
--- a/src/main/java/crankspar/lab/rig/Scenario.java
+++ b/src/main/java/crankspar/lab/rig/Scenario.java
@@ -57,7 +57,7 @@
         }
         String jar = s.text("jar", null);
         var parties = new Rig.Parties(s.count("poolers", 3, 1, 16), s.count("groups", 1, 1, 20), s.count("replicas", 2, 0, 10), s.millis("work", 5, 0, 60_000),
-                s.count("cores", 3, 1, 64), operator, jar == null ? null : Path.of(jar), s.millis("discovery-each", 0, 0, DAY), s.millis("discovery-wait", 2000, 1, DAY));
+                s.count("cores", 3, 1, 64), operator, jar == null ? null : Path.of(jar), s.millis("discovery-each", 0, 0, DAY), s.millis("discovery-wait", 2000, 1, DAY), s.flag("pushed", false));
         Map<String, Section> load = s.parts("loads");
         if (load.size() != 1) {
             throw s.bad("loads", "found " + load.size() + ", allowed is one");
--- /dev/null
+++ b/src/test/java/crankspar/lab/rig/PushedListTest.java
@@ -0,0 +1,93 @@
+package crankspar.lab.rig;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import crankspar.Router.Health;
+import crankspar.lab.load.Recorder;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The list's clock between real poolers and discovery, where lists are pushed by an agent and where they are asked for. */
+class PushedListTest {
+    /** The rule's 250 ms and its slack on sockets; what a silent watch misses counts as told so much later. */
+    private static final double DRAIN_MOST = 300;
+    private static final double SILENCE_MOST = 6000;
+
+    private static Rig started(int poolers, boolean pushed, long seed) throws Exception { return new Rig(Rig.Parties.of(poolers, 2).pushed(pushed), seed).start(); }
+
+    private static double lastAt(Rig rig, String database) {
+        return rig.recording().executed().stream().filter(e -> e.server.equals(database)).mapToLong(e -> e.at).max().orElse(0);
+    }
+
+    private static void bothServe(Rig rig) {
+        Rig.until("both replicas serve", Rig.WAIT, () -> lastAt(rig, "db-1") > 0 && lastAt(rig, "db-2") > 0);
+    }
+
+    /** Nothing opened a watch where lists are pushed: drains were broken for as long as the program ran. Lists come indented, too. */
+    @ParameterizedTest @ValueSource(booleans = {true, false})
+    void aDrainIsKeptHoweverListsCome(boolean pushed) throws Exception {
+        try (var rig = started(1, pushed, 61); var load = new RigLoad(rig, 0, 150, 2500, 16)) {
+            rig.discovery().indented(true);
+            bothServe(rig);
+            double drained = rig.now();
+            rig.discovery().health("db-2", Health.DRAINING);
+            Recorder r = load.ended();
+            assertThat(lastAt(rig, "db-2")).isLessThan(drained + DRAIN_MOST);
+            assertThat(lastAt(rig, "db-1")).isGreaterThan(drained + DRAIN_MOST);
+            assertThat(r.count(Recorder.Outcome.OK)).isGreaterThan((long) (0.95 * r.sent()));
+        }
+    }
+
+    /** All watches fall silent and the list changes right after; the connections stand. */
+    @ParameterizedTest @ValueSource(booleans = {true, false})
+    void aDrainBehindASilentWatchIsKeptBeforeItCountsAsTold(boolean pushed) throws Exception {
+        try (var rig = started(2, pushed, 62); var load = new RigLoad(rig, 0, 100, 7500, 8)) {
+            bothServe(rig);
+            double silent = rig.now();
+            rig.discovery().deafen();
+            rig.discovery().health("db-2", Health.DRAINING);
+            load.ended();
+            assertThat(lastAt(rig, "db-2")).isLessThan(silent + SILENCE_MOST + DRAIN_MOST);
+            assertThat(lastAt(rig, "db-1")).isGreaterThan(silent + SILENCE_MOST + DRAIN_MOST);
+        }
+    }
+
+    /** What the agent has at its return counts at once, so that a call has to stand then. */
+    @Test void atTheAgentsReturnADrainIsKeptAtOnce() throws Exception {
+        try (var rig = started(1, true, 63); var load = new RigLoad(rig, 0, 100, 6500, 8)) {
+            bothServe(rig);
+            double began = rig.now();
+            rig.discovery().silent(true);
+            rig.discovery().health("db-2", Health.DRAINING);
+            Rig.until("the agent is away", Rig.WAIT, () -> rig.now() > began + 4100);
+            assertThat(lastAt(rig, "db-2")).as("it serves on its last word").isGreaterThan(began + 3500);
+            double back = rig.now();
+            rig.discovery().silent(false);
+            load.ended();
+            assertThat(lastAt(rig, "db-2")).isLessThan(back + DRAIN_MOST);
+            assertThat(lastAt(rig, "db-1")).isGreaterThan(back + DRAIN_MOST);
+        }
+    }
+
+    /** What the agent has counts from the first moment of a new process; the list to start from is older. */
+    @Test void aNewProcessSendsNothingBeforeTheAgentsFirstWord() throws Exception {
+        try (var rig = started(1, true, 64)) {
+            String old = rig.configurationWithList(0);
+            rig.pooler(0).kill();
+            rig.discovery().health("db-2", Health.DRAINING);
+            rig.discovery().silent(true);
+            rig.pooler(0).configure(old);
+            rig.pooler(0).start();
+            try (var load = new RigLoad(rig, 0, 100, 2000, 8)) {
+                double began = rig.now();
+                Rig.until("the agent is silent", Rig.WAIT, () -> rig.now() > began + 1000);
+                assertThat(rig.recording().executed()).as("sent before its first word").isEmpty();
+                rig.discovery().silent(false);
+                load.ended();
+            }
+            assertThat(lastAt(rig, "db-1")).isPositive();
+            assertThat(lastAt(rig, "db-2")).as("never to the one that drains").isZero();
+        }
+    }
+}
