--- a/src/main/java/crankspar/audit/Auditor.java
+++ b/src/main/java/crankspar/audit/Auditor.java
@@ -5,7 +5,7 @@
 import crankspar.Router.Role;
 import crankspar.audit.Stand.Origin;
 import crankspar.core.Counters;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
@@ -27,7 +27,7 @@
  * Drives the audit of one pooler on its loop: what the core sends goes into the ledger under the present stand, what discovery
  * and peers say is stepped through {@link Standing}, and what that wants is carried out through {@link Hands}.
  */
-public final class Auditor implements Pooler.Audit, AutoCloseable {
+public final class Auditor implements Ports.Audit, AutoCloseable {
     /** What the audit may do with the pooler. All on the loop. */
     public interface Hands {
         /** Asks discovery once, where no watch stands. */
@@ -54,7 +54,7 @@
     /** A database that left the list is told to peers as draining for so long (ms). */
     private static final double GONE_TOLD = 30_000;
 
-    private final Pooler.Time time;
+    private final Ports.Time time;
     private final Counters counters;
     private final Setup setup;
     private final Hands hands;
@@ -79,7 +79,7 @@
     private double flushedAt = Double.NEGATIVE_INFINITY;
     private boolean over;
 
-    public Auditor(Pooler.Time time, Counters counters, Setup setup, Hands hands) throws IOException {
+    public Auditor(Ports.Time time, Counters counters, Setup setup, Hands hands) throws IOException {
         this.time = time;
         this.counters = counters;
         this.setup = setup;
@@ -107,7 +107,7 @@
     // ---- What the core does.
     @Override public void sent(String request, String member, int requestClass, double now) { ledger.sent(request, member, requestClass, now); }
 
-    @Override public void answered(String request, Pooler.Audit.Answer how, int requestClass, double now) {
+    @Override public void answered(String request, Ports.Audit.Answer how, int requestClass, double now) {
         ledger.answered(request, switch (how) {
             case SERVED -> Ledger.Kind.SERVED;
             case REFUSED -> Ledger.Kind.REFUSED;
--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -7,6 +7,7 @@
 import crankspar.core.Counters;
 import crankspar.core.Front;
 import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.discovery.MemberList;
 import crankspar.discovery.Watch;
 import crankspar.duties.SharedProbes;
@@ -238,7 +239,7 @@
         var later = new Directory[1];
         restWatch = setup.discovery() == null ? null : new Watch(loop, setup.discovery(), setup.members().revision(),
                 counters, Watch.Terms.of(settings), list -> later[0].listed(list), () -> later[0].watchLost());
-        Pooler.Discovery discovery = restWatch == null ? on -> { } : watching(restWatch);
+        Ports.Discovery discovery = restWatch == null ? on -> { } : watching(restWatch);
         RestFront.Parts rest = RestFront.build(loop, settings, counters, discovery, Balance::new, clients, servers);
         rest.front().add(StoreResource.PATH, new StoreResource(store, counters));
         loop.runAndWait(() -> {
@@ -259,7 +260,7 @@
         var later = new Directory[1];
         poolingWatch = setup.discovery() == null ? null : new Watch(loop, setup.discovery(), setup.members().revision(),
                 counters, Watch.Terms.of(settings), list -> later[0].listed(list), () -> later[0].watchLost());
-        Pooler.Discovery discovery = poolingWatch == null ? on -> { } : watching(poolingWatch);
+        Ports.Discovery discovery = poolingWatch == null ? on -> { } : watching(poolingWatch);
         PoolingFront.Parts parts = PoolingFront.build(loop, settings, counters, discovery, Balance::new, setup.setup(), setup.servers());
         loop.runAndWait(() -> {
             later[0] = new Directory(loop, settings.rules().rampTime(), store, "pooling", parts.connections(), parts.core());
@@ -286,7 +287,7 @@
     }
 
     /** The first front's watch is shared where that is set; further ones keep their own. */
-    private Pooler.Discovery watching(Watch watch) {
+    private Ports.Discovery watching(Watch watch) {
         if (!sharesWatch || sharedWatch != null) {
             return watch;
         }
--- a/src/main/java/crankspar/cli/Directory.java
+++ b/src/main/java/crankspar/cli/Directory.java
@@ -4,6 +4,7 @@
 import crankspar.Router.ListKind;
 import crankspar.Router.Member;
 import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.discovery.MemberList;
 import crankspar.net.Addressed;
 import crankspar.store.Store;
@@ -30,7 +31,7 @@
     static final String RETURNED = "returned/";
     private static final Logger LOG = Logger.getLogger(Directory.class.getName());
 
-    private final Pooler.Time clock;
+    private final Ports.Time clock;
     private final double ramp;
     private final Store store;
     private final String key;
@@ -48,7 +49,7 @@
         void listed(long revision, Collection<Member> members, boolean byDiscovery);
     }
 
-    Directory(Pooler.Time clock, double ramp, Store store, String front, Addressed pool, Pooler<?, ?> pooler) {
+    Directory(Ports.Time clock, double ramp, Store store, String front, Addressed pool, Pooler<?, ?> pooler) {
         this.clock = clock;
         this.ramp = ramp;
         this.store = store;
--- a/src/main/java/crankspar/cli/PathCost.java
+++ b/src/main/java/crankspar/cli/PathCost.java
@@ -1,7 +1,7 @@
 package crankspar.cli;
 
 import crankspar.Router;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import java.lang.management.ManagementFactory;
 import java.util.List;
 
@@ -16,7 +16,7 @@
     public static List<Router.Member> members() { return Warmup.members(List.of("z"), 1); }
 
     /** {@code audit} may be null. */
-    public static Cost of(Router.Settings settings, int requests, Pooler.Audit audit) {
+    public static Cost of(Router.Settings settings, int requests, Ports.Audit audit) {
         var bean = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
         long bytes = bean.getCurrentThreadAllocatedBytes();
         long nanos = bean.getCurrentThreadCpuTime();
--- a/src/main/java/crankspar/cli/Warmup.java
+++ b/src/main/java/crankspar/cli/Warmup.java
@@ -8,6 +8,7 @@
 import crankspar.core.AttemptEnd;
 import crankspar.core.Counters;
 import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.core.Reach;
 import crankspar.hearsay.Hearing;
 import crankspar.net.Carrier;
@@ -29,7 +30,7 @@
  * milliseconds for its first requests, which is lateness to a client; here nobody waits for it. It has a
  * core, a module and a clock of its own, no sockets, and leaves nothing behind but loaded, compiled code.
  */
-final class Warmup implements Pooler.Time, Pooler.Backends<Statement, PgAnswer>, Pooler.Discovery {
+final class Warmup implements Ports.Time, Ports.Backends<Statement, PgAnswer>, Ports.Discovery {
     /**
      * Each class's path runs 60 times. The first compiler takes a method at 200, most of them are called oftener than that
      * by then. A start is a gap, for a whole fleet at once in a mass restart: 1,000 requests took 0.12 s more of a core,
@@ -74,7 +75,7 @@
     int run(Router.Settings settings, List<Member> known, double most) { return run(settings, known, most, REQUESTS, null); }
 
     /** So many requests, kept by an audit where one is given. */
-    int run(Router.Settings settings, List<Member> known, double most, int requests, Pooler.Audit audit) {
+    int run(Router.Settings settings, List<Member> known, double most, int requests, Ports.Audit audit) {
         long began = System.nanoTime();
         work = WORK * settings.classes().stream().mapToDouble(Router.RequestClass::aim).min().orElse(200);
         int group = known.isEmpty() ? 1 : known.get(0).group();
@@ -131,8 +132,8 @@
     @Override public void after(double ms, Runnable what) { timers.add(new Timer(now + ms, order++, what)); }
     @Override public void watch(boolean on) { }
 
-    @Override public Pooler.Call send(String member, Statement query, double left, double within,
-                                      Pooler.Hearer<PgAnswer> hearer) {
+    @Override public Ports.Call send(String member, Statement query, double left, double within,
+                                      Ports.Hearer<PgAnswer> hearer) {
         boolean load = query.equals(PgFront.probe());
         Carrier<Statement, PgAnswer> carrier = PgFront.dial(counters);
         carrier.keeper(new Carrier.Keeper() {
@@ -164,7 +165,7 @@
         };
     }
 
-    @Override public Pooler.Call probe(String member, Consumer<AttemptEnd<PgAnswer>> end) {
+    @Override public Ports.Call probe(String member, Consumer<AttemptEnd<PgAnswer>> end) {
         return send(member, PgFront.probe(), 250, 250, end::accept);
     }
 }
--- /dev/null
+++ b/src/main/java/crankspar/core/Ports.java
@@ -0,0 +1,88 @@
+package crankspar.core;
+
+import crankspar.Router.Role;
+import java.util.function.Consumer;
+
+/** What the core needs of the world and offers to it: small interfaces that know no wire. */
+public interface Ports {
+    /** Time as Unix ms that never goes back, and timers on the thread that owns all state. */
+    interface Time {
+        double now();
+        void after(double ms, Runnable what);
+    }
+
+    /** An attempt that is out. */
+    interface Call {
+        /** Gives it up by ending its connection; tells how far it had come. No end is told after this. */
+        Reach abandon();
+    }
+
+    /** What an attempt tells of itself, each thing once at most. */
+    interface Hearer<A> {
+        /** Its last byte has left. */
+        default void written() { }
+        /**
+         * An answer too long to hold has begun: it is passed on as it comes, and its end is told as any other.
+         * False where nobody waits for it any more.
+         */
+        default boolean began(A answer) { return false; }
+        /**
+         * Its member has answered, and the connection stays its client's: a transaction that goes on. As
+         * {@link #began}, but the module hears of it now, whatever its class: how long a client takes between two
+         * statements says nothing of its member.
+         */
+        default boolean held(A answer, AttemptEnd.Note note) { return false; }
+        void ended(AttemptEnd<A> end);
+    }
+
+    /** Where a request's one final answer goes. */
+    interface Reply<A> {
+        /** The answer has begun, and the rest comes as the server gives it; the final answer tells how it ended. */
+        default void began(A answer) { throw new UnsupportedOperationException("answers are taken whole here"); }
+        void answer(FinalAnswer<A> answer);
+    }
+
+    /** Where attempts go. An end may be told before {@code send} has returned. */
+    interface Backends<Q, A> {
+        /**
+         * Sends once, whole, or not at all; {@code left} ms will be waited. A connection that takes longer than
+         * {@code within} ms to come up is too late for it.
+         */
+        Call send(String member, Q query, double left, double within, Hearer<A> hearer);
+        Call probe(String member, Consumer<AttemptEnd<A>> end);
+    }
+
+    /** Who probes for several, so that not each has to. */
+    interface Probes {
+        /** Whether this member's probes are taken care of: its results come by {@link #probed}. */
+        boolean takes(Pooler<?, ?> core, String member);
+    }
+
+    /** The way to the other poolers: each message to all of them, late or never. */
+    interface Peers {
+        void tell(byte[] message);
+    }
+
+    /** What a probe found; {@code position} is Unix ms or NaN. */
+    interface Probed {
+        void tell(boolean ok, double elapsed, Role role, double position);
+    }
+
+    /** Who keeps what was sent under which stand; see the package {@code audit}. Off the path of a request where there is none. */
+    interface Audit {
+        enum Answer { SERVED, REFUSED, FAILED }
+        /** An attempt's last byte has left; it counts under the present stand. */
+        void sent(String request, String member, int requestClass, double now);
+        void answered(String request, Answer how, int requestClass, double now);
+        /** What an answer told of its member; {@code position} is Unix ms or NaN. */
+        void role(String member, Role role, double position);
+    }
+
+    /** The list of members: ends of a watch come back through {@link #watchLost}. */
+    interface Discovery {
+        void watch(boolean on);
+    }
+
+    /** What a front has taken. The mark is the position (Unix ms) that a session's read must see, or NaN. */
+    record Ask<Q>(int requestClass, double ttl, String session, double mark, int group, Q query) { }
+}
--- a/src/main/java/crankspar/discovery/Watch.java
+++ b/src/main/java/crankspar/discovery/Watch.java
@@ -3,7 +3,7 @@
 import crankspar.Router;
 import crankspar.config.Json;
 import crankspar.core.Counters;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
 import crankspar.http.HttpText;
@@ -23,7 +23,7 @@
  * The calls to discovery, as {@link Following} wants them: mostly one that stays open. When discovery moves, the call at the
  * old address is heard on until the one at the new address has brought its list.
  */
-public final class Watch implements Pooler.Discovery {
+public final class Watch implements Ports.Discovery {
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
 
     /** Whether lists are pushed by an agent, and how long (ms) new work may reach a member after it was told to drain. */
--- a/src/main/java/crankspar/duties/SharedProbes.java
+++ b/src/main/java/crankspar/duties/SharedProbes.java
@@ -3,6 +3,7 @@
 import crankspar.Router.Role;
 import crankspar.core.Counters;
 import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.membership.Datagrams;
 import crankspar.membership.News.State;
 import crankspar.membership.Seal;
@@ -22,7 +23,7 @@
  * result that it is: its position is the database's own, and it took as long as it is old. What the module asks for is
  * answered from what is known, or comes with the next result; what is no duty it probes itself.
  */
-public final class SharedProbes implements Pooler.Probes, AutoCloseable {
+public final class SharedProbes implements Ports.Probes, AutoCloseable {
     /**
      * How an instance takes part.
      *
--- a/src/main/java/crankspar/duties/SharedWatch.java
+++ b/src/main/java/crankspar/duties/SharedWatch.java
@@ -1,6 +1,6 @@
 package crankspar.duties;
 
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.discovery.Watch;
 
 /**
@@ -8,7 +8,7 @@
  * hears of a newer one than its own asks discovery once. Who hears nothing takes the duty over, as any other. So discovery
  * has one watch instead of one for each pooler, and a change costs each one call.
  */
-public final class SharedWatch implements Pooler.Discovery {
+public final class SharedWatch implements Ports.Discovery {
     /** The duty's name among the databases', which none of them may have. */
     public static final String ID = "/discovery";
 
--- a/src/main/java/crankspar/lab/rig/AuditBench.java
+++ b/src/main/java/crankspar/lab/rig/AuditBench.java
@@ -9,7 +9,7 @@
 import crankspar.audit.Standing;
 import crankspar.cli.PathCost;
 import crankspar.core.Counters;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.lab.LabSettings;
 import crankspar.lab.Promises;
 import crankspar.lab.Recording.Executed;
@@ -205,7 +205,7 @@
             for (int i = 0; i < CALLS; i++) {
                 calls.sent("r1", "w0", i % 5, i);
                 calls.role("w0", Role.PRIMARY, i);
-                calls.answered("r1", Pooler.Audit.Answer.SERVED, i % 5, i);
+                calls.answered("r1", Ports.Audit.Answer.SERVED, i % 5, i);
             }
             own = Math.min(own, (System.nanoTime() - began) / (double) CALLS);
         }
@@ -234,7 +234,7 @@
 
     /** The daemon's own, on a clock that stands still; it knows the members of the path. */
     private static Auditor auditor() {
-        var time = new Pooler.Time() {
+        var time = new Ports.Time() {
             @Override public double now() { return 1_700_000_000_000.0; }
             @Override public void after(double ms, Runnable what) { }
         };
--- a/src/main/java/crankspar/net/Carrier.java
+++ b/src/main/java/crankspar/net/Carrier.java
@@ -1,6 +1,6 @@
 package crankspar.net;
 
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.core.Reach;
 
 /**
@@ -17,7 +17,7 @@
 
     void keeper(Keeper keeper);
     /** Writes the request; called only when ready and idle. */
-    void carry(Q query, double left, Pooler.Hearer<A> hearer);
+    void carry(Q query, double left, Ports.Hearer<A> hearer);
     /** How far the request at hand has come. */
     Reach reach();
     /** Whether the request before was answered whole, and another may follow on this connection. */
--- a/src/main/java/crankspar/net/Loop.java
+++ b/src/main/java/crankspar/net/Loop.java
@@ -1,6 +1,6 @@
 package crankspar.net;
 
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -26,7 +26,7 @@
  * what has changed meanwhile: the watch on discovery, peers' messages, operators' calls. What is held is bounded by the open
  * connections, one event each, and the timers that are set.
  */
-public final class Loop implements Pooler.Time, AutoCloseable {
+public final class Loop implements Ports.Time, AutoCloseable {
     private static final Logger LOG = Logger.getLogger(Loop.class.getName());
     private static final int BACKLOG = 512;
 
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -2,7 +2,7 @@
 
 import crankspar.core.AttemptEnd;
 import crankspar.core.Counters;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.core.Reach;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -15,7 +15,7 @@
  * Connections to the servers, kept between requests. It sends where it is told, once: a request that meets a
  * connection which will not come up, or one that ends, gets that as its outcome.
  */
-public final class Pool<Q, A> implements Pooler.Backends<Q, A>, Addressed {
+public final class Pool<Q, A> implements Ports.Backends<Q, A>, Addressed {
     /** Idle connections are closed after this share of the time at which the server may do so. */
     private static final double IDLE_SHARE = 0.5;
     private static final double SWEEP = 1000;
@@ -41,7 +41,7 @@
     }
 
     /** One connection with what it carries. */
-    private final class Link implements Carrier.Keeper, Pooler.Call, Pooler.Hearer<A> {
+    private final class Link implements Carrier.Keeper, Ports.Call, Ports.Hearer<A> {
         final Member member;
         final InetSocketAddress address;
         final Carrier<Q, A> carrier = dialect.get();
@@ -50,7 +50,7 @@
         double idleSince;
         double latest = Double.POSITIVE_INFINITY;
         Runnable first;
-        Pooler.Hearer<A> hearer;
+        Ports.Hearer<A> hearer;
 
         Link(Member member) {
             this.member = member;
@@ -83,7 +83,7 @@
          */
         private void unsent() {
             first = null;
-            Pooler.Hearer<A> told = hearer;
+            Ports.Hearer<A> told = hearer;
             hearer = null;
             if (told != null) {
                 counters.add("unsent_too_late");
@@ -91,7 +91,7 @@
             }
         }
 
-        void carry(Q query, double left, Pooler.Hearer<A> told) {
+        void carry(Q query, double left, Ports.Hearer<A> told) {
             hearer = told;
             if (up) {
                 carrier.carry(query, left, this);
@@ -129,7 +129,7 @@
         }
 
         @Override public void ended(AttemptEnd<A> how) {
-            Pooler.Hearer<A> told = hearer;
+            Ports.Hearer<A> told = hearer;
             hearer = null;
             if (!closed && carrier.reusable()) {
                 settle();
@@ -237,8 +237,8 @@
         }
     }
 
-    @Override public Pooler.Call send(String member, Q query, double left, double within,
-                                      Pooler.Hearer<A> hearer) {
+    @Override public Ports.Call send(String member, Q query, double left, double within,
+                                      Ports.Hearer<A> hearer) {
         Member m = members.get(member);
         if (m == null) {
             return refuse(hearer, "no address is known");
@@ -257,12 +257,12 @@
         return link;
     }
 
-    private Pooler.Call refuse(Pooler.Hearer<A> hearer, String why) {
+    private Ports.Call refuse(Ports.Hearer<A> hearer, String why) {
         hearer.ended(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, why));
         return () -> Reach.NOT_CONNECTED;
     }
 
-    @Override public Pooler.Call probe(String member, Consumer<AttemptEnd<A>> end) {
+    @Override public Ports.Call probe(String member, Consumer<AttemptEnd<A>> end) {
         return send(member, probe, dialTimeout, dialTimeout, end::accept);
     }
 
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -6,6 +6,7 @@
 import crankspar.core.FinalAnswer;
 import crankspar.core.Front;
 import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.net.Carrier;
 import crankspar.net.Clients;
 import crankspar.net.Loop;
@@ -65,12 +66,12 @@
         }
         boolean inSession = freshness == Freshness.SESSION || freshness == Freshness.WRITE;
         double mark = s.names().containsKey("after") ? s.number("after") : Double.NaN;
-        var ask = new Pooler.Ask<>(kind, Math.min(s.number("d"), c.giveUp()), inSession ? s.key() : null, mark,
+        var ask = new Ports.Ask<>(kind, Math.min(s.number("d"), c.giveUp()), inSession ? s.key() : null, mark,
                 (int) s.number("cluster"), s);
         if (open.putIfAbsent(id, "") != null) {
             throw new Statement.Malformed("a request with this id is open");
         }
-        String taken = pooler.take(ask, new Pooler.Reply<>() {
+        String taken = pooler.take(ask, new Ports.Reply<>() {
             @Override public void began(PgAnswer answer) { session.began(answer); }
 
             @Override public void answer(FinalAnswer<PgAnswer> answer) {
--- a/src/main/java/crankspar/pg/ServerSession.java
+++ b/src/main/java/crankspar/pg/ServerSession.java
@@ -4,7 +4,7 @@
 import crankspar.core.AttemptEnd;
 import crankspar.core.AttemptEnd.Note;
 import crankspar.core.Counters;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.core.Reach;
 import crankspar.net.Carrier;
 import crankspar.net.Passage;
@@ -42,7 +42,7 @@
     private Phase phase = Phase.DIALLED;
     private Reach reach = Reach.NOT_CONNECTED;
     private Statement statement;
-    private Pooler.Hearer<PgAnswer> hearer;
+    private Ports.Hearer<PgAnswer> hearer;
     private PgMessage.RowDescription columns;
     private PgMessage.DataRow row;
     private Passage passage;
@@ -63,7 +63,7 @@
         out.write(STARTUP);
     }
 
-    @Override public void carry(Statement statement, double left, Pooler.Hearer<PgAnswer> hearer) {
+    @Override public void carry(Statement statement, double left, Ports.Hearer<PgAnswer> hearer) {
         this.statement = statement;
         this.hearer = hearer;
         phase = Phase.ASKED;
@@ -185,7 +185,7 @@
 
     /** ReadyForQuery, or the connection's end after an error, ends the request, and with it its notes. */
     private void over() {
-        Pooler.Hearer<PgAnswer> told = hearer;
+        Ports.Hearer<PgAnswer> told = hearer;
         AttemptEnd<PgAnswer> how = how();
         hearer = null;
         phase = Phase.IDLE;
--- a/src/main/java/crankspar/pooling/Client.java
+++ b/src/main/java/crankspar/pooling/Client.java
@@ -1,7 +1,7 @@
 package crankspar.pooling;
 
 import crankspar.core.FinalAnswer;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.net.Machine;
 import crankspar.pooling.Sql.Kind;
 import crankspar.pooling.Sql.Statement;
@@ -18,7 +18,7 @@
  * A client's connection. It collects what opens a transaction, asks for it as one request, and passes on what follows
  * while it has a server's connection. Each command gets one answer, in order, or the connection ends cleanly.
  */
-final class Client implements Machine, Pooler.Reply<Answer> {
+final class Client implements Machine, Ports.Reply<Answer> {
     /** Where a client can be, by the names of SHOW clients. */
     enum State {
         /** Its start is not whole, or no server has told yet what it is to be welcomed with. */
--- a/src/main/java/crankspar/pooling/PoolingFront.java
+++ b/src/main/java/crankspar/pooling/PoolingFront.java
@@ -4,6 +4,7 @@
 import crankspar.core.Counters;
 import crankspar.core.Front;
 import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.net.Addressed;
 import crankspar.net.Loop;
 import crankspar.net.Machine;
@@ -66,7 +67,7 @@
     public record Parts(PoolingFront front, Pooler<?, ?> core, Addressed connections) { }
 
     /** Session marks are kept here, by client, and carried with each request; {@code servers} bounds connections to servers. */
-    public static Parts build(Loop loop, Router.Settings settings, Counters counters, Pooler.Discovery discovery,
+    public static Parts build(Loop loop, Router.Settings settings, Counters counters, Ports.Discovery discovery,
                               BiFunction<Router.Settings, Router.Actions, Router> maker, Setup setup, int servers) {
         var carried = new Router.Settings(settings.seed(), settings.zone(), settings.zones(), settings.me(), settings.siblings(),
                 settings.round(), settings.askDiscovery(), settings.classes(), settings.behind(), settings.patience(),
@@ -168,7 +169,7 @@
         Opening opening = client.opening();
         Route.Way way = opening.way;
         client.placed();
-        var ask = new Pooler.Ask<>(way.requestClass(), Math.max(0, way.ttl() - waited), "client-" + client.process(), way.mark(),
+        var ask = new Ports.Ask<>(way.requestClass(), Math.max(0, way.ttl() - waited), "client-" + client.process(), way.mark(),
                 way.group(), opening);
         long mine = client.ticket;
         String id = pooler.take(ask, client);
--- a/src/main/java/crankspar/pooling/Server.java
+++ b/src/main/java/crankspar/pooling/Server.java
@@ -3,7 +3,7 @@
 import crankspar.Router.Role;
 import crankspar.core.AttemptEnd;
 import crankspar.core.AttemptEnd.Note;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.core.Reach;
 import crankspar.net.Machine;
 import crankspar.net.Stream;
@@ -18,7 +18,7 @@
  * leaves behind is rolled back and cleaned, or the connection is closed, before anybody else has it. Its end is told
  * exactly once.
  */
-final class Server implements Machine, Pooler.Call, Keeping.Idle {
+final class Server implements Machine, Ports.Call, Keeping.Idle {
     /** Where a connection can be, by the names of SHOW servers. */
     enum State {
         /** Dialled, and not welcomed yet. */
@@ -71,7 +71,7 @@
     private Out out;
     private State state = State.LOGIN;
     private Opening opening;
-    private Pooler.Hearer<Answer> hearer;
+    private Ports.Hearer<Answer> hearer;
     private Exchange exchange;
     private Progress progress;
     private List<Frame> answer;
@@ -135,7 +135,7 @@
 
     // ---- A client's transaction.
     /** It has this one now; it begins as soon as the connection is welcomed and in the client's state. */
-    void serve(Opening opening, double within, Pooler.Hearer<Answer> hearer) {
+    void serve(Opening opening, double within, Ports.Hearer<Answer> hearer) {
         this.opening = opening;
         this.hearer = hearer;
         this.within = keeper.now() + within;
@@ -224,7 +224,7 @@
             byte[] wire = Frame.join(bytes);
             boolean running = ends;
             Progress mine = progress;
-            Pooler.Hearer<Answer> told = kept ? null : hearer;
+            Ports.Hearer<Answer> told = kept ? null : hearer;
             fromClient.queued(wire.length);
             out.write(wire, wire.length, () -> {
                 fromClient.left(wire.length);
@@ -448,7 +448,7 @@
 
     /** The transaction is over, and the connection may go to another client. */
     private void finish(AttemptEnd<Answer> how) {
-        Pooler.Hearer<Answer> told = hearer;
+        Ports.Hearer<Answer> told = hearer;
         boolean open = exchange.status() != 'I';
         detach();
         if (open) {
@@ -584,7 +584,7 @@
         }
         Reach reach = reach();
         Opening had = opening;
-        Pooler.Hearer<Answer> told = hearer;
+        Ports.Hearer<Answer> told = hearer;
         if (had != null) {
             had.verdict = state == State.ACTIVE && progress != null ? progress.verdict() : Progress.Verdict.ELSEWHERE;
             if (exchange != null) {
--- a/src/main/java/crankspar/pooling/Servers.java
+++ b/src/main/java/crankspar/pooling/Servers.java
@@ -2,7 +2,7 @@
 
 import crankspar.core.AttemptEnd;
 import crankspar.core.Counters;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.core.Reach;
 import crankspar.net.Addressed;
 import crankspar.net.Loop;
@@ -29,7 +29,7 @@
  * Connections to servers, by database, user and member. It sends where the core tells it, once; which idle connection
  * is used and which are closed {@link Keeping} decides. Probes have connections of their own.
  */
-final class Servers implements Pooler.Backends<Opening, Answer>, Addressed, Server.Keeper {
+final class Servers implements Ports.Backends<Opening, Answer>, Addressed, Server.Keeper {
     private static final double SWEEP = 250;
     /** A member that is gone is forgotten after this long (ms), by when no attempt at it is out. */
     private static final double FORGET = 60_000;
@@ -121,7 +121,7 @@
     }
 
     // ---- Attempts.
-    @Override public Pooler.Call send(String member, Opening opening, double left, double within, Pooler.Hearer<Answer> hearer) {
+    @Override public Ports.Call send(String member, Opening opening, double left, double within, Ports.Hearer<Answer> hearer) {
         Member m = members.get(member);
         if (m == null) {
             return refuse(hearer, "no address is known");
@@ -156,7 +156,7 @@
         return server;
     }
 
-    private Pooler.Call refuse(Pooler.Hearer<Answer> hearer, String why) {
+    private Ports.Call refuse(Ports.Hearer<Answer> hearer, String why) {
         hearer.ended(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, why));
         return () -> Reach.NOT_CONNECTED;
     }
@@ -185,7 +185,7 @@
         return oldest != null;
     }
 
-    @Override public Pooler.Call probe(String member, Consumer<AttemptEnd<Answer>> end) {
+    @Override public Ports.Call probe(String member, Consumer<AttemptEnd<Answer>> end) {
         return probes.probe(member, how -> end.accept(how instanceof AttemptEnd.Served<PgAnswer> s
                 ? new AttemptEnd.Served<>(null, s.note())
                 : new AttemptEnd.Broken<>(Reach.ANSWERED, "no report")));
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -8,6 +8,7 @@
 import crankspar.core.FinalAnswer;
 import crankspar.core.Front;
 import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpText;
 import crankspar.net.Carrier;
@@ -76,7 +77,7 @@
     public record Parts(RestFront front, Pooler<?, ?> pooler, crankspar.net.Pool<?, ?> pool) { }
 
     /** Builds the front over its own connections to servers that speak REST. */
-    public static Parts build(Loop loop, Router.Settings settings, Counters counters, Pooler.Discovery discovery,
+    public static Parts build(Loop loop, Router.Settings settings, Counters counters, Ports.Discovery discovery,
                               java.util.function.BiFunction<Router.Settings, Router.Actions, Router> maker,
                               int clients, int servers) {
         var pool = new crankspar.net.Pool<RestQuery, RestAnswer>(loop, counters,
@@ -162,7 +163,7 @@
                 positioned ? mark : Double.NaN, null, null);
         boolean[] answered = new boolean[1];
         double shown = mark;
-        String id = pooler.take(new Pooler.Ask<>(kind, ttl, key, q.mark(), group, q), answer -> {
+        String id = pooler.take(new Ports.Ask<>(kind, ttl, key, q.mark(), group, q), answer -> {
             answered[0] = true;
             reads.remove(session);
             session.answer(said(answer, q, shown));
@@ -209,7 +210,7 @@
         } else {
             var q = new RestQuery(c.name(), Freshness.WRITE, group, null, 0, "", Double.POSITIVE_INFINITY, Double.NaN,
                     key, call.body());
-            pooler.take(new Pooler.Ask<>(kind, ttl, call.head().header("session"), Double.NaN, group, q), answer -> {
+            pooler.take(new Ports.Ask<>(kind, ttl, call.head().header("session"), Double.NaN, group, q), answer -> {
                 byte[] response = said(answer, q, Double.NaN);
                 if (answer instanceof FinalAnswer.Served<RestAnswer>) {
                     claims.answered(scoped, response, loop.now());
--- a/src/main/java/crankspar/rest/RestServerSession.java
+++ b/src/main/java/crankspar/rest/RestServerSession.java
@@ -7,7 +7,7 @@
 import crankspar.core.AttemptEnd;
 import crankspar.core.AttemptEnd.Note;
 import crankspar.core.Counters;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.core.Reach;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
@@ -28,7 +28,7 @@
 
     private final HttpParser parser = new HttpParser(false, BODY_MOST, this);
     private final Counters counters;
-    private final Pooler.Time clock;
+    private final Ports.Time clock;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Keeper keeper;
     private Out out;
@@ -36,11 +36,11 @@
     private RestQuery query;
     private double least;
     private HttpHead.Response head;
-    private Pooler.Hearer<RestAnswer> hearer;
+    private Ports.Hearer<RestAnswer> hearer;
     private boolean keepAlive = true;
     private boolean surplus;
 
-    RestServerSession(Counters counters, Pooler.Time clock) {
+    RestServerSession(Counters counters, Ports.Time clock) {
         this.counters = counters;
         this.clock = clock;
     }
@@ -54,7 +54,7 @@
         keeper.ready();
     }
 
-    @Override public void carry(RestQuery q, double left, Pooler.Hearer<RestAnswer> told) {
+    @Override public void carry(RestQuery q, double left, Ports.Hearer<RestAnswer> told) {
         query = q;
         hearer = told;
         reach = Reach.PARTLY_WRITTEN;
@@ -149,7 +149,7 @@
             return;                           // an interim answer
         }
         keepAlive = head.keepAlive();
-        Pooler.Hearer<RestAnswer> told = hearer;
+        Ports.Hearer<RestAnswer> told = hearer;
         hearer = null;
         if (told == null || surplus) {
             return;                           // it was too long, and is given up already
--- a/src/test/java/crankspar/audit/AuditorTest.java
+++ b/src/test/java/crankspar/audit/AuditorTest.java
@@ -10,7 +10,7 @@
 import crankspar.config.Config;
 import crankspar.config.Operator;
 import crankspar.core.Counters;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.lab.LabSettings;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -27,7 +27,7 @@
     private final Auditor auditor = auditor();
 
     private Auditor auditor() {
-        var time = new Pooler.Time() {
+        var time = new Ports.Time() {
             @Override public double now() { return now; }
             @Override public void after(double ms, Runnable what) { }
         };
@@ -73,7 +73,7 @@
             for (int i = 0; i < 100_000; i++) {
                 auditor.sent("r", "db-1", 0, now);
                 auditor.role("db-1", Role.PRIMARY, now + i);
-                auditor.answered("r", Pooler.Audit.Answer.SERVED, 0, now);
+                auditor.answered("r", Ports.Audit.Answer.SERVED, 0, now);
             }
             assertThat((bean.getCurrentThreadAllocatedBytes() - before) / 100_000).as("round " + round).isZero();
         }
--- a/src/test/java/crankspar/duties/SharedProbesTest.java
+++ b/src/test/java/crankspar/duties/SharedProbesTest.java
@@ -8,6 +8,7 @@
 import crankspar.core.AttemptEnd;
 import crankspar.core.Counters;
 import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.core.Reach;
 import crankspar.discovery.Watch;
 import crankspar.membership.Swim;
@@ -42,11 +43,11 @@
         Instance(int me, List<InetSocketAddress> peers, List<byte[]> keys, SharedWatch watch, Loop loop) throws Exception {
             this.loop = loop;
             Router.Settings settings = TestSettings.platform();
-            var backends = new Pooler.Backends<String, String>() {
-                @Override public Pooler.Call send(String member, String query, double left, double within, Pooler.Hearer<String> hearer) {
+            var backends = new Ports.Backends<String, String>() {
+                @Override public Ports.Call send(String member, String query, double left, double within, Ports.Hearer<String> hearer) {
                     return () -> Reach.NOT_CONNECTED;
                 }
-                @Override public Pooler.Call probe(String member, Consumer<AttemptEnd<String>> end) {
+                @Override public Ports.Call probe(String member, Consumer<AttemptEnd<String>> end) {
                     probes.incrementAndGet();
                     loop.after(2, () -> end.accept(new AttemptEnd.Served<>("", new AttemptEnd.Note(Router.Role.PRIMARY, loop.now()))));
                     return () -> Reach.ANSWERED;
--- a/src/test/java/crankspar/net/PoolTest.java
+++ b/src/test/java/crankspar/net/PoolTest.java
@@ -4,7 +4,7 @@
 
 import crankspar.core.AttemptEnd;
 import crankspar.core.Counters;
-import crankspar.core.Pooler;
+import crankspar.core.Ports;
 import crankspar.core.Reach;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
@@ -33,7 +33,7 @@
         }
 
         @Override public void keeper(Keeper keeper) { this.keeper = keeper; }
-        @Override public void carry(String query, double left, Pooler.Hearer<String> hearer) {
+        @Override public void carry(String query, double left, Ports.Hearer<String> hearer) {
             carried.incrementAndGet();
             hearer.ended(new AttemptEnd.Served<>("row", AttemptEnd.Note.NONE));
         }
