--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -1,6 +1,6 @@
 package crankspar.cli;
 
-import crankspar.Balance;
+import crankspar.policy.Balance;
 import crankspar.BenchLink;
 import crankspar.config.Config;
 import crankspar.config.Operator;
--- a/src/main/java/crankspar/cli/Warmup.java
+++ b/src/main/java/crankspar/cli/Warmup.java
@@ -1,6 +1,6 @@
 package crankspar.cli;
 
-import crankspar.Balance;
+import crankspar.policy.Balance;
 import crankspar.Router;
 import crankspar.Router.Freshness;
 import crankspar.Router.Health;
--- /dev/null
+++ b/src/main/java/crankspar/policy/Reads.java
@@ -0,0 +1,210 @@
+package crankspar.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+
+/** Where a read goes: the gate by known positions, zones by their lowest latency of late, the pick of two. */
+abstract class Reads extends Primary {
+    static final int WINDOW = 10;
+    static final int SESSIONS = 100_000;  // remembered
+
+    Reads(Settings settings, Actions actions) {
+        super(settings, actions);
+        sortZones();
+    }
+
+    abstract void pump(Group g);              // sends what can be sent
+
+    void notePosition(Db db, double position, double at) {
+        if (Double.isNaN(position)) {
+            return;
+        }
+        if (db.position > Double.NEGATIVE_INFINITY && at > db.heard && position >= db.position) {
+            double pace = Math.min(1, (position - db.position) / (at - db.heard));
+            db.pace += FRESH_WEIGHT * (pace - db.pace);
+        }
+        db.position = Math.max(db.position, position);
+    }
+
+    /** The gate. Bounds age with the clock, session marks do not. Where replicas check reads, a position may
+     * be thought on at the pace seen: a wrong guess is a miss. */
+    boolean passes(Db db, Work w) {
+        double need = need(w);
+        double thoughtOn = strict ? 0 : db.pace * Math.max(0, now - db.heard);
+        return need == Double.NEGATIVE_INFINITY || db.position + thoughtOn >= need
+                || !strict && w.kind.freshness() == Freshness.BOUNDED && now - db.heard > UNHEARD;
+    }
+
+    double need(Work w) {
+        return w.kind.freshness() == Freshness.BOUNDED ? Math.max(now - w.kind.bound(), w.need) : w.need;
+    }
+
+    double needAtStart(Request r, RequestClass kind) {
+        if (kind.freshness() == Freshness.FRESH) {
+            return now;
+        }
+        boolean paged = kind.freshness() == Freshness.BOUNDED && r.markAge() > 0; // a later page: never back
+        if (kind.freshness() != Freshness.SESSION && !paged) {
+            return Double.NEGATIVE_INFINITY;
+        }
+        if (paged || settings.sessionMarks() == SessionMarks.CARRIED) {
+            return r.markAge() > 0 ? now - r.markAge() : Double.NEGATIVE_INFINITY;
+        }
+        return r.session() == null ? forgotten : marks.getOrDefault(r.session(), forgotten);
+    }
+
+    void remember(String session, double commit) {
+        if (session == null || settings.sessionMarks() == SessionMarks.CARRIED || Double.isNaN(commit)) {
+            return;
+        }
+        double last = marks.getOrDefault(session, commit);
+        marks.remove(session);
+        marks.put(session, Math.max(last, commit));
+        if (marks.size() > SESSIONS) {
+            var oldest = marks.entrySet().iterator();
+            forgotten = Math.max(forgotten, oldest.next().getValue());
+            oldest.remove();
+        }
+    }
+
+    void noteLatency(Db db, double elapsed) {
+        lows.merge(db.entry.zone(), elapsed, Math::min);
+    }
+
+    double distance(String zone) {
+        Double low = lows.getOrDefault(zone, lowsBefore.get(zone));
+        return low != null ? Math.min(low, lowsBefore.getOrDefault(zone, low))
+                : zone.equals(settings.zone()) ? 0 : Double.POSITIVE_INFINITY;
+    }
+
+    void sortZones() {
+        dbs.values().stream().map(db -> db.entry.zone()).filter(z -> !zoneOrder.contains(z)).distinct()
+                .toList().forEach(zoneOrder::add);
+        zoneOrder.sort(Comparator.comparingDouble(this::distance));
+    }
+
+    void everyPeriod() {
+        sortZones();
+        if (++period % (WINDOW / 2) == 0) {
+            lowsBefore = lows;
+            lows = new HashMap<>();
+        }
+        // Members long unheard are probed, oldest first: for the zone's distance, sooner for their position.
+        double quiet = settings.reports() == Reports.IN_PROBES ? UNHEARD : PERIOD * WINDOW / 2;
+        dbs.values().stream().filter(db -> now - Math.max(db.heard, db.probed) > quiet)
+                .sorted(Comparator.comparingDouble(db -> db.probed)).toList().forEach(this::probe);
+        dbs.values().forEach(db -> db.share = Math.max(db.share, Math.min(1, db.share + SHARE_UP / 4)));
+        after(PERIOD, this::everyPeriod);
+    }
+
+    /** A probe's position and role are as old as its report; a primary's position dates it. */
+    @Override public void onProbe(double at, ProbeResult r) {
+        now = at;
+        Db db = dbs.get(r.member());
+        if (db == null) {
+            return;
+        }
+        if (!r.ok()) {
+            db.lost |= db.silent;
+            return;
+        }
+        noteLatency(db, r.elapsed());
+        if (!Double.isNaN(r.position())) {
+            db.position = Math.max(db.position, r.position());
+            noteRole(db, r.role(), r.position());
+        }
+        pump(groups.get(db.entry.group()));
+    }
+
+    /** What peers learned first-hand, never empty: a position stays true however late, and dates its role. */
+    @Override public void onHearsay(double at, List<Told> what) {
+        now = at;
+        if (sparse == what.get(0).inFlight() >= 0) { // bounds hold for all in flight while that is told
+            sparse = !sparse;
+            least = sparse ? Math.max(1, LEAST / settings.siblings()) : LEAST;
+            dbs.values().forEach(db -> db.limit = firstLimit());
+        }
+        for (Told h : what) {
+            Db db = dbs.get(h.member());  // one that the own list has not named is none of ours
+            if (db != null && h.position() < now + UNHEARD) {
+                if (h.at() > db.told) {
+                    back(db);
+                    db.told = h.at();
+                }
+                db.position = Math.max(db.position, h.position());
+                noteRole(db, h.role(), h.position());
+                db.others = Math.max(0, h.inFlight());
+            }
+        }
+        groups.values().forEach(this::pump);
+    }
+
+    Db chooseReplica(Work w) {
+        var near = new ArrayList<Db>();
+        Db due = null;
+        boolean seek = strict && believed(w.group) == null;
+        for (String zone : zoneOrder) {
+            for (Db db : w.group.members) {
+                if (!db.usable || !db.entry.zone().equals(zone) || db == w.group.primary
+                        || w.avoid.contains(db) || !passes(db, w)) {
+                    continue;
+                }
+                if (db.silent || db.erring()) {
+                    due = due == null && trialDue(db, w) && w.out.isEmpty() && w.tries == 0 ? db : due;
+                } else if (room(db, w, false)) {
+                    if (seek && db.role == Role.UNKNOWN) {
+                        return db;
+                    }
+                    near.add(db);
+                }
+            }
+            if (near.size() >= 2 && !seek) {
+                break;
+            }
+        }
+        if (due != null || near.isEmpty()) {
+            return due;
+        }
+        Db one = near.get(random.nextInt(near.size()));
+        Db two = near.get(random.nextInt(near.size()));
+        int cmp = Integer.compare(two.inFlight(), one.inFlight());
+        boolean strained = sparse && Math.max(one.strain, two.strain) > STRAIN;
+        boolean tie = strained ? two.strain < one.strain : many && one.entry.zone().equals(two.entry.zone())
+                ? random.nextBoolean() : near.indexOf(two) < near.indexOf(one);
+        return cmp < 0 || cmp == 0 && tie ? two : one;
+    }
+
+    /** A read that may hold up replay for longer than the tightest bound waits for the replica furthest
+     * behind, so that the others stay fresh; all instances see the same one. Harm: it waits. */
+    boolean stalls(Work w) {
+        return w.kind.freshness() == Freshness.ANY && w.kind.aim() * STRAIN > tightest;
+    }
+
+    Db furthestBehind(Work w) {
+        return w.group.members.stream().filter(m -> m.usable && !m.silent && !m.erring()
+                && m != w.group.primary && !w.avoid.contains(m))
+                .min(Comparator.comparingDouble(m -> m.position)).orElse(null);
+    }
+
+    Db choose(Work w) {
+        if (w.primaryOnly()) {
+            return choosePrimary(w);
+        }
+        Db last = stalls(w) ? furthestBehind(w) : null;
+        if (last != null) {
+            return room(last, w, false) ? last : null;
+        }
+        Db db = chooseReplica(w);
+        Db p = believed(w.group);
+        if (db != null && !(sparse && db.strain > STRAIN && p != null && p.strain < db.strain && !p.silent
+                && !p.erring() && room(p, w, true))) {
+            return db;
+        }
+        if (p == null || w.avoid.contains(p) || p.erring() && !trialDue(p, w)) {
+            return null;
+        }
+        return p.silent ? trialDue(p, w) ? p : null : room(p, w, true) ? p : null;
+    }
+}
--- a/src/test/java/crankspar/EmbedExampleTest.java
+++ b/src/test/java/crankspar/EmbedExampleTest.java
@@ -1,5 +1,6 @@
 package crankspar;
 
+import crankspar.policy.Balance;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/crankspar/Fake.java
+++ b/src/test/java/crankspar/Fake.java
@@ -1,5 +1,6 @@
 package crankspar;
 
+import crankspar.policy.Balance;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
--- a/src/test/java/crankspar/ReplayTest.java
+++ b/src/test/java/crankspar/ReplayTest.java
@@ -1,5 +1,6 @@
 package crankspar;
 
+import crankspar.policy.Balance;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import crankspar.hearsay.Hearing;
--- a/src/test/java/crankspar/duties/SharedProbesTest.java
+++ b/src/test/java/crankspar/duties/SharedProbesTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.Balance;
+import crankspar.policy.Balance;
 import crankspar.Router;
 import crankspar.TestSettings;
 import crankspar.core.AttemptEnd;
--- a/src/test/java/crankspar/pg/PgFrontTest.java
+++ b/src/test/java/crankspar/pg/PgFrontTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import crankspar.Balance;
+import crankspar.policy.Balance;
 import crankspar.Router.Health;
 import crankspar.Router.Member;
 import crankspar.TestSettings;
--- a/src/test/java/crankspar/rest/RestFrontTest.java
+++ b/src/test/java/crankspar/rest/RestFrontTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.Balance;
+import crankspar.policy.Balance;
 import crankspar.Router.Health;
 import crankspar.Router.Member;
 import crankspar.TestSettings;
