An idle connection is closed only after what had come on it is read

After a pause newcomers are let in before anything else is read (accepting is urgent, reading a client is held), and each one past the share closes the connection that is idle the longest - idle only because what the machine had taken on it was not read yet. Those bytes were dropped with it. Ruled out: the kill at the end of a takeover (no process ended then), the bound on sockets (152 to 176 of 384), the second process (not there yet).

Change: the longest idle one is chosen, and closed 5 ms later if it is idle still and nothing has come; the timer stands behind what is held. One that is chosen no longer counts among those that are kept.

--- a/src/main/java/crankspar/net/Clients.java
+++ b/src/main/java/crankspar/net/Clients.java
@@ -26,6 +26,13 @@
      */
     private static final double HALF_MOST = 2400;
 
+    /**
+     * An idle connection is closed so long (ms) after it was chosen, if it is idle still: what had come on it by then is read
+     * first. Guards against lost requests: after the process had stood still, newcomers were let in before what waited on the
+     * old connections was read, and 133 requests that the machine had taken were dropped with them.
+     */
+    private static final double READ_FIRST = 5;
+
     /** The share of the places up to which idle connections are kept. */
     private static final double KEPT = 0.4;
 
@@ -47,6 +54,7 @@
         Standing standing = Standing.NEW;
         long progress;
         double since;
+        boolean chosen;                       // to be closed, if nothing has come on it
 
         Place(double now) { opened = since = now; }
     }
@@ -66,6 +74,7 @@
         return this.address;
     }
 
+    /** A rehearsal before the start has no loop, and takes no time. */
     private double now() { return loop == null ? 0 : loop.now(); }
 
     /** A machine for a client's connection, or null when all places are taken by requests. */
@@ -93,18 +102,30 @@
         for (Map.Entry<S, Place> e : places.entrySet()) {
             Standing standing = e.getKey().standing();
             Place place = e.getValue();
-            here += standing == Standing.LEAVING ? 0 : 1;
-            if (standing == Standing.IDLE && (longest == null || since(place, standing) < since)) {
+            here += standing == Standing.LEAVING || place.chosen ? 0 : 1;
+            if (standing == Standing.IDLE && !place.chosen && (longest == null || since(place, standing) < since)) {
                 longest = e.getKey();
                 since = since(place, standing);
             }
         }
         if (here > kept && longest != null && !stopping) {
-            counters.add("client_connections_idle_trimmed");
-            longest.closeIfIdle();
+            close(longest);
         }
     }
 
+    private void close(S session) {
+        Place place = places.get(session);
+        long before = session.progress();
+        place.chosen = true;
+        loop.after(READ_FIRST, () -> {
+            place.chosen = false;
+            if (session.progress() == before && session.standing() == Standing.IDLE) {
+                counters.add("client_connections_idle_trimmed");
+                session.closeIfIdle();
+            }
+        });
+    }
+
     private double since(Place place, Standing standing) { return standing == place.standing ? place.since : now(); }
 
     /**
