Processes of one pooler share sessions' marks where these are remembered

Ruled out: a write that was answered late (reads go wrong only after a takeover), notes (the member told its position truly).

The mark reaches the module with its request, as a carried one does; the module takes the later of both.

--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -12,6 +12,7 @@
 import crankspar.discovery.Watch;
 import crankspar.duties.SharedProbes;
 import crankspar.duties.SharedWatch;
+import crankspar.handover.SessionRing;
 import crankspar.hearsay.Hearing;
 import crankspar.mgmt.Calls;
 import crankspar.mgmt.Operations;
@@ -157,7 +158,7 @@
             double share = config != null && setup != null ? 0.5 : 1; // two fronts halve the sockets
             double sockets = share * (config != null ? config.sockets() : SOCKETS);
             if (config != null) {
-                platform(config, (int) (sockets * CLIENTS), (int) (sockets * SERVERS));
+                platform(config, shared, (int) (sockets * CLIENTS), (int) (sockets * SERVERS));
             }
             if (setup != null) {
                 rest(setup, restSettings, (int) (sockets * CLIENTS), (int) (sockets * SERVERS));
@@ -204,7 +205,7 @@
         });
     }
 
-    private void platform(Config config, int clients, int servers) throws IOException, InterruptedException {
+    private void platform(Config config, Path shared, int clients, int servers) throws IOException, InterruptedException {
         var settings = config.settings();
         var pool = new Pool<Statement, PgAnswer>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(),
                 settings.limits().dialTimeout(), settings.limits().connIdle(), servers);
@@ -215,6 +216,9 @@
             listed.countDown();
         }, () -> later[0].watchLost());
         var core = new Pooler<Statement, PgAnswer>(settings, loop, pool, watching(pgWatch), counters, Hearing.before(Balance::new));
+        if (shared != null && settings.sessionMarks() == Router.SessionMarks.REMEMBERED) {
+            core.sessions(SessionRing.open(shared.resolve("crankspar-" + Integer.toHexString(store.node().hashCode()) + ".sessions")));
+        }
         var front = new PgFront(loop, settings, counters, core, clients);
         loop.runAndWait(() -> {
             later[0] = new Directory(loop, settings.rules().rampTime(), store, "pg", pool, core);
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -1,6 +1,7 @@
 package crankspar.core;
 
 import crankspar.Router;
+import crankspar.Router.Freshness;
 import crankspar.Router.ListKind;
 import crankspar.Router.Member;
 import crankspar.Router.Outcome;
@@ -13,18 +14,17 @@
 import crankspar.core.Ports.Discovery;
 import crankspar.core.Ports.Hearer;
 import crankspar.core.Ports.Reply;
+import crankspar.core.Ports.Sessions;
 import crankspar.core.Ports.Time;
 import crankspar.core.Ports.Peers;
 import crankspar.core.Ports.Probed;
 import crankspar.core.Ports.Probes;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiFunction;
 import java.util.function.Function;
-import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
@@ -52,16 +52,16 @@
     private final Counters counters;
     private final Router module;
     private final Map<String, Owed<Q, A>> owed = new HashMap<>();
-    private final ArrayDeque<Runnable> events = new ArrayDeque<>();
+    private final Turns turns;
     private final Figures figures;
     private final int most;                   // attempts of one request that may be out at once
-    private boolean busy;
     private long ids;
     private int owing;
     private Runnable whenQuiet = () -> { };
     private final Notes notes;
     private final Prober<A> prober;
     private Audit audit;
+    private Sessions sessions;
     private Function<Q, String> naming;
     private Peers peers = message -> { };
     private double lastAnswer = Double.POSITIVE_INFINITY;
@@ -76,11 +76,12 @@
         most = settings.limits().secondCopies() ? 2 : 1;
         figures = new Figures(settings.classes().size());
         notes = new Notes(time, counters);
+        turns = new Turns(counters);
         prober = new Prober<>(time, backends, counters, notes, settings.limits().dialTimeout());
         module = maker.apply(settings, this);
     }
 
-    // ---- What happens. Every event passes through the queue: the module is never called inside its own call.
+    // ---- What happens.
     public void start(List<Member> known) {
         event(() -> {
             module.onStart(now());
@@ -108,8 +109,13 @@
         var o = new Owed<>(ask, reply, now, name == null ? id : name);
         owed.put(id, o);
         owing++;
+        double mark = ask.mark();
+        if (sessions != null && freshness(o) == Freshness.SESSION) {
+            double need = sessions.need(ask.session());
+            mark = Double.isNaN(need) || mark > need ? mark : need;
+        }
         // A mark told in the same millisecond may lie ahead of this clock: it is a mark all the same.
-        double age = Double.isNaN(ask.mark()) ? -1 : Math.max(0.001, now - ask.mark());
+        double age = Double.isNaN(mark) ? -1 : Math.max(0.001, now - mark);
         event(() -> module.onRequest(now, new Router.Request(id, ask.requestClass(), ask.ttl(), ask.session(),
                 age, ask.group())));
         time.after(ask.ttl() + settings.rules().answerSlack() * LAST, () -> {
@@ -169,26 +175,7 @@
         }
     }
 
-    private void event(Runnable what) {
-        events.add(what);
-        if (busy) {
-            return;
-        }
-        busy = true;
-        try {
-            for (Runnable next = events.poll(); next != null; next = events.poll()) {
-                try {
-                    next.run();
-                } catch (RuntimeException e) {
-                    // Guards against one bad event taking the daemon along: the last guard still answers.
-                    counters.add("module_errors");
-                    LOG.log(Level.SEVERE, "decision failed", e);
-                }
-            }
-        } finally {
-            busy = false;
-        }
-    }
+    private void event(Runnable what) { turns.take(what); }
 
     private double now() { return time.now(); }
 
@@ -201,8 +188,7 @@
     }
 
     boolean began(Attempt<Q, A> a, A answer) {
-        boolean write = settings.classes().get(a.owed.ask.requestClass()).freshness() == Router.Freshness.WRITE;
-        return began(a, answer, write ? null : AttemptEnd.Note.NONE);
+        return began(a, answer, freshness(a.owed) == Freshness.WRITE ? null : AttemptEnd.Note.NONE);
     }
 
     boolean held(Attempt<Q, A> a, A answer, AttemptEnd.Note note) { return began(a, answer, notes.plausible(note)); }
@@ -237,9 +223,10 @@
         });
     }
 
+    private Freshness freshness(Owed<Q, A> o) { return settings.classes().get(o.ask.requestClass()).freshness(); }
+
     private double within(Owed<Q, A> o) {
-        return settings.classes().get(o.ask.requestClass()).freshness() == Router.Freshness.BOUNDED
-                ? AGEING_MOST : Double.POSITIVE_INFINITY;
+        return freshness(o) == Freshness.BOUNDED ? AGEING_MOST : Double.POSITIVE_INFINITY;
     }
 
     /**
@@ -277,6 +264,9 @@
         }
         if (end instanceof AttemptEnd.Served<A> s) {
             AttemptEnd.Note note = notes.plausible(s.note());
+            if (sessions != null && freshness(a.owed) == Freshness.WRITE) {
+                sessions.wrote(a.owed.ask.session(), note.position());
+            }
             if (!a.owed.over && (a.owed.begun == null || a.owed.begun == a)) {
                 answer(a.request, a.owed, new FinalAnswer.Served<>(s.answer(), note));
             }
@@ -385,6 +375,9 @@
     /** Probes at once over this core's connections, and tells what came of it, once. */
     public void probeNow(String member, Probed told) { prober.now(member, told); }
 
+    /** From now on sessions' marks are shared with other processes of this pooler. */
+    public void sessions(Sessions sessions) { this.sessions = sessions; }
+
     /** From now on what is sent and answered is kept there; {@code naming} gives a query's own name, or null where it has none. */
     public void audit(Audit audit, Function<Q, String> naming) {
         this.audit = audit;
--- a/src/main/java/crankspar/core/Ports.java
+++ b/src/main/java/crankspar/core/Ports.java
@@ -68,6 +68,14 @@
         void tell(boolean ok, double elapsed, Role role, double position);
     }
 
+    /** What sessions have written through other processes of this pooler; off the path where there is none. */
+    interface Sessions {
+        /** A write of this session was committed at {@code commit} (Unix ms, or NaN); told before its client is. */
+        void wrote(String session, double commit);
+        /** The position (Unix ms) that a read of this session must see, or NaN. */
+        double need(String session);
+    }
+
     /** Who keeps what was sent under which stand; see the package {@code audit}. Off the path of a request where there is none. */
     interface Audit {
         enum Answer { SERVED, REFUSED, FAILED }
--- a/src/main/java/crankspar/policy/Reads.java
+++ b/src/main/java/crankspar/policy/Reads.java
@@ -49,10 +49,9 @@
         if (kind.freshness() != Freshness.SESSION && !paged) {
             return Double.NEGATIVE_INFINITY;
         }
-        if (paged || settings.sessionMarks() == SessionMarks.CARRIED) {
-            return r.markAge() > 0 ? now - r.markAge() : Double.NEGATIVE_INFINITY;
-        }
-        return r.session() == null ? forgotten : marks.getOrDefault(r.session(), forgotten);
+        double told = r.markAge() > 0 ? now - r.markAge() : Double.NEGATIVE_INFINITY;
+        boolean carried = paged || settings.sessionMarks() == SessionMarks.CARRIED;
+        return carried ? told : Math.max(told, marks.getOrDefault(r.session(), forgotten));
     }
 
     void remember(String session, double commit) {
