--- a/src/main/java/crankspar/cli/Daemon.java
+++ b/src/main/java/crankspar/cli/Daemon.java
@@ -70,6 +70,7 @@
     private final Counters counters = new Counters();
     private final Store store;
     private final Presence presence;
+    private SharedEntries marks;
     /** The fronts that are set up, in the order in which they were built. */
     private final List<Served> fronts = new ArrayList<>();
     private final List<Router.Settings> planned = new ArrayList<>();
@@ -139,7 +140,7 @@
         presence = new Presence(shared, store.node());
         try {
             if (shared != null) {
-                loop.runAndWait(() -> new SharedEntries(loop, store,
+                loop.runAndWait(() -> marks = new SharedEntries(loop, store,
                         shared.resolve("crankspar-" + Integer.toHexString(store.node().hashCode()) + ".marks"),
                         List.of(Directory.DRAIN, Directory.RETURNED)));
             }
@@ -380,6 +381,7 @@
         if (auditing != null) {
             auditing.close();
         }
+        closeMarks();
         presence.close();
         loop.runAndWait(() -> System.err.println("counters " + counters));
     }
@@ -528,6 +530,7 @@
         if (auditing != null) {
             auditing.close();
         }
+        closeMarks();
         presence.close();
         loop.runAndWait(() -> System.err.println("counters " + counters));
     }
@@ -550,6 +553,13 @@
             auditing.close();
         }
         peering.close();
+        closeMarks();
         loop.close();
     }
+
+    private void closeMarks() {
+        if (marks != null) {
+            marks.close();
+        }
+    }
 }
--- a/src/main/java/crankspar/net/Clients.java
+++ b/src/main/java/crankspar/net/Clients.java
@@ -115,9 +115,17 @@
 
     private void close(S session) {
         Place place = places.get(session);
-        long before = session.progress();
         place.chosen = true;
+        closeIfStill(session, place, session.progress());
+    }
+
+    private void closeIfStill(S session, Place place, long before) {
+        double due = now() + READ_FIRST;
         loop.after(READ_FIRST, () -> {
+            if (now() > due + READ_FIRST) {   // the loop was held up: this stands before what has come meanwhile
+                closeIfStill(session, place, before);
+                return;
+            }
             place.chosen = false;
             if (session.progress() == before && session.standing() == Standing.IDLE) {
                 counters.add("client_connections_idle_trimmed");
--- a/src/test/java/crankspar/pg/ClosingTest.java
+++ b/src/test/java/crankspar/pg/ClosingTest.java
@@ -20,7 +20,12 @@
 /** Connections that are closed for others, and what is on its way on them. */
 class ClosingTest {
     /** After a pause newcomers are let in before anything else is read: what waited on idle connections is answered all the same. */
-    @Test void noRequestIsDroppedWithAnIdleConnectionThatMakesRoom() throws Exception {
+    @Test void noRequestIsDroppedWithAnIdleConnectionThatMakesRoom() throws Exception { whileItStands(false); }
+
+    /** The same where one was chosen just before the pause. */
+    @Test void noRequestIsDroppedWithAConnectionThatWasChosenBefore() throws Exception { whileItStands(true); }
+
+    private static void whileItStands(boolean chosen) throws Exception {
         var counters = new Counters();
         var settings = TestSettings.platform();
         var wires = new ArrayList<Wire>();
@@ -37,6 +42,9 @@
             var stopped = new CountDownLatch(1);
             var goOn = new CountDownLatch(1);
             loop.run(() -> {
+                if (chosen) {
+                    front.session();
+                }
                 stopped.countDown();
                 try {
                     goOn.await();
