--- a/src/main/java/crankspar/discovery/Following.java
+++ b/src/main/java/crankspar/discovery/Following.java
@@ -194,12 +194,16 @@
         if (c.former) {
             return;
         }
+        if (c.once) {                         // what it brought is all that was asked of it; a watch on its way stays
+            dropIf(o -> o == c);
+            return;
+        }
         c.told = true;
         lost = false;
         hastes = 0;
         again = Math.min(AGAIN, haste);
         openAt = Double.POSITIVE_INFINITY;
-        dropIf(o -> o != c || c.once);
+        dropIf(o -> o != c);
     }
 
     private void ended(Call c, double now) {
@@ -207,7 +211,7 @@
             return;
         }
         calls.remove(c);
-        if (c.former || !calls.stream().allMatch(o -> o.former)) {
+        if (c.former || calls.stream().anyMatch(o -> !o.former && !o.once)) {
             return;
         }
         if (!pushed) {
