Daemon becomes a package of concerns; arrows and file lengths are held by tests

Change, none of behaviour: package daemon has Assembly (builds and connects), Fronts (one way to set up a front, whatever it speaks), Leaving, Reload, OperatorCalls and Daemon, which is what others see; directory, presence, peering, audit and warm-up moved along. Json has a package of its own, below all; the audit's bounds stand in the configuration as constants that a test compares. StructureTest (ArchUnit, tests only) holds: decisions know no wire, store, configuration, clock or chance; policy rests on Router and the language alone; nothing outside tests knows lab; nothing below knows the daemon; no file over 400 lines but twelve that were, which may only shrink (Daemon, Balance and Pooler are off that list).

--- a/src/main/java/crankspar/BenchLink.java
+++ b/src/main/java/crankspar/BenchLink.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import crankspar.config.SettingsReader;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
--- a/src/main/java/crankspar/audit/Asked.java
+++ b/src/main/java/crankspar/audit/Asked.java
@@ -2,7 +2,7 @@
 
 import crankspar.audit.Ledger.Kind;
 import crankspar.audit.Stand.Origin;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
--- a/src/main/java/crankspar/audit/Pages.java
+++ b/src/main/java/crankspar/audit/Pages.java
@@ -1,7 +1,7 @@
 package crankspar.audit;
 
 import com.fasterxml.jackson.core.JsonGenerator;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
--- a/src/main/java/crankspar/cli/AuditCommand.java
+++ b/src/main/java/crankspar/cli/AuditCommand.java
@@ -6,7 +6,7 @@
 import crankspar.audit.Ledger;
 import crankspar.audit.Stand;
 import crankspar.audit.Standing;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -4,6 +4,7 @@
 import crankspar.BenchLink;
 import crankspar.config.Config;
 import crankspar.config.Operator;
+import crankspar.daemon.Daemon;
 import crankspar.hearsay.Hearing;
 import java.io.BufferedReader;
 import java.io.IOException;
--- a/src/main/java/crankspar/cli/Serve.java
+++ b/src/main/java/crankspar/cli/Serve.java
@@ -2,6 +2,8 @@
 
 import crankspar.config.Config;
 import crankspar.config.Operator;
+import crankspar.daemon.Daemon;
+import crankspar.daemon.Reloads;
 import java.io.IOException;
 import java.nio.file.Path;
 
--- a/src/main/java/crankspar/config/Config.java
+++ b/src/main/java/crankspar/config/Config.java
@@ -1,5 +1,6 @@
 package crankspar.config;
 
+import crankspar.json.Json;
 import crankspar.Router;
 import crankspar.discovery.MemberList;
 import crankspar.net.Addresses;
--- a/src/main/java/crankspar/config/Operator.java
+++ b/src/main/java/crankspar/config/Operator.java
@@ -38,7 +38,12 @@
      * The audit: where its datagrams come (without an address of its own, {@code listen} null, the platform's peers are taken), the
      * ledger's folder or null, and whether a straggler shuts itself out.
      */
-    public record Audit(InetSocketAddress listen, List<InetSocketAddress> peers, int me, Path folder, boolean stragglers, double lease, double share) { }
+    public record Audit(InetSocketAddress listen, List<InetSocketAddress> peers, int me, Path folder, boolean stragglers, double lease, double share) {
+        /** The audit's own bounds and defaults, which it must not be asked for from here: poolers, ms, a share. */
+        static final int POOLERS_MOST = 1024;
+        static final double LEASE = 6000;
+        static final double SHARE = 0.333;
+    }
 
     /** The store: a snapshot's file (or null) and the peers whose changes are pulled. */
     public record StoreSetup(Path snapshot, List<InetSocketAddress> peers, double periodMs) { }
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -89,9 +89,7 @@
         });
     }
 
-    public void members(ListKind kind, List<Member> members) {
-        event(() -> module.onMembers(now(), kind, members));
-    }
+    public void members(ListKind kind, List<Member> members) { event(() -> module.onMembers(now(), kind, members)); }
 
     public void watchLost() { event(() -> module.onWatchLost(now())); }
 
--- a/src/main/java/crankspar/cli/Directory.java
+++ b/src/main/java/crankspar/daemon/Directory.java
@@ -1,4 +1,4 @@
-package crankspar.cli;
+package crankspar.daemon;
 
 import crankspar.Router.Health;
 import crankspar.Router.ListKind;
@@ -65,7 +65,7 @@
         String kept = store.get(key);
         if (known.members().isEmpty() && kept != null) {
             try {
-                list = MemberList.read(crankspar.config.Json.object(kept));
+                list = MemberList.read(crankspar.json.Json.object(kept));
             } catch (IOException | IllegalArgumentException e) {
                 LOG.warning("the kept member list cannot be read: " + e.getMessage());
             }
--- /dev/null
+++ b/src/main/java/crankspar/daemon/Leaving.java
@@ -0,0 +1,142 @@
+package crankspar.daemon;
+
+import crankspar.Router;
+import crankspar.mgmt.Operations.Done;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+
+/**
+ * How this pooler goes: for good at a signal, or until an operator has it serve again. Clients use the connections that they
+ * have for as long as these stay open, so that what is idle is closed gently and what is owed is answered first.
+ */
+final class Leaving {
+    private static final Logger LOG = Logger.getLogger(Leaving.class.getName());
+    /** A stop is followed by a kill no sooner than the longest deadline, or this (ms), ... */
+    private static final double KILL_MOST = 3000;
+    /** ... and this much later. */
+    private static final double KILL_AFTER = 700;
+    /** How long before the kill the last answer is out, and how long before that the last request is taken (ms). */
+    private static final double SPARE = 300;
+    private static final double LAST_REQUEST = 700;
+    /**
+     * After the call to drain (ms): the front asks every 0.1 s, and new connections come for 0.2 s after it
+     * has heard the first no. What a busy machine adds is allowed for.
+     */
+    private static final double STILL_OPEN = 700;
+    /** How often an end looks whether all is answered (ms). */
+    private static final double END_LOOK = 20;
+
+    private final Assembly parts;
+    private double longest;
+    /** On the loop: an operator has this pooler leave. */
+    private boolean on;
+    private int drains;
+
+    Leaving(Assembly parts) { this.parts = parts; }
+
+    boolean on() { return on; }
+
+    /** A stop waits for the longest that any front's clients do. */
+    void waitsFor(Router.Settings settings) {
+        longest = Math.max(longest, settings.classes().stream().mapToDouble(Router.RequestClass::giveUp).max().orElse(0));
+    }
+
+    /**
+     * Ends in order: still open, then nothing new, then the last answers. Guards against a gap: poolers are restarted in
+     * turn, and one that closed 0.6 s after its signal was gone for 2 s before the one before it was back.
+     */
+    void stop() throws InterruptedException {
+        if (parts.peering.shared() != null) {
+            parts.loop.run(parts.peering.shared()::leave);
+        }
+        double answered = Math.min(longest, KILL_MOST) + KILL_AFTER - SPARE;
+        if (parts.presence.another()) {
+            handOver(answered);
+        } else {
+            alone(answered);
+        }
+        parts.settle();
+        parts.loop.runAndWait(() -> System.err.println("counters " + parts.counters));
+    }
+
+    private void alone(double answered) throws InterruptedException {
+        double open = Math.max(KILL_AFTER - SPARE, answered - LAST_REQUEST);
+        var quiet = new CountDownLatch(parts.fronts.size());
+        parts.loop.run(() -> parts.fronts.forEach(f -> {
+            f.front().stopping();
+            f.core().answerBy(parts.loop.now() + answered);
+        }));
+        parts.loop.after(open, () -> parts.fronts.forEach(f -> {
+            f.front().drain();
+            f.core().whenQuiet(() -> parts.loop.after(50, quiet::countDown)); // the last bytes leave
+        }));
+        quiet.await((long) (open + longest + 500), TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Ends in favour of a process that serves already: nothing new, idle clients are closed gently, and the end
+     * comes with the last answer. Guards against requests that end at the door, and against the kill.
+     */
+    private void handOver(double answered) throws InterruptedException {
+        LOG.info("another process serves: this one ends");
+        var done = new CountDownLatch(1);
+        parts.loop.run(() -> {
+            double until = parts.loop.now() + answered;
+            parts.fronts.forEach(f -> {
+                f.core().answerBy(until);
+                f.front().drain();
+            });
+            look(until, done);
+        });
+        done.await((long) (answered + SPARE), TimeUnit.MILLISECONDS);
+    }
+
+    private void look(double until, CountDownLatch done) {
+        boolean late = parts.loop.now() >= until;
+        if (late) {
+            parts.fronts.forEach(f -> f.core().giveUp());
+        }
+        if (late || parts.fronts.stream().allMatch(f -> f.core().owing() == 0 && f.front().left())) {
+            parts.loop.after(100, done::countDown); // the last bytes leave
+        } else {
+            parts.loop.after(END_LOOK, () -> look(until, done));
+        }
+    }
+
+    /** Who asks is told no at once; the doors stay open until nobody is sent here any more. */
+    Done drain() {
+        if (!parts.serving) {
+            return Done.NOT_NOW;
+        }
+        if (!on) {
+            LOG.info("an operator drains this pooler");
+            on = true;
+            int mine = ++drains;
+            parts.fronts.forEach(f -> f.front().leaving(true));
+            parts.loop.after(STILL_OPEN, () -> {
+                if (on && mine == drains) {
+                    parts.fronts.forEach(f -> f.front().drain());
+                }
+            });
+        }
+        return Done.YES;
+    }
+
+    Done resume() {
+        if (!parts.serving) {
+            return Done.NOT_NOW;
+        }
+        if (on) {
+            LOG.info("an operator has this pooler serve again");
+            on = false;
+            parts.fronts.forEach(f -> {
+                f.front().leaving(parts.fenced());
+                if (!parts.fenced()) {
+                    f.front().resume();
+                }
+            });
+        }
+        return Done.YES;
+    }
+}
--- /dev/null
+++ b/src/main/java/crankspar/daemon/OperatorCalls.java
@@ -0,0 +1,108 @@
+package crankspar.daemon;
+
+import crankspar.Router;
+import crankspar.core.Pooler;
+import crankspar.mgmt.Operations;
+import crankspar.store.Store;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.logging.Logger;
+
+/** What operators ask of this pooler, on the loop. It answers while it is still being put together. */
+final class OperatorCalls implements Operations {
+    private static final Logger LOG = Logger.getLogger(OperatorCalls.class.getName());
+
+    private final Assembly parts;
+
+    OperatorCalls(Assembly parts) { this.parts = parts; }
+
+    @Override public boolean ready() { return parts.serving && !parts.leaving.on() && !parts.fenced(); }
+
+    @Override public String audit(String page, Map<String, String> query) { return parts.auditing == null ? null : parts.auditing.page(page, query); }
+
+    @Override public List<Figure> figures() {
+        var all = new ArrayList<Figure>();
+        var classes = new LinkedHashMap<String, long[]>();
+        List<Served> fronts = parts.serving ? parts.fronts : List.of();
+        long tries = 0;
+        long active = 0;
+        Set<String> listed = new HashSet<>();
+        Set<String> avoided = new HashSet<>();
+        for (int i = 0; i < parts.planned.size(); i++) {
+            tries += count(classes, parts.planned.get(i), parts.serving ? fronts.get(i).core() : null);
+        }
+        if (!parts.serving) {                 // all there is to come, at nought
+            listed.addAll(parts.known);
+            avoided.addAll(parts.store.under(Directory.DRAIN).keySet());
+        }
+        for (Served f : fronts) {
+            active += f.core().owing();
+            listed.addAll(f.members().ids());
+            avoided.addAll(f.core().avoided());
+        }
+        classes.forEach((name, n) -> {
+            all.add(Figure.count("ok." + name, n[0]));
+            all.add(Figure.count("shed." + name, n[1]));
+            all.add(Figure.count("errors." + name, n[2]));
+        });
+        all.add(Figure.count("tries", tries));
+        all.add(Figure.gauge("active", active));
+        all.add(Figure.gauge("pool_size", listed.size()));
+        avoided.retainAll(listed);
+        all.add(Figure.gauge("pool_ejected", avoided.size()));
+        if (parts.serving && parts.peering.shared() != null) {
+            parts.peering.shared().figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
+            parts.peering.shared().counts().forEach((name, n) -> all.add(Figure.count(name, n)));
+        }
+        fronts.forEach(f -> f.core().counts().forEach((name, n) -> all.add(Figure.count(name, n))));
+        if (parts.auditing != null) {
+            parts.auditing.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
+            parts.auditing.counts().forEach((name, n) -> all.add(Figure.count(name, n)));
+        }
+        if (parts.serving && parts.pooling != null) {
+            parts.pooling.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
+        }
+        return all;
+    }
+
+    private static long count(Map<String, long[]> classes, Router.Settings settings, Pooler<?, ?> core) {
+        for (int i = 0; i < settings.classes().size(); i++) {
+            long[] n = classes.computeIfAbsent(settings.classes().get(i).name(), k -> new long[3]);
+            n[0] += core == null ? 0 : core.figures().ok(i);
+            n[1] += core == null ? 0 : core.figures().shed(i);
+            n[2] += core == null ? 0 : core.figures().errors(i);
+        }
+        return core == null ? 0 : core.figures().tries();
+    }
+
+    @Override public Done disable(String id) { return marked(id, "by hand"); }
+
+    @Override public Done enable(String id) { return marked(id, null); }
+
+    /**
+     * The operator's mark is the store's, whoever sets it; an id is known while it is listed or marked. A
+     * process that is still starting takes it too: operators call the new one as soon as it is there, and the
+     * one that serves hears of it through the shared file.
+     */
+    private Done marked(String id, String why) {
+        boolean here = parts.serving ? parts.fronts.stream().anyMatch(f -> f.members().lists(id)) : parts.known.contains(id);
+        if (parts.store.get(Directory.DRAIN + id) == null && !here) {
+            return parts.serving ? Done.UNKNOWN_ID : Done.NOT_NOW;
+        }
+        try {
+            parts.store.put(Directory.DRAIN + id, why);
+            return Done.YES;
+        } catch (Store.Refused e) {
+            LOG.warning("no mark: " + e.getMessage());
+            return Done.NOT_NOW;
+        }
+    }
+
+    @Override public Done drain() { return parts.leaving.drain(); }
+
+    @Override public Done resume() { return parts.leaving.resume(); }
+}
--- a/src/main/java/crankspar/cli/Peering.java
+++ b/src/main/java/crankspar/daemon/Peering.java
@@ -1,4 +1,4 @@
-package crankspar.cli;
+package crankspar.daemon;
 
 import crankspar.Router;
 import crankspar.config.Config;
--- a/src/main/java/crankspar/cli/Presence.java
+++ b/src/main/java/crankspar/daemon/Presence.java
@@ -1,4 +1,4 @@
-package crankspar.cli;
+package crankspar.daemon;
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
--- a/src/main/java/crankspar/cli/Reloads.java
+++ b/src/main/java/crankspar/daemon/Reloads.java
@@ -1,4 +1,4 @@
-package crankspar.cli;
+package crankspar.daemon;
 
 import crankspar.config.Config;
 import crankspar.config.Operator;
@@ -16,7 +16,7 @@
  * The handler stands before anything slow is begun, and a signal that comes while the daemon is still being
  * put together is carried out once it serves. A file that cannot be used is logged, and the old one kept.
  */
-final class Reloads {
+public final class Reloads {
     private static final Logger LOG = Logger.getLogger(Reloads.class.getName());
 
     private final Path operatorFile;
@@ -30,7 +30,7 @@
     private Daemon daemon;
     private boolean due;
 
-    Reloads(Path operatorFile) { this(operatorFile, System.getenv()); }
+    public Reloads(Path operatorFile) { this(operatorFile, System.getenv()); }
 
     Reloads(Path operatorFile, Map<String, String> env) {
         this.operatorFile = operatorFile;
@@ -45,7 +45,7 @@
         }
     }
 
-    synchronized void serve(Daemon daemon) {
+    public synchronized void serve(Daemon daemon) {
         this.daemon = daemon;
         if (due) {
             reader.execute(this::reload);
--- a/src/main/java/crankspar/cli/Warmup.java
+++ b/src/main/java/crankspar/daemon/Warmup.java
@@ -1,4 +1,4 @@
-package crankspar.cli;
+package crankspar.daemon;
 
 import crankspar.policy.Balance;
 import crankspar.Router;
--- a/src/main/java/crankspar/discovery/MemberList.java
+++ b/src/main/java/crankspar/discovery/MemberList.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import crankspar.Router.Health;
 import crankspar.Router.Member;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import crankspar.net.Addresses;
 import java.io.IOException;
 import java.io.StringWriter;
--- a/src/main/java/crankspar/discovery/Watch.java
+++ b/src/main/java/crankspar/discovery/Watch.java
@@ -1,7 +1,7 @@
 package crankspar.discovery;
 
 import crankspar.Router;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import crankspar.core.Counters;
 import crankspar.core.Ports;
 import crankspar.http.HttpHead;
--- a/src/main/java/crankspar/config/Json.java
+++ b/src/main/java/crankspar/json/Json.java
@@ -1,4 +1,4 @@
-package crankspar.config;
+package crankspar.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -37,7 +37,7 @@
     @Command(name = "host", description = "Serves an operator's file for an experiment, and tells its heap, allocated bytes and"
             + " processor time when asked on standard input.")
     int host(@CommandLine.Parameters(paramLabel = "FILE") java.nio.file.Path file) throws Exception {
-        var daemon = new crankspar.cli.Daemon(null, crankspar.config.Operator.read(file));
+        var daemon = new crankspar.daemon.Daemon(null, crankspar.config.Operator.read(file));
         System.out.println("pooling " + daemon.poolingAddress().getPort());
         System.out.flush();
         var in = new java.io.BufferedReader(new java.io.InputStreamReader(System.in));
--- a/src/main/java/crankspar/lab/load/RestDialect.java
+++ b/src/main/java/crankspar/lab/load/RestDialect.java
@@ -1,6 +1,6 @@
 package crankspar.lab.load;
 
-import crankspar.config.Json;
+import crankspar.json.Json;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
 import crankspar.http.HttpText;
--- a/src/main/java/crankspar/lab/load/Trace.java
+++ b/src/main/java/crankspar/lab/load/Trace.java
@@ -1,7 +1,7 @@
 package crankspar.lab.load;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/main/java/crankspar/lab/rig/AuditBench.java
+++ b/src/main/java/crankspar/lab/rig/AuditBench.java
@@ -7,7 +7,7 @@
 import crankspar.audit.Findings;
 import crankspar.audit.Ledger;
 import crankspar.audit.Standing;
-import crankspar.cli.PathCost;
+import crankspar.daemon.PathCost;
 import crankspar.core.Counters;
 import crankspar.core.Ports;
 import crankspar.lab.LabSettings;
--- a/src/main/java/crankspar/rest/Problem.java
+++ b/src/main/java/crankspar/rest/Problem.java
@@ -1,7 +1,7 @@
 package crankspar.rest;
 
 import com.fasterxml.jackson.core.JsonGenerator;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import crankspar.http.HttpText;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import crankspar.Router;
 import crankspar.Router.Freshness;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import crankspar.core.Counters;
 import crankspar.core.FinalAnswer;
 import crankspar.core.Front;
--- a/src/main/java/crankspar/rest/RestServerSession.java
+++ b/src/main/java/crankspar/rest/RestServerSession.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import crankspar.Router.Role;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import crankspar.core.AttemptEnd;
 import crankspar.core.AttemptEnd.Note;
 import crankspar.core.Counters;
--- a/src/main/java/crankspar/store/StoreJson.java
+++ b/src/main/java/crankspar/store/StoreJson.java
@@ -1,7 +1,7 @@
 package crankspar.store;
 
 import com.fasterxml.jackson.core.JsonGenerator;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/src/main/java/crankspar/store/StoreResource.java
+++ b/src/main/java/crankspar/store/StoreResource.java
@@ -1,6 +1,6 @@
 package crankspar.store;
 
-import crankspar.config.Json;
+import crankspar.json.Json;
 import crankspar.core.Counters;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpText;
--- a/src/test/java/crankspar/TestSettings.java
+++ b/src/test/java/crankspar/TestSettings.java
@@ -1,7 +1,7 @@
 package crankspar;
 
 import crankspar.config.SettingsReader;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import java.io.IOException;
 
 /** The platform's settings for tests, in the words of its configuration. */
--- a/src/test/java/crankspar/audit/AuditorTest.java
+++ b/src/test/java/crankspar/audit/AuditorTest.java
@@ -6,7 +6,7 @@
 import crankspar.Router.Health;
 import crankspar.Router.Member;
 import crankspar.Router.Role;
-import crankspar.cli.Daemon;
+import crankspar.daemon.Daemon;
 import crankspar.config.Config;
 import crankspar.config.Operator;
 import crankspar.core.Counters;
--- a/src/test/java/crankspar/cli/RestOperationsTest.java
+++ b/src/test/java/crankspar/daemon/RestOperationsTest.java
@@ -1,4 +1,4 @@
-package crankspar.cli;
+package crankspar.daemon;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/crankspar/cli/UpgradeTest.java
+++ b/src/test/java/crankspar/daemon/UpgradeTest.java
@@ -1,4 +1,4 @@
-package crankspar.cli;
+package crankspar.daemon;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -106,10 +106,10 @@
                 + "membership { listen = \"127.0.0.1:" + port + "\", peers = [\"127.0.0.1:" + port + "\", \"127.0.0.1:1\"] }\nduties { }");
         var held = new java.net.DatagramSocket(new java.net.InetSocketAddress("127.0.0.1", port));
         try (var daemon = new Daemon(null, crankspar.config.Operator.read(file))) {
-            assertThat(daemon.figures()).noneMatch(f -> f.name().equals("duties"));
+            assertThat(daemon.operations().figures()).noneMatch(f -> f.name().equals("duties"));
             held.close();
             long deadline = System.nanoTime() + 5_000_000_000L;
-            while (daemon.figures().stream().noneMatch(f -> f.name().equals("duties"))) {
+            while (daemon.operations().figures().stream().noneMatch(f -> f.name().equals("duties"))) {
                 assertThat(System.nanoTime()).isLessThan(deadline);
                 Thread.sleep(5);
             }
--- a/src/test/java/crankspar/lab/Stand.java
+++ b/src/test/java/crankspar/lab/Stand.java
@@ -1,7 +1,7 @@
 package crankspar.lab;
 
 import crankspar.TestSettings;
-import crankspar.cli.Daemon;
+import crankspar.daemon.Daemon;
 import crankspar.config.Config;
 import crankspar.config.Operator;
 import java.io.IOException;
--- a/src/test/java/crankspar/lab/rig/AuditRigTest.java
+++ b/src/test/java/crankspar/lab/rig/AuditRigTest.java
@@ -7,7 +7,7 @@
 import crankspar.audit.LedgerFile;
 import crankspar.audit.Standing;
 import crankspar.cli.AuditCommand;
-import crankspar.config.Json;
+import crankspar.json.Json;
 import crankspar.lab.Recording.Executed;
 import crankspar.lab.load.Recorder;
 import java.io.PrintWriter;
--- a/src/test/java/crankspar/store/StoreTest.java
+++ b/src/test/java/crankspar/store/StoreTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import crankspar.cli.Daemon;
+import crankspar.daemon.Daemon;
 import crankspar.TestSettings;
 import crankspar.config.Operator;
 import crankspar.net.ScriptedPeer.Wire;
