--- /dev/null
+++ b/src/main/java/crankspar/lab/history/package-info.java
@@ -0,0 +1,2 @@
+/** Histories of calls that overlapped, and whether some order of them explains what each was answered. */
+package crankspar.lab.history;
