A pooler starts where its sessions' marks cannot be shared; the file's room is made first

Cause, found by rereading the change: where marks are remembered, a file under $TMPDIR that cannot be made ended the start, though the pooler can do without it; and a file system with no room left would have shown only at a write to mapped memory, as an error in the loop.

Change: the ring's file is written whole before it is mapped, so that want of room is an exception there; that is logged and counted (sessions_not_shared), and the pooler serves with marks of its own. Nothing changes where the file can be made or marks are carried.

--- a/src/main/java/crankspar/daemon/Assembly.java
+++ b/src/main/java/crankspar/daemon/Assembly.java
@@ -166,7 +166,7 @@
                 var pool = new Pool<Statement, PgAnswer>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(), s.limits().dialTimeout(), s.limits().connIdle(), servers);
                 platformCore = new Pooler<>(s, loop, pool, discovery, counters, Hearing.before(Balance::new));
                 if (shared != null && s.sessionMarks() == Router.SessionMarks.REMEMBERED) {
-                    platformCore.sessions(SessionRing.open(beside(shared, ".sessions")));
+                    shareSessions(beside(shared, ".sessions"));
                 }
                 var front = new PgFront(loop, s, counters, platformCore, clients);
                 return new Fronts.Made(front, platformCore, pool, () -> front.listen(config.listen()));
@@ -191,6 +191,16 @@
         }
     }
 
+    /** Without the file this process serves all the same: its sessions' marks are its own until it is replaced. */
+    private void shareSessions(Path file) {
+        try {
+            platformCore.sessions(SessionRing.open(file));
+        } catch (IOException e) {
+            counters.add("sessions_not_shared");
+            LOG.warning("sessions' marks are not shared with a successor: " + e);
+        }
+    }
+
     private void add(Served front) {
         fronts.add(front);
         leaving.waitsFor(front.settings());
--- a/src/main/java/crankspar/handover/SessionRing.java
+++ b/src/main/java/crankspar/handover/SessionRing.java
@@ -43,9 +43,16 @@
         read = Math.max(0, count() - SLOTS);
     }
 
-    /** The ring of this pooler's processes; made where there is none. */
+    /**
+     * The ring of this pooler's processes; made where there is none, with all of its room at once. Guards against a file system
+     * that has none left: found here it is an exception, found at a write to mapped memory it would end the loop.
+     */
     public static SessionRing open(Path file) throws IOException {
         try (var channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+            long size = channel.size();
+            for (ByteBuffer room = ByteBuffer.allocate((int) Math.max(0, BYTES - size)); room.hasRemaining();) {
+                size += channel.write(room, size);
+            }
             return new SessionRing(channel.map(FileChannel.MapMode.READ_WRITE, 0, BYTES));
         }
     }
--- a/src/test/java/crankspar/daemon/UpgradeMarksTest.java
+++ b/src/test/java/crankspar/daemon/UpgradeMarksTest.java
@@ -70,4 +70,14 @@
             }
         }
     }
+
+    /** Guards against a pooler that does not start for a file that it can do without. */
+    @Test void itServesWhereTheMarksCannotBeShared() throws Exception {
+        Files.createDirectory(dir.resolve("crankspar-" + Integer.toHexString("n3".hashCode()) + ".sessions"));
+        try (ScriptedPeer primary = member("primary", 0); ScriptedPeer replica = member("replica", System.currentTimeMillis());
+                Daemon daemon = daemon(null, primary, replica)) {
+            Pg pg = Pg.welcomed(Wire.to(daemon.pgAddress()));
+            assertThat(value(pg, "w1", "trade-claim", "INSERT INTO state (uid, val) VALUES ('u1', '\\x00') RETURNING val")).isEqualTo("primary");
+        }
+    }
 }
--- a/src/test/java/crankspar/handover/SessionRingTest.java
+++ b/src/test/java/crankspar/handover/SessionRingTest.java
@@ -20,6 +20,7 @@
 
     @Test void aSuccessorKnowsWhatItsPredecessorsSessionsHaveWritten() throws Exception {
         var old = SessionRing.open(dir.resolve("ring"));
+        assertThat(java.nio.file.Files.size(dir.resolve("ring"))).isEqualTo(SessionRing.BYTES);
         old.wrote("s1", 1000.2);
         old.wrote("s1", 900);
         var next = SessionRing.open(dir.resolve("ring"));
