A failed call beside a silent one is asked again; discovery is heard 6 s after its return

Seen: a property over everything discovery may do to a call (refuse, fail late, never come up, never answer, half an answer, move, fall silent), with the module's own waits between, found two faults by shrinking. (1) A call that was never answered keeps its place in line; when the next one failed, Following.ended took the first for a watch, told nobody, and nothing was ever asked again: the pooler was deaf until that first connection broke. Shrunk to one span of calls that fail after 2 s. (2) Waits: up to a quarter of AskEvery times 1.5, behind a silence of 2.5 s, is 6.25 s at 10 s and 17.5 s at 40 s; half an answer added its own 2.5 s.

Change: a call that only waits in line is no watch (Following.ended); a first answer that breaks off has one patience (Event.Begun); the module asks again after 1.2 s at most (ASK_MOST).

--- a/src/main/java/crankspar/discovery/Following.java
+++ b/src/main/java/crankspar/discovery/Following.java
@@ -110,7 +110,7 @@
             Call c = find(e.call());
             if (c != null && !c.begun) {      // once: bytes that come and never end are a silence too
                 c.begun = true;
-                c.since = now;
+                c.since = c.told ? now : c.since; // a first answer that breaks off has its one patience only, and is heard on beside the next
             }
         } else if (event instanceof Event.Ended e) {
             ended(find(e.call()), now);
@@ -211,7 +211,8 @@
             return;
         }
         calls.remove(c);
-        if (c.former || calls.stream().anyMatch(o -> !o.former && !o.once)) {
+        // One that only keeps its place in line is no watch: with a silent one beside it a failed call was nobody's news, for ever.
+        if (c.former || calls.stream().anyMatch(o -> !o.former && !o.once && o.since < Double.POSITIVE_INFINITY)) {
             return;
         }
         if (!pushed) {
--- a/src/main/java/crankspar/policy/Balance.java
+++ b/src/main/java/crankspar/policy/Balance.java
@@ -53,7 +53,8 @@
     @Override public void onWatchLost(double at) {
         now = at;
         double wait = askGap * (0.5 + random.nextDouble());
-        askGap = Math.min(2 * askGap, Math.max(ASK_FIRST, settings.rules().askEvery() / 4));
+        double most = Math.min(ASK_MOST, settings.rules().askEvery() / 4);
+        askGap = Math.min(2 * askGap, Math.max(ASK_FIRST, most));
         after(wait, () -> actions.watch(true));
     }
 
--- a/src/main/java/crankspar/policy/Known.java
+++ b/src/main/java/crankspar/policy/Known.java
@@ -31,6 +31,8 @@
     static final double EXTRA_MOST = 10;  // of what is saved up
     /** Discovery is asked again after this long (ms), doubled to a quarter of the time it may be unasked. */
     static final double ASK_FIRST = 500;
+    /** ... and to no more than this (ms): what discovery had counts as told 6 s after it could be reached. */
+    static final double ASK_MOST = 1200;
 
     /** One database as this instance sees it. */
     static final class Db {
--- a/src/test/java/crankspar/TestSettings.java
+++ b/src/test/java/crankspar/TestSettings.java
@@ -28,6 +28,18 @@
 
     public static Router.Settings platform() { return platform(1); }
 
+    /** The platform's, with one text of them replaced by another. */
+    public static Router.Settings with(String was, String is) {
+        if (!JSON.contains(was)) {
+            throw new IllegalArgumentException(was);
+        }
+        try {
+            return SettingsReader.read(Json.object(JSON.replace(was, is)), 7);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** With so many poolers, which may tell each other at the platform's price. */
     public static Router.Settings platform(int poolers) { return platform(poolers, 0); }
 
