Who cancels or terminates has gone; what the system holds may have run; the end waits for closes

Keys are drawn now, one that names nobody does nothing and is counted, and a cancelled request gets its one answer (57014; 08007 for a write that may have run). - Terminate behind a query in flight waited its turn; between two attempts the query went on. - Reach: the runtime tells of at most 16 writes a turn at once, of further ones by the queue. A time-out that ran between took a write that its database ran for one that never was, and it was refused as harmless to repeat. What is with the system counts as sent (Out.underway). - A keyed repeat asked for within its window was written after it, when its connection came up. - REST: half an answer without a length before a reset was served as a whole one; a claim whose client had left went to further servers. - Leaving: the end came 50 ms after nothing was owed. A request that was half here then was read, sent on, and lost. It comes now when every connection is closed, or 0.1 s before the kill. An answer that its client is slow to take no longer goes with a connection that makes room.

Ruled out: time-outs of a connection still dialled (it carries nothing); reads held during a burst of 200 clients that leave (green before). Terminate's and cancel's close writes out before it ends.

--- a/src/main/java/crankspar/core/Front.java
+++ b/src/main/java/crankspar/core/Front.java
@@ -10,6 +10,6 @@
     void drain();
     /** The end of a drain. */
     void resume();
-    /** Whether no client is left that might still be answered. */
-    boolean left();
+    /** Whether no client's connection is open any more: all that was written has left. */
+    boolean closed();
 }
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -37,11 +37,6 @@
  */
 public final class Pooler<Q, A> implements Router.Actions {
     private static final Logger LOG = Logger.getLogger(Pooler.class.getName());
-    /**
-     * A bounded read's data ages while its connection comes up, but the module judged it at once: sent later
-     * than this (ms), it could be answered from data past its bound.
-     */
-    private static final double AGEING_MOST = 40;
     /** Share of the rule's slack after a deadline at which the core answers by itself: a last guard. */
     private static final double LAST = 0.5;
 
@@ -57,7 +52,6 @@
     private final int most;                   // attempts of one request that may be out at once
     private long ids;
     private int owing;
-    private Runnable whenQuiet = () -> { };
     private final Notes notes;
     private final Prober<A> prober;
     private Audit audit;
@@ -104,11 +98,11 @@
         double ttl = Math.max(0, Math.min(asked.ttl(), lastAnswer - now));
         var ask = new Ask<>(asked.requestClass(), ttl, asked.session(), asked.mark(), asked.group(), asked.query());
         String name = audit == null ? null : naming.apply(ask.query());
-        var o = new Owed<>(ask, reply, now, name == null ? id : name);
+        var o = new Owed<>(ask, settings.classes().get(ask.requestClass()), reply, now, name == null ? id : name);
         owed.put(id, o);
         owing++;
         double mark = ask.mark();
-        if (sessions != null && freshness(o) == Freshness.SESSION) {
+        if (sessions != null && o.freshness() == Freshness.SESSION) {
             double need = sessions.need(ask.session());
             mark = Double.isNaN(need) || mark > need ? mark : need;
         }
@@ -134,7 +128,6 @@
             event(() -> module.onGone(now(), id));
             conclude(id, o);
             List.copyOf(o.out).forEach(this::callOff);
-            quiet();
         }
     }
 
@@ -145,10 +138,31 @@
     /** The listed members that the module keeps work from. */
     public java.util.Set<String> avoided() { return module.avoided(); }
 
-    /** Calls back once nothing is owed: at once, or when the last answer is out. */
-    public void whenQuiet(Runnable what) {
-        whenQuiet = what;
-        quiet();
+    /** The client waits for the answer that says it is called off: nothing further is sent, what is out is ended. A begun one goes on. */
+    public void cancelled(String id) {
+        Owed<Q, A> o = owed.get(id);
+        if (o != null && !o.over && o.begun == null) {
+            counters.add("cancelled");
+            event(() -> module.onGone(now(), id));
+            List.copyOf(o.out).forEach(this::callOff);
+            answer(id, o, new FinalAnswer.Failed<>(o.mayHaveRun, "canceled by its client"));
+        }
+    }
+
+    /** The client has left, and its answer is kept for who asks again: what has been written is awaited, nothing further begins. */
+    public void left(String id) {
+        Owed<Q, A> o = owed.get(id);
+        if (o != null && !o.over && o.begun == null) {
+            o.left = true;
+            o.out.stream().filter(a -> !a.written).toList().forEach(this::callOff);
+            endIfLeft(id, o);
+        }
+    }
+
+    private void endIfLeft(String id, Owed<Q, A> o) {
+        if (o.left && o.out.isEmpty()) {
+            cancelled(id);
+        }
     }
 
     /** The process ends: what is still owed gets its answer now. */
@@ -165,14 +179,6 @@
         });
     }
 
-    private void quiet() {
-        if (owing == 0) {
-            Runnable what = whenQuiet;
-            whenQuiet = () -> { };
-            what.run();
-        }
-    }
-
     private void event(Runnable what) { turns.take(what); }
 
     private double now() { return time.now(); }
@@ -186,7 +192,7 @@
     }
 
     boolean began(Attempt<Q, A> a, A answer) {
-        return began(a, answer, freshness(a.owed) == Freshness.WRITE ? null : AttemptEnd.Note.NONE);
+        return began(a, answer, a.owed.freshness() == Freshness.WRITE ? null : AttemptEnd.Note.NONE);
     }
 
     boolean held(Attempt<Q, A> a, A answer, AttemptEnd.Note note) { return began(a, answer, notes.plausible(note)); }
@@ -199,13 +205,14 @@
         }
         var a = new Attempt<>(this, request, o, member, now());
         double left = Math.min(timeout > 0 ? timeout : Double.MAX_VALUE, o.deadline - now());
-        if (o.over || o.begun != null || left <= 0 || o.out.size() >= most || a.number >= settings.limits().mostTries()) {
+        if (!o.open(now()) || left <= 0 || o.out.size() >= most || a.number >= settings.limits().mostTries()) {
             end(a, Status.MOOT, AttemptEnd.Note.NONE);
             return;
         }
-        o.out.add(a);
+        double within = o.within(now());
+        o.began(a);
         counters.add("sent");
-        a.call = backends.send(member, o.ask.query(), left, within(o), a);
+        a.call = backends.send(member, o.ask.query(), left, within, a);
         if (a.ended) {
             return;
         }
@@ -221,12 +228,6 @@
         });
     }
 
-    private Freshness freshness(Owed<Q, A> o) { return settings.classes().get(o.ask.requestClass()).freshness(); }
-
-    private double within(Owed<Q, A> o) {
-        return freshness(o) == Freshness.BOUNDED ? AGEING_MOST : Double.POSITIVE_INFINITY;
-    }
-
     /**
      * From its first bytes on an answer belongs to its client: no time-out, no other attempt, no other answer.
      * A read's member has done its work by then, and slow readers must not make it look silent; a write's
@@ -262,7 +263,7 @@
         }
         if (end instanceof AttemptEnd.Served<A> s) {
             AttemptEnd.Note note = notes.plausible(s.note());
-            if (sessions != null && freshness(a.owed) == Freshness.WRITE) {
+            if (sessions != null && a.owed.freshness() == Freshness.WRITE) {
                 sessions.wrote(a.owed.ask.session(), note.position());
             }
             if (!a.owed.over && (a.owed.begun == null || a.owed.begun == a)) {
@@ -290,7 +291,7 @@
         if (audit != null && note.role() != Role.UNKNOWN) {
             audit.role(a.member, note.role(), note.position());
         }
-        a.owed.out.remove(a);
+        a.owed.ended(a, status.neverRan);
         counters.add("sent_" + status.name().toLowerCase(java.util.Locale.ROOT));
         event(() -> {
             double now = now();
@@ -302,6 +303,7 @@
                 owed.remove(a.request);
             }
         });
+        endIfLeft(a.request, a.owed);
     }
 
     @Override public void refuse(String request, double retryIn) {
@@ -327,7 +329,6 @@
         }
         counters.add("answered_" + answer.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT));
         o.reply.answer(answer);
-        quiet();
     }
 
     private void conclude(String id, Owed<Q, A> o) {
--- a/src/main/java/crankspar/daemon/Daemon.java
+++ b/src/main/java/crankspar/daemon/Daemon.java
@@ -32,7 +32,10 @@
     public void reload(Config config, Operator operator) { parts.loop.run(() -> Reload.take(parts, config, operator)); }
 
     /** Ends in order; returns when the last answer is out, or what is owed has been given up. */
-    public void stop() throws InterruptedException { parts.leaving.stop(); }
+    public void stop() throws InterruptedException { stop(0); }
+
+    /** As {@link #stop()}, where the signal to end came {@code since} ms ago: the kill follows the signal. */
+    public void stop(double since) throws InterruptedException { parts.leaving.stop(since); }
 
     @Override public void close() { parts.close(); }
 }
--- a/src/main/java/crankspar/daemon/Leaving.java
+++ b/src/main/java/crankspar/daemon/Leaving.java
@@ -26,6 +26,8 @@
     private static final double STILL_OPEN = 700;
     /** How often an end looks whether all is answered (ms). */
     private static final double END_LOOK = 20;
+    /** What is answered last has so long (ms) to leave: a little less than is spared before the kill. */
+    private static final double LAST_BYTES = 200;
 
     private final Assembly parts;
     private double longest;
@@ -46,32 +48,34 @@
      * Ends in order: still open, then nothing new, then the last answers. Guards against a gap: poolers are restarted in
      * turn, and one that closed 0.6 s after its signal was gone for 2 s before the one before it was back.
      */
-    void stop() throws InterruptedException {
+    void stop(double since) throws InterruptedException {
         if (parts.peering.shared() != null) {
             parts.loop.run(parts.peering.shared()::leave);
         }
-        double answered = Math.min(longest, KILL_MOST) + KILL_AFTER - SPARE;
+        double answered = Math.min(longest, KILL_MOST) + KILL_AFTER - SPARE - since;
         if (parts.presence.another()) {
             handOver(answered);
         } else {
-            alone(answered);
+            alone(answered, Math.max(KILL_AFTER - SPARE - since, answered - LAST_REQUEST));
         }
         parts.settle();
         parts.loop.runAndWait(() -> System.err.println("counters " + parts.counters));
     }
 
-    private void alone(double answered) throws InterruptedException {
-        double open = Math.max(KILL_AFTER - SPARE, answered - LAST_REQUEST);
-        var quiet = new CountDownLatch(parts.fronts.size());
-        parts.loop.run(() -> parts.fronts.forEach(f -> {
-            f.front().stopping();
-            f.core().answerBy(parts.loop.now() + answered);
-        }));
-        parts.loop.after(open, () -> parts.fronts.forEach(f -> {
-            f.front().drain();
-            f.core().whenQuiet(() -> parts.loop.after(50, quiet::countDown)); // the last bytes leave
-        }));
-        quiet.await((long) (open + longest + 500), TimeUnit.MILLISECONDS);
+    private void alone(double answered, double open) throws InterruptedException {
+        var done = new CountDownLatch(1);
+        parts.loop.run(() -> {
+            double until = parts.loop.now() + answered;
+            parts.fronts.forEach(f -> {
+                f.front().stopping();
+                f.core().answerBy(until);
+            });
+            parts.loop.after(open, () -> {
+                parts.fronts.forEach(f -> f.front().drain());
+                look(until, done);
+            });
+        });
+        done.await((long) (Math.max(open, answered) + SPARE), TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -92,13 +96,18 @@
         done.await((long) (answered + SPARE), TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * The end comes once every connection is closed, or when the time is up. Guards against an end that waited for what was owed
+     * and then for a fixed time: a request that was half here then was read, sent on and lost, and so were answers that their
+     * clients were slow to take.
+     */
     private void look(double until, CountDownLatch done) {
-        boolean late = parts.loop.now() >= until;
-        if (late) {
+        double now = parts.loop.now();
+        if (now >= until) {
             parts.fronts.forEach(f -> f.core().giveUp());
         }
-        if (late || parts.fronts.stream().allMatch(f -> f.core().owing() == 0 && f.front().left())) {
-            parts.loop.after(100, done::countDown); // the last bytes leave
+        if (now >= until + LAST_BYTES || parts.fronts.stream().allMatch(f -> f.core().owing() == 0 && f.front().closed())) {
+            done.countDown();
         } else {
             parts.loop.after(END_LOOK, () -> look(until, done));
         }
--- a/src/main/java/crankspar/net/Clients.java
+++ b/src/main/java/crankspar/net/Clients.java
@@ -33,6 +33,12 @@
      */
     private static final double READ_FIRST = 5;
 
+    /** An answer that its client does not take keeps its connection from making room for so long (ms). */
+    private static final double UNSENT_MOST = 5000;
+
+    /** The share of the places that may be taken beyond the bound while idle connections end gently to make room. */
+    private static final double BEYOND = 0.05;
+
     /** The share of the places up to which idle connections are kept. */
     private static final double KEPT = 0.4;
 
@@ -147,6 +153,9 @@
         for (Map.Entry<S, Place> e : places.entrySet()) {
             Standing standing = e.getKey().standing();
             double since = since(e.getValue(), standing);
+            if (e.getKey().unsent() && now() - since < UNSENT_MOST) {
+                continue;                     // guards against an answer that is lost with a connection that only looks idle
+            }
             if (standing.compareTo(lowest) < 0 || standing == lowest && least != null && since < oldest) {
                 least = e.getKey();
                 lowest = standing;
@@ -157,7 +166,13 @@
             return false;
         }
         counters.add("client_connections_" + lowest.name().toLowerCase(java.util.Locale.ROOT) + "_closed_for_room");
-        least.drop();
+        // A close over unread bytes is a reset, which may overtake the last answer: what rests ends gently while there is room for that.
+        // One that is leaving has had its end, and one that has asked for nothing has nothing to lose.
+        if (lowest == Standing.IDLE && places.size() < most * (1 + BEYOND)) {
+            least.closeIfIdle();
+        } else {
+            least.drop();
+        }
         return true;
     }
 
@@ -201,8 +216,8 @@
         new ArrayList<>(places.keySet()).forEach(Visitor::closeIfIdle);
     }
 
-    /** Whether none is left that might still be answered. */
-    public boolean left() { return places.keySet().stream().allMatch(s -> s.standing() == Standing.LEAVING); }
+    /** Whether no connection is open any more: all that was written has left, and each peer has had its end. */
+    public boolean closed() { return places.isEmpty(); }
 
     /** The end of a drain: new connections are taken again, at the same address. */
     public void resume() {
--- a/src/main/java/crankspar/net/Machine.java
+++ b/src/main/java/crankspar/net/Machine.java
@@ -12,6 +12,13 @@
         /** Queues bytes; {@code written} runs once the last of them has left. */
         void write(byte[] bytes, int length, Runnable written);
         default void write(byte[] bytes) { write(bytes, bytes.length, null); }
+        /**
+         * Whether the last byte of what was written is with the system, which has not said yet what became of it: all of it may
+         * have left. Also of a connection that was closed just then.
+         */
+        default boolean underway() { return false; }
+        /** Whether something that was written has not left yet. */
+        default boolean unsent() { return false; }
         /** Whether the peer is read: not while what it sends has nowhere to go. */
         default void reading(boolean on) { }
         /** Ends what is sent once all that is queued has left, and still reads for a moment. */
@@ -31,6 +38,8 @@
     void opened(Out out);
     /** Takes all the bytes. */
     void received(ByteBuffer in);
+    /** The peer has said that it sends no more, before {@link #ended}: an answer without a length ends with this, never with a break. */
+    default void finished() { }
     /** The peer or the network ended it, or it never came up: told once, never after an own close. */
     void ended(String why);
     /** The connection is closed, whoever closed it: told once, and last. */
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -67,8 +67,8 @@
                     lose("no connection in time");
                 }
             });
+            latest = loop.now() + within;
             if (within < dialTimeout) {
-                latest = loop.now() + within;
                 loop.after(within, () -> {
                     if (!up) {
                         unsent();
--- a/src/main/java/crankspar/net/Stream.java
+++ b/src/main/java/crankspar/net/Stream.java
@@ -19,6 +19,9 @@
     /** ... and how much of it at most: one that goes on sending is not worth the time. */
     private static final int LINGER_BYTES = 2048 * 1024;
 
+    /** How long a peer may take to read what was written before its connection is finished (ms). */
+    private static final double FINISH_MOST = 5000;
+
     private record Chunk(ByteBuffer bytes, Runnable written) { }
 
     private final Loop loop;
@@ -27,7 +30,7 @@
     private final ArrayDeque<Chunk> queue = new ArrayDeque<>();
     private ByteBuffer in;
     private int queued, lingered, next = Machine.READ;
-    private boolean open = true, reading, held, writing, finishing, finished;
+    private boolean open = true, reading, held, writing, finishing, finished, wasUnderway;
     private long received;
 
     Stream(Loop loop, AsynchronousSocketChannel channel, Machine machine) {
@@ -85,6 +88,9 @@
                     return;
                 }
                 if (count < 0) {
+                    if (!finishing) {
+                        guard(machine::finished);
+                    }
                     end("closed by the peer");
                     return;
                 }
@@ -180,8 +186,19 @@
         finishing = true;
         held = false;
         flush();
+        if (!finished) {
+            loop.after(FINISH_MOST, () -> {
+                if (!finished) {              // guards against a peer that neither reads nor goes
+                    end("the peer does not read");
+                }
+            });
+        }
     }
 
+    @Override public boolean unsent() { return !queue.isEmpty(); }
+
+    @Override public boolean underway() { return open ? writing && queue.size() == 1 : wasUnderway; }
+
     private void finishNow() {
         finished = true;
         try {
@@ -205,6 +222,7 @@
 
     @Override public void close() {
         if (open) {
+            wasUnderway = underway();
             open = false;
             queue.clear();
             if (channel != null) {
--- a/src/main/java/crankspar/net/Visitor.java
+++ b/src/main/java/crankspar/net/Visitor.java
@@ -23,6 +23,8 @@
     boolean begun();
     /** Counts whole messages, so that a standing that lasts is told from one that comes again. */
     long progress();
+    /** Whether an answer has been written that its client has not taken whole: a close would lose it. */
+    boolean unsent();
     /** Tells the client why it is ended, in the words of its protocol, and ends it. */
     void turnAway(String why);
     /** Ends it gently if it is between two requests: what crosses this its client sends once more elsewhere. */
--- a/src/main/java/crankspar/pg/ClientSession.java
+++ b/src/main/java/crankspar/pg/ClientSession.java
@@ -16,6 +16,12 @@
         /** Takes a statement; its id names it until its answer comes. An error is for this client. */
         void take(Statement statement, ClientSession session) throws Statement.Malformed;
         void gone(String id);
+        /** Its client wants it no longer, and waits for the answer that says so. */
+        void cancel(String id);
+        /** What names this session in a cancel; none other knows the secret. */
+        PgMessage.BackendKeyData key(ClientSession session);
+        /** A cancel has come, on a connection of its own; one that names nobody does nothing. */
+        void cancel(int process, int secret);
         /** Whether all clients together may hold so many bytes more of what is not answered yet. */
         boolean hold(int more);
         void closed(ClientSession session);
@@ -35,10 +41,11 @@
     private int waitingChars;
     private int held;
     private Out out;
-    private boolean welcomed, asked, skipping, busy, begun, taking, over;
+    private boolean welcomed, asked, skipping, busy, begun, reads, cancelled, taking, over;
     /** Said once the long answer at hand is out. */
     private Runnable parting;
     private long messages;
+    private int process;
     private String id;
 
     ClientSession(Desk desk) { this.desk = desk; }
@@ -54,6 +61,10 @@
         try {
             for (PgMessage m = decoder.next(); m != null && !over; m = decoder.next()) {
                 messages++;
+                if (m instanceof PgMessage.Terminate) {
+                    terminated();
+                    return;
+                }
                 waitingChars += m instanceof PgMessage.Query q ? q.sql().length() : 0;
                 if (waiting.size() >= WAITING_MOST || waitingChars > WAITING_CHARS_MOST) {
                     fatal("54000", "too many statements at once");
@@ -101,7 +112,7 @@
                     .add(new PgMessage.ParameterStatus("server_version", "14.0 (crankspar)"))
                     .add(new PgMessage.ParameterStatus("client_encoding", "UTF8"))
                     .add(new PgMessage.ParameterStatus("standard_conforming_strings", "on"))
-                    .add(new PgMessage.BackendKeyData(0, 0))
+                    .add(desk.key(this))
                     .add(new PgMessage.ReadyForQuery()).bytes());
         } else if (m instanceof PgMessage.EncryptionRequest) {
             out.write(new byte[] {'N'});
@@ -114,8 +125,29 @@
         } else if (m instanceof PgMessage.Other o && welcomed) {
             unknown(o.type());
         } else {
-            leave();                          // Terminate, CancelRequest, or anything before a startup
-            out.close();
+            if (m instanceof PgMessage.CancelRequest c) {
+                desk.cancel(c.process(), c.secret());
+            }
+            leave();                          // a cancel gets no answer; nothing else comes before a startup
+            out.finish();
+        }
+    }
+
+    /**
+     * The client has gone, whatever stands before this in its line: it waits for no answer, so that nothing further is sent for
+     * it. What was answered already still leaves.
+     */
+    private void terminated() {
+        desk.counters().add("client_terminated");
+        leave();
+        out.finish();
+    }
+
+    /** A cancel has named this session. An answer that has begun goes on: no error fits into the midst of a row. */
+    void cancel() {
+        if (busy && !begun) {
+            cancelled = true;
+            desk.cancel(id);
         }
     }
 
@@ -152,6 +184,7 @@
             try {
                 Statement statement = Statement.parse(sql);
                 id = statement.id();
+                reads = statement.reads();
                 busy = true;
                 desk.take(statement, this);   // the answer may come within
             } catch (Statement.Malformed e) {
@@ -167,7 +200,8 @@
     /** The final answer to the query at hand; the next one in line is taken after it. */
     void answer(FinalAnswer<PgAnswer> answer) {
         boolean partly = begun;
-        busy = begun = false;
+        boolean called = cancelled;
+        busy = begun = cancelled = false;
         id = null;
         if (over) {
             return;
@@ -184,7 +218,8 @@
             PgMessage.Report refusal = PgMessage.Report.error("ERROR", "53300", "refused: trying again is harmless");
             e.add(r.retryIn() > 0 ? refusal.with('D', Long.toString(Math.round(r.retryIn()))) : refusal);
         } else if (answer instanceof FinalAnswer.Failed<PgAnswer> f) {
-            e.add(PgMessage.Report.error("ERROR", f.mayHaveRun() ? "08007" : "58000", "failed: " + f.why()));
+            String code = called && (reads || !f.mayHaveRun()) ? "57014" : f.mayHaveRun() ? "08007" : "58000";
+            e.add(PgMessage.Report.error("ERROR", code, "failed: " + f.why()));
         }
         out.write(e.add(new PgMessage.ReadyForQuery()).bytes());
         if (parting != null) {
@@ -237,10 +272,17 @@
                 : !decoder.empty() ? Standing.HALF : asked ? Standing.IDLE : Standing.STARTED;
     }
 
+    @Override public boolean unsent() { return out != null && out.unsent(); }
+
     @Override public boolean begun() { return !decoder.empty(); }
 
     @Override public long progress() { return messages; }
 
+    /** Its number in a cancel; 0 before its welcome. */
+    void process(int process) { this.process = process; }
+
+    int process() { return process; }
+
     @Override public void turnAway(String why) {
         if (out == null) {
             leave();
--- a/src/main/java/crankspar/pg/PgDecoder.java
+++ b/src/main/java/crankspar/pg/PgDecoder.java
@@ -155,7 +155,7 @@
             return new PgMessage.EncryptionRequest();
         }
         if (code == CANCEL) {
-            return new PgMessage.CancelRequest();
+            return new PgMessage.CancelRequest(b.int32(), b.int32());
         }
         if (code >> 16 != VERSION_3 >> 16) {
             throw new Malformed("protocol version " + (code >> 16) + "." + (code & 0xffff));
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -13,6 +13,7 @@
 import crankspar.net.Machine;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -21,6 +22,9 @@
     /** Guards against half statements by the hundred, each within its own bound: a sixth of the heap. */
     private static final long HELD_MOST = 10 << 20;
 
+    /** A welcomed session, and what a cancel has to bring to name it. */
+    private record Key(int secret, ClientSession session) { }
+
     private final Router.Settings settings;
     private final Counters counters;
     private final Pooler<Statement, PgAnswer> pooler;
@@ -28,7 +32,10 @@
     /** The clients' ids of what is open, with the core's. */
     private final Map<String, String> open = new HashMap<>();
     private final Clients<ClientSession> clients;
+    private final Map<Integer, Key> keys = new HashMap<>();
+    private final SecureRandom secrets = new SecureRandom();
     private long held;
+    private int processes;
     private boolean leaving;
 
     public PgFront(Loop loop, Router.Settings settings, Counters counters, Pooler<Statement, PgAnswer> pooler,
@@ -88,9 +95,34 @@
     }
 
     @Override public void gone(String id) { pooler.gone(open.remove(id)); }
+
+    @Override public void cancel(String id) { pooler.cancelled(open.get(id)); }
+
+    @Override public PgMessage.BackendKeyData key(ClientSession session) {
+        int process = ++processes & Integer.MAX_VALUE;
+        int secret = secrets.nextInt();
+        keys.put(process, new Key(secret, session));
+        session.process(process);
+        return new PgMessage.BackendKeyData(process, secret);
+    }
+
+    /** Guards against guessed keys: the secret is as wide as the protocol allows, and compared whole. */
+    @Override public void cancel(int process, int secret) {
+        Key key = keys.get(process);
+        if (key != null && key.secret() == secret) {
+            key.session().cancel();
+        } else {
+            counters.add("client_cancels_unknown");
+        }
+    }
+
     @Override public boolean draining() { return clients.draining(); }
     @Override public Counters counters() { return counters; }
-    @Override public void closed(ClientSession session) { clients.closed(session); }
+    @Override public void closed(ClientSession session) {
+        keys.remove(session.process());
+        clients.closed(session);
+    }
+
 
     @Override public void stopping() { clients.stopping(); }
 
@@ -101,7 +133,7 @@
 
     @Override public void drain() { clients.drain(); }
 
-    @Override public boolean left() { return clients.left(); }
+    @Override public boolean closed() { return clients.closed(); }
 
     @Override public void resume() { clients.resume(); }
 }
--- a/src/main/java/crankspar/pg/PgMessage.java
+++ b/src/main/java/crankspar/pg/PgMessage.java
@@ -10,7 +10,7 @@
     record Startup(Map<String, String> parameters) implements PgMessage { }
     /** SSLRequest or GSSENCRequest: this wire has neither. */
     record EncryptionRequest() implements PgMessage { }
-    record CancelRequest() implements PgMessage { }
+    record CancelRequest(int process, int secret) implements PgMessage { }
     record Query(String sql) implements PgMessage { }
     record Sync() implements PgMessage { }
     record Terminate() implements PgMessage { }
--- a/src/main/java/crankspar/pg/ServerSession.java
+++ b/src/main/java/crankspar/pg/ServerSession.java
@@ -55,7 +55,10 @@
     ServerSession(Counters counters) { this.counters = counters; }
 
     @Override public void keeper(Keeper keeper) { this.keeper = keeper; }
-    @Override public Reach reach() { return reach; }
+
+    /** Guards against a write that was sent twice: what the system holds may leave, whether or not it has said so by now. */
+    @Override public Reach reach() { return reach == Reach.PARTLY_WRITTEN && out.underway() ? Reach.WHOLLY_WRITTEN : reach; }
+
     @Override public boolean reusable() { return phase == Phase.IDLE && decoder.empty(); }
 
     @Override public void opened(Out out) {
--- a/src/main/java/crankspar/pooling/PoolingFront.java
+++ b/src/main/java/crankspar/pooling/PoolingFront.java
@@ -300,5 +300,5 @@
         }
     }
 
-    @Override public boolean left() { return clients.values().stream().allMatch(c -> c.state() == Client.State.LEAVING); }
+    @Override public boolean closed() { return clients.isEmpty(); }
 }
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -59,6 +59,7 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Resource> resources = new LinkedHashMap<>();
     private final Map<RestSession, String> reads = new HashMap<>();
+    private final Map<RestSession, String> writes = new HashMap<>();
     private final Claims claims = new Claims(CLAIM_BYTES, KEEP);
     private final Clients<RestSession> clients;
 
@@ -210,7 +211,10 @@
         } else {
             var q = new RestQuery(c.name(), Freshness.WRITE, group, null, 0, "", Double.POSITIVE_INFINITY, Double.NaN,
                     key, call.body());
-            pooler.take(new Ports.Ask<>(kind, ttl, call.head().header("session"), Double.NaN, group, q), answer -> {
+            boolean[] answered = new boolean[1];
+            String id = pooler.take(new Ports.Ask<>(kind, ttl, call.head().header("session"), Double.NaN, group, q), answer -> {
+                answered[0] = true;
+                writes.remove(session);
                 byte[] response = said(answer, q, Double.NaN);
                 if (answer instanceof FinalAnswer.Served<RestAnswer>) {
                     claims.answered(scoped, response, loop.now());
@@ -221,14 +225,21 @@
                 }
                 session.answer(response);
             });
+            if (!answered[0]) {
+                writes.put(session, id);
+            }
         }
     }
 
-    /** A read whose client has left is given up. A claim is not: its answer is recorded for the key's repeat. */
+    /** A read whose client has left is given up. A claim that is out is not: its answer is recorded for the key's repeat; it is sent no further. */
     @Override public void left(RestSession session) {
-        String id = reads.remove(session);
-        if (id != null) {
-            pooler.gone(id);
+        String read = reads.remove(session);
+        String write = writes.remove(session);
+        if (read != null) {
+            pooler.gone(read);
+        }
+        if (write != null) {
+            pooler.left(write);
         }
     }
 
@@ -342,8 +353,7 @@
     /** Takes no new connections, and closes each that it has between two requests. */
     @Override public void drain() { clients.drain(); }
 
-    /** Whether no client is left that might still be answered. */
-    @Override public boolean left() { return clients.left(); }
+    @Override public boolean closed() { return clients.closed(); }
 
     /** The end of a drain. */
     @Override public void resume() { clients.resume(); }
--- a/src/main/java/crankspar/rest/RestServerSession.java
+++ b/src/main/java/crankspar/rest/RestServerSession.java
@@ -46,7 +46,10 @@
     }
 
     @Override public void keeper(Keeper keeper) { this.keeper = keeper; }
-    @Override public Reach reach() { return reach; }
+
+    /** Guards against a write that was sent twice: what the system holds may leave, whether or not it has said so by now. */
+    @Override public Reach reach() { return reach == Reach.PARTLY_WRITTEN && out.underway() ? Reach.WHOLLY_WRITTEN : reach; }
+
     @Override public boolean reusable() { return reach == Reach.ANSWERED && keepAlive; }
 
     @Override public void opened(Out out) {
@@ -244,12 +247,14 @@
         return text != null && text.matches("[0-9]{1,15}(\\.[0-9]{0,6})?") ? Double.parseDouble(text) : Double.NaN;
     }
 
-    @Override public void ended(String why) {
+    /** An answer without a length ends with its connection. Guards against half an answer before a reset, which was served as a whole one. */
+    @Override public void finished() {
         try {
-            parser.close();                   // an answer may end with its connection
+            parser.close();
         } catch (HttpParser.Malformed e) {
             counters.add("server_cut_short");
         }
-        keeper.gone(why);
     }
+
+    @Override public void ended(String why) { keeper.gone(why); }
 }
--- a/src/main/java/crankspar/rest/RestSession.java
+++ b/src/main/java/crankspar/rest/RestSession.java
@@ -133,6 +133,8 @@
                 : calls == 0 ? Standing.NEW : Standing.IDLE;
     }
 
+    @Override public boolean unsent() { return out != null && out.unsent(); }
+
     @Override public boolean begun() { return !parser.between(); }
 
     @Override public long progress() { return calls; }
--- a/src/test/java/crankspar/net/ScriptedPeer.java
+++ b/src/test/java/crankspar/net/ScriptedPeer.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -24,6 +25,7 @@
     private final ServerSocket server;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+    private final CountDownLatch cue = new CountDownLatch(1);
 
     public ScriptedPeer(Script script) throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -64,6 +66,9 @@
 
     public int left() { return seen.size(); }
 
+    /** What its script waits for where the test says when. */
+    public CountDownLatch cue() { return cue; }
+
     @Override public void close() throws IOException {
         server.close();
         for (Socket socket : sockets) {
@@ -119,6 +124,12 @@
             return text + (length.find() ? new String(read(Integer.parseInt(length.group(1))), StandardCharsets.UTF_8) : "");
         }
 
+        /** Ends the connection with a reset. */
+        public void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
         @Override public void close() throws IOException { socket.close(); }
     }
 }
