--- a/src/main/java/crankspar/lab/DutiesBench.java
+++ b/src/main/java/crankspar/lab/DutiesBench.java
@@ -37,14 +37,14 @@
         var members = new ArrayList<String>();
         for (int i = 0; i < DATABASES; i++) {
             String member = LabSettings.member("db-" + i, databases.get(i).address().getPort(), i % 4 == 0);
-            members.add(member.replace("burnaby", List.of("burnaby", "surrey", "richmond").get(i % 3)).replace("cell = 1", "cell = " + i / 4));
+            members.add(member.replace("east", List.of("east", "west", "south").get(i % 3)).replace("cell = 1", "cell = " + i / 4));
         }
         var peers = new ArrayList<String>();
         for (int i = 0; i < POOLERS; i++) {
             peers.add("\"127.0.0.1:" + (alone ? freePort() : relays.get(i).address().getPort()) + "\"");
         }
-        return "name = p" + number + "\n" + LabSettings.text(POOLERS).replace("Locality = burnaby",
-                "Locality = " + List.of("burnaby", "surrey", "richmond").get(number)).replace("Discovery = on_request", "Discovery = pushed")
+        return "name = p" + number + "\n" + LabSettings.text(POOLERS).replace("Locality = east",
+                "Locality = " + List.of("east", "west", "south").get(number)).replace("Discovery = on_request", "Discovery = pushed")
                 + "pooling { listen = \"127.0.0.1:0\"\n members { revision = 1, complete = true, members = [\n" + String.join("\n", members)
                 + "\n] }\n databases { db { } } }\n"
                 + (shared ? "membership { listen = \"127.0.0.1:" + ports.get(number) + "\", number = " + number + ", peers = ["
--- a/src/main/java/crankspar/lab/Fleet.java
+++ b/src/main/java/crankspar/lab/Fleet.java
@@ -28,7 +28,7 @@
     }
 
     private static final double DAY = 86_400_000;
-    private static final List<String> ZONES = List.of("burnaby", "surrey", "richmond");
+    private static final List<String> ZONES = List.of("east", "west", "south");
 
     private final Loop loop = new Loop("fleet");
     private final Recording recording = new Recording();
@@ -75,7 +75,7 @@
         var all = new ArrayList<String>();
         servers.forEach((id, s) -> {
             int group = Integer.parseInt(id.substring(1, id.indexOf('-')));
-            all.add(LabSettings.member(id, s.address().getPort(), id.endsWith("-p")).replace("burnaby", ZONES.get(all.size() % 3))
+            all.add(LabSettings.member(id, s.address().getPort(), id.endsWith("-p")).replace("east", ZONES.get(all.size() % 3))
                     .replace("cell = 1", "cell = " + group));
         });
         return "members { revision = 1, complete = true, members = [\n" + String.join("\n", all) + "\n] }\n";
--- a/src/main/java/crankspar/lab/LabSettings.java
+++ b/src/main/java/crankspar/lab/LabSettings.java
@@ -16,11 +16,11 @@
             settings {
               Callers { MarksRetry = false }
               Classes = [
-                {DedupScope = all, Gain = 3.0, GiveUp = 600.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.2, Name = scoreboard, Target = 200.0}
-                {DedupScope = all, Gain = 3.0, GiveUp = 750.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.0, Name = my-roster, Target = 250.0}
-                {DedupScope = all, Gain = 1.0, GiveUp = 2000.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.0, Name = waiver-check, Target = 600.0}
-                {DedupScope = all, Gain = 6.0, GiveUp = 8000.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.0, Name = season-report, Target = 4000.0}
-                {DedupScope = all, Gain = 3.0, GiveUp = 3000.0, Idempotency = side_effect, KeyTtl = 5000.0, LateValue = 0.3, Name = trade-claim, Target = 600.0}
+                {DedupScope = all, Gain = 3.0, GiveUp = 600.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.2, Name = board, Target = 200.0}
+                {DedupScope = all, Gain = 3.0, GiveUp = 750.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.0, Name = own, Target = 250.0}
+                {DedupScope = all, Gain = 1.0, GiveUp = 2000.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.0, Name = check, Target = 600.0}
+                {DedupScope = all, Gain = 6.0, GiveUp = 8000.0, Idempotency = pure, KeyTtl = 5000.0, LateValue = 0.0, Name = report, Target = 4000.0}
+                {DedupScope = all, Gain = 3.0, GiveUp = 3000.0, Idempotency = side_effect, KeyTtl = 5000.0, LateValue = 0.3, Name = claim, Target = 600.0}
               ]
               Discovery = on_request
               Domain { Behind = off, ClassBound = [300.0, 0.0, 0.0, 0.0, 0.0], CommitWaits = false, CountedFrom = 0.0, Patience = 0.0
@@ -28,16 +28,16 @@
               Guarantees { AnswerSlack = 20.0, AskEvery = 10000.0, ColdFrom = 0.23, DrainGrace = 250.0, Fall = 1500.0, FallMultiple = 4.0, RampTime = 15000.0 }
               Limits { Cancelling = true, ConnIdle = 30000.0, DialTimeout = 250.0, MaxOpen = 20000, MaxRetryAfter = 2000.0, MayDuplicate = false, MostTries = 6
                 Probes = true, RetryAfter = false }
-              Locality = burnaby, MyNumber = 0
+              Locality = east, MyNumber = 0
               Prices { CrossZone = 0.055, LateFail = 0.049, Probe = 0.03, Waste = 0.022 }
               Report { Fields = [x0, x1], How = on_probe }
-              Round = 5.0, Siblings = SIBLINGS, Zones = [burnaby, surrey, richmond]
+              Round = 5.0, Siblings = SIBLINGS, Zones = [east, west, south]
             }
             """.replace("SIBLINGS", Integer.toString(siblings));
     }
 
     /** The same as the platform gives them, where poolers may tell each other at its price. */
-    public static Router.Settings platform(int siblings) { return SettingsReader.read(platform(siblings, 0, "burnaby").unwrapped(), 1); }
+    public static Router.Settings platform(int siblings) { return SettingsReader.read(platform(siblings, 0, "east").unwrapped(), 1); }
 
     /** One pooler's settings in the words of the platform's configuration. */
     public static String json(int siblings, int me, String zone) {
@@ -50,7 +50,7 @@
     }
 
     static String member(String id, int port, boolean primary) {
-        return "{id = " + id + ", host_port = \"127.0.0.1:" + port + "\", locality = burnaby, flavor = std, cell = 1, phase = up, size = 1.0,"
+        return "{id = " + id + ", host_port = \"127.0.0.1:" + port + "\", locality = east, flavor = std, cell = 1, phase = up, size = 1.0,"
                 + " up_since_ms = 0, role = " + (primary ? "primary" : "replica") + "}";
     }
 }
--- a/src/main/java/crankspar/lab/PoolingBench.java
+++ b/src/main/java/crankspar/lab/PoolingBench.java
@@ -49,7 +49,7 @@
     private static final Frame SYNC = Frame.body().as('S');
 
     private static List<byte[]> claim(String key) {
-        return script(simple("/* c=trade-claim */ BEGIN"), new Frame[] {bind("claim", key), EXECUTE, SYNC}, simple("COMMIT"));
+        return script(simple("/* c=claim */ BEGIN"), new Frame[] {bind("claim", key), EXECUTE, SYNC}, simple("COMMIT"));
     }
 
     private static final List<byte[]> READ = script(new Frame[] {bind("read", "7"), EXECUTE, SYNC});
--- a/src/main/java/crankspar/lab/rig/Rig.java
+++ b/src/main/java/crankspar/lab/rig/Rig.java
@@ -45,7 +45,7 @@
         public Parties pushed(boolean on) { return new Parties(poolers, groups, replicas, work, cores, operator, jar, discoveryEach, discoveryMost, on); }
     }
 
-    private static final List<String> ZONES = List.of("burnaby", "surrey", "richmond");
+    private static final List<String> ZONES = List.of("east", "west", "south");
     /** The brief's times of the log on its way to a replica, and of applying one write (ms). */
     private static final double LOG_DELAY = 8;
     private static final double APPLY = 1;
--- a/src/main/java/crankspar/lab/rig/RigLoad.java
+++ b/src/main/java/crankspar/lab/rig/RigLoad.java
@@ -7,7 +7,7 @@
 import java.io.IOException;
 import java.util.List;
 
-/** Nine scoreboards for each claim at one pooler, open loop, on a thread of its own; ids begin with the pooler's name. */
+/** Nine reads of the board for each claim at one pooler, open loop, on a thread of its own; ids begin with the pooler's name. */
 public final class RigLoad implements AutoCloseable {
     /** After the last has left, this long (ms) for its answer. */
     private static final double GRACE = 3500;
@@ -17,8 +17,8 @@
     private final String name;
 
     public RigLoad(Rig rig, int pooler, double perSecond, double ms, int connections) throws IOException {
-        var kinds = List.of(new Workload.Kind("scoreboard", 9, 600, false, "SELECT applied_ms()"),
-                new Workload.Kind("trade-claim", 1, 3000, true, "INSERT INTO t VALUES ($n) RETURNING applied_ms()"));
+        var kinds = List.of(new Workload.Kind("board", 9, 600, false, "SELECT applied_ms()"),
+                new Workload.Kind("claim", 1, 3000, true, "INSERT INTO t VALUES ($n) RETURNING applied_ms()"));
         var w = new Workload(kinds, List.of(new Shape.Constant(perSecond)), false, 100, 1, ms, 7 + pooler, Workload.Front.PLATFORM, connections, 1000, 1);
         name = "p" + pooler;
         generator = Generator.platform(w, rig.fromClients(pooler).address(), name);
--- a/src/test/java/crankspar/audit/AuditorTest.java
+++ b/src/test/java/crankspar/audit/AuditorTest.java
@@ -88,7 +88,7 @@
         Files.writeString(operator, "name = p0\naudit { }\n");
         Path config = folder.resolve("config.json");
         Files.writeString(config, "{\"name\": \"p0\", \"listen\": \"127.0.0.1:0\", \"discovery\": \"127.0.0.1:1\", \"seed\": \"1\", \"peer_listen\": \"127.0.0.1:0\","
-                + " \"peers\": [\"127.0.0.1:1\", \"127.0.0.1:2\"], \"settings\": " + LabSettings.json(2, 0, "burnaby").replace("\"MayTell\":true", "\"MayTell\":false") + "}");
+                + " \"peers\": [\"127.0.0.1:1\", \"127.0.0.1:2\"], \"settings\": " + LabSettings.json(2, 0, "east").replace("\"MayTell\":true", "\"MayTell\":false") + "}");
         assertThatThrownBy(() -> new Daemon(Config.read(Map.of("BALANCER_CONFIG", config.toString())), Operator.read(operator)))
                 .isInstanceOf(Config.Bad.class).hasMessageContaining("audit.listen").hasMessageContaining("tell each other nothing");
     }
