Long reads of a large fleet mostly do not wait for a cold database: its budget holds by the sum

A long read takes a dozen of mean work and one credit, and all of a group's wait for the one furthest behind, which is the one that has just started. The more poolers, the fewer of them are held back by a spent credit. Ruled out: credits in hand at a start and saved up (what is left without long reads).

Change: Reads.furthestBehind passes over cold members for all but two sixes of poolers' part of the long reads; up to twelve poolers nothing changes.

--- a/src/main/java/crankspar/lab/RoutingModel.java
+++ b/src/main/java/crankspar/lab/RoutingModel.java
@@ -47,15 +47,17 @@
      * @param telling what telling peers costs, as a share of the worth by the settings' price
      * @param opened connections opened; one is used again by the same pooler and database only
      * @param coldPeak the most that a cold database was sent by those who knew, in any window of the rule, in times of what it could do
+     * @param coldShare the most that a cold one was sent so in any window, as a share of its budget with what is put down to chance
      * @param coldSent requests that cold databases were sent by those who knew
      * @param fullest the most requests that were at one database at once
      * @param toPrimary share of the bounded reads' sends that went to a primary: no replica's position was known to be fresh
      */
-    public record Figures(long asked, double served, long refused, double telling, long opened, double coldPeak, long coldSent, int fullest,
-                          double toPrimary) { }
+    public record Figures(long asked, double served, long refused, double telling, long opened, double coldPeak, double coldShare, long coldSent,
+                          int fullest, double toPrimary) { }
 
     private static final double[] SHARES = {0.46, 0.42, 0.032, 0.023, 0.058};
     private static final double[][] WORK = {{32, 55}, {32, 55}, {79, 140}, {530, 920}, {53, 92}};
+    private static final double MEAN = java.util.stream.IntStream.range(0, SHARES.length).mapToDouble(k -> SHARES[k] * (WORK[k][0] + WORK[k][1]) / 2).sum();
     private static final int CORES = 3;
     private static final int WAITING_MOST = 64;
     private static final double DIAL = 250;
@@ -84,8 +86,7 @@
         boolean up = true;
         int running;
         final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
-        private final ArrayDeque<double[]> sentCold = new ArrayDeque<>();
-        private double inWindow;
+        private final ColdWindow window = new ColdWindow(world.settings().rules(), CORES, MEAN);
         /** The poolers that know of its last start. */
         final BitSet toldOf = new BitSet();
 
@@ -113,12 +114,9 @@
                 return;
             }
             coldSent++;
-            sentCold.add(new double[] {now, work});
-            inWindow += work;
-            while (sentCold.peek()[0] < now - rules.fall()) {
-                inWindow -= sentCold.poll()[1];
-            }
-            coldPeak = Math.max(coldPeak, inWindow / (CORES * able() * rules.fall()));
+            window.take(now, work);
+            coldPeak = Math.max(coldPeak, window.times(able()));
+            coldShare = Math.max(coldShare, window.share(able()));
         }
 
         void take(double work, Attempt a, Runnable done, Runnable full) {
@@ -333,7 +331,7 @@
     private final Instance[] instances;
     private final int[] side;
     private boolean mute;
-    private double rate, worthAsked, worthServed, coldPeak;
+    private double rate, worthAsked, worthServed, coldPeak, coldShare;
     private long count, asking, refused, told, opened, coldSent, bounded, boundedAtPrimary;
     private int fullest;
     private final double[] weights, popular;
@@ -407,7 +405,7 @@
 
     /** Figures count from here on. */
     public RoutingModel measure() {
-        worthAsked = worthServed = coldPeak = 0;
+        worthAsked = worthServed = coldPeak = coldShare = 0;
         asking = refused = told = opened = coldSent = bounded = boundedAtPrimary = 0;
         fullest = 0;
         return this;
@@ -415,7 +413,7 @@
 
     public Figures figures() {
         return new Figures(asking, worthServed / Math.max(1, worthAsked), refused,
-                world.settings().prices().peer() * told / 256 / Math.max(1, asking), opened, coldPeak, coldSent, fullest,
+                world.settings().prices().peer() * told / 256 / Math.max(1, asking), opened, coldPeak, coldShare, coldSent, fullest,
                 boundedAtPrimary / (double) Math.max(1, bounded));
     }
 
--- a/src/main/java/crankspar/policy/Known.java
+++ b/src/main/java/crankspar/policy/Known.java
@@ -29,10 +29,9 @@
     /** First wait after a full round of misses in search of a primary, or after being turned away (ms). */
     static final double PAUSE = 50;
     static final double EXTRA_MOST = 10;  // of what is saved up
-    /** Discovery is asked again after this long (ms), doubled to a quarter of the time it may be unasked. */
-    static final double ASK_FIRST = 500;
-    /** ... and to no more than this (ms): what discovery had counts as told 6 s after it could be reached. */
-    static final double ASK_MOST = 1200;
+    /** Discovery is asked again after the first wait (ms), doubled to a quarter of the time it may be unasked
+     * and to the second at most: what it had counts as told 6 s after it could be reached. */
+    static final double ASK_FIRST = 500, ASK_MOST = 1200;
 
     /** One database as this instance sees it. */
     static final class Db {
--- a/src/main/java/crankspar/policy/Reads.java
+++ b/src/main/java/crankspar/policy/Reads.java
@@ -9,6 +9,7 @@
 abstract class Reads extends Primary {
     static final int WINDOW = 10;
     static final int SESSIONS = 100_000;  // remembered
+    static final double COLD_LONG = 2;    // a cold one's long reads: those of so many sixes of instances, as each costs a dozen
 
     Reads(Settings settings, Actions actions) {
         super(settings, actions);
@@ -183,7 +184,7 @@
 
     Db furthestBehind(Work w) {
         return w.group.members.stream().filter(m -> m.usable && !m.silent && !m.erring()
-                && m != w.group.primary && !w.avoid.contains(m))
+                && m != w.group.primary && !w.avoid.contains(m) && (!cold(m) || w.luck * scale < COLD_LONG))
                 .min(Comparator.comparingDouble(m -> m.position)).orElse(null);
     }
 
