--- a/src/test/java/crankspar/daemon/PlannedRestartTest.java
+++ b/src/test/java/crankspar/daemon/PlannedRestartTest.java
@@ -23,7 +23,7 @@
 
 /** A planned restart under clients that go on sending on each connection that stays open, up to its close. */
 class PlannedRestartTest {
-    private static final int CLIENTS = 200;
+    private static final int CLIENTS = 500;
     private static final int WAIT = 500;
     /** A request without an answer crossed its connection's close: what waited for longer than this (ms) had been taken. */
     private static final double CROSSED = 400;
--- a/src/test/java/crankspar/lab/rig/PushedListTest.java
+++ b/src/test/java/crankspar/lab/rig/PushedListTest.java
@@ -53,6 +53,32 @@
         }
     }
 
+    /** However it was away, down or silent, and for long enough that the module's waits are at their longest: 6 s after its return. */
+    @ParameterizedTest @ValueSource(booleans = {true, false})
+    void aDrainThatDiscoveryLearntWhileItWasAwayIsKeptSixSecondsAfterItsReturn(boolean down) throws Exception {
+        try (var rig = started(2, false, 65); var load = new RigLoad(rig, 0, 100, 16_500, 8)) {
+            bothServe(rig);
+            away(rig, down, true);
+            double began = rig.now();
+            rig.discovery().health("db-2", Health.DRAINING);
+            Rig.until("it is away", Rig.WAIT, () -> rig.now() > began + 8500);
+            double back = rig.now();
+            away(rig, down, false);
+            load.ended();
+            assertThat(lastAt(rig, "db-2")).as("it serves on its last word").isGreaterThan(began + 5000);
+            assertThat(lastAt(rig, "db-2")).isLessThan(back + SILENCE_MOST + DRAIN_MOST);
+            assertThat(lastAt(rig, "db-1")).isGreaterThan(back + SILENCE_MOST);
+        }
+    }
+
+    private static void away(Rig rig, boolean down, boolean on) {
+        if (down) {
+            rig.discovery().down(on);
+        } else {
+            rig.discovery().silent(on);
+        }
+    }
+
     /** What the agent has at its return counts at once, so that a call has to stand then. */
     @Test void atTheAgentsReturnADrainIsKeptAtOnce() throws Exception {
         try (var rig = started(1, true, 63); var load = new RigLoad(rig, 0, 100, 6500, 8)) {
