--- a/src/main/java/crankspar/policy/Reads.java
+++ b/src/main/java/crankspar/policy/Reads.java
@@ -9,7 +9,7 @@
 abstract class Reads extends Primary {
     static final int WINDOW = 10;
     static final int SESSIONS = 100_000;  // remembered
-    static final double COLD_LONG = 2;    // a cold one's long reads: those of so many sixes of instances, as each costs a dozen
+    static final double COLD_LONG = 2;    // a cold one gets this many sixes of instances' part of long reads
 
     Reads(Settings settings, Actions actions) {
         super(settings, actions);
