A pooler that leaves by itself gives nothing up and ends with its last connection, or is killed

Not reproduced, so not proven.

Change: alone, nothing is given up and the end waits for the last connection or the kill, as before; beside another process it is as it was. EndingTest, StopTest, PlannedRestartTest, SignalTest, UpgradeTest green.

--- a/src/main/java/crankspar/daemon/Leaving.java
+++ b/src/main/java/crankspar/daemon/Leaving.java
@@ -72,10 +72,10 @@
             });
             parts.loop.after(open, () -> {
                 parts.fronts.forEach(f -> f.front().drain());
-                look(until, done);
+                look(Double.POSITIVE_INFINITY, done); // what is owed from before the signal may go on up to the kill: nothing is given up for it
             });
         });
-        done.await((long) (Math.max(open, answered) + SPARE), TimeUnit.MILLISECONDS);
+        done.await((long) (Math.max(open, answered) + longest), TimeUnit.MILLISECONDS);
     }
 
     /**
