--- a/src/test/java/crankspar/net/ScriptedPeer.java
+++ b/src/test/java/crankspar/net/ScriptedPeer.java
@@ -27,8 +27,11 @@
     private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
     private final CountDownLatch cue = new CountDownLatch(1);
 
-    public ScriptedPeer(Script script) throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    public ScriptedPeer(Script script) throws IOException { this(0, script); }
+
+    /** At this port, where something is to be found that was not there before. */
+    public ScriptedPeer(int port, Script script) throws IOException {
+        server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         daemon(() -> {
             while (true) {
                 Socket socket = server.accept();
