A pipelined statement's time runs from when it was written, not from its turn

Ruled out: bounds on waiting statements (no "fatal" in the log), connections closed by the pooler (none).

PgFront.take started each statement's time at its turn. ClientSession now keeps when each came, and what is left goes to the module, which turns away what cannot be served within it.

--- a/src/main/java/crankspar/pg/ClientSession.java
+++ b/src/main/java/crankspar/pg/ClientSession.java
@@ -13,8 +13,13 @@
 final class ClientSession implements Visitor {
     /** Where queries go. */
     interface Desk {
-        /** Takes a statement; its id names it until its answer comes. An error is for this client. */
-        void take(Statement statement, ClientSession session) throws Statement.Malformed;
+        /**
+         * Takes a statement that came whole at {@code since} (ms); its id names it until its answer comes. An error is for this
+         * client.
+         */
+        void take(Statement statement, double since, ClientSession session) throws Statement.Malformed;
+        /** The time (ms) by the loop's clock. */
+        double now();
         void gone(String id);
         /** Its client wants it no longer, and waits for the answer that says so. */
         void cancel(String id);
@@ -37,7 +42,10 @@
 
     private final PgDecoder decoder = new PgDecoder(true);
     private final Desk desk;
-    private final ArrayDeque<PgMessage> waiting = new ArrayDeque<>();
+    /** A message and when its last byte came (ms). */
+    private record Waiting(PgMessage message, double since) { }
+
+    private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private int waitingChars;
     private int held;
     private Out out;
@@ -70,7 +78,7 @@
                     fatal("54000", "too many statements at once");
                     return;
                 }
-                waiting.add(m);
+                waiting.add(new Waiting(m, desk.now()));
             }
         } catch (PgDecoder.Malformed e) {
             fatal("08P01", e.getMessage());
@@ -95,9 +103,9 @@
         }
         taking = true;
         while (!busy && !over && !waiting.isEmpty()) {
-            PgMessage m = waiting.poll();
-            waitingChars -= m instanceof PgMessage.Query q ? q.sql().length() : 0;
-            on(m);
+            Waiting w = waiting.poll();
+            waitingChars -= w.message() instanceof PgMessage.Query q ? q.sql().length() : 0;
+            on(w.message(), w.since());
         }
         taking = false;
         if (desk.draining()) {
@@ -105,7 +113,7 @@
         }
     }
 
-    private void on(PgMessage m) {
+    private void on(PgMessage m, double since) {
         if (m instanceof PgMessage.Startup) {
             welcomed = true;
             out.write(new PgEncoder().add(new PgMessage.AuthenticationOk())
@@ -118,7 +126,7 @@
             out.write(new byte[] {'N'});
         } else if (m instanceof PgMessage.Query q && welcomed) {
             skipping = false;
-            query(q.sql());
+            query(q.sql(), since);
         } else if (m instanceof PgMessage.Sync && welcomed) {
             skipping = false;
             out.write(new PgEncoder().add(new PgMessage.ReadyForQuery()).bytes());
@@ -161,7 +169,7 @@
         }
     }
 
-    private void query(String sql) {
+    private void query(String sql, double since) {
         asked = true;
         String bare = sql.strip();
         String word = bare.split("[\\s;]", 2)[0].toUpperCase(java.util.Locale.ROOT);
@@ -186,7 +194,7 @@
                 id = statement.id();
                 reads = statement.reads();
                 busy = true;
-                desk.take(statement, this);   // the answer may come within
+                desk.take(statement, since, this); // the answer may come within
             } catch (Statement.Malformed e) {
                 busy = false;
                 id = null;
@@ -253,8 +261,8 @@
         if (busy) {
             e.add(PgMessage.Report.error("ERROR", "08007", "given up: " + message)).add(new PgMessage.ReadyForQuery());
         }
-        for (PgMessage m : waiting) {
-            if (m instanceof PgMessage.Query) {
+        for (Waiting w : waiting) {
+            if (w.message() instanceof PgMessage.Query) {
                 e.add(PgMessage.Report.error("ERROR", "53300", "not looked at: " + message))
                         .add(new PgMessage.ReadyForQuery());
             }
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -25,6 +25,7 @@
     /** A welcomed session, and what a cancel has to bring to name it. */
     private record Key(int secret, ClientSession session) { }
 
+    private final Loop loop;
     private final Router.Settings settings;
     private final Counters counters;
     private final Pooler<Statement, PgAnswer> pooler;
@@ -40,6 +41,7 @@
 
     public PgFront(Loop loop, Router.Settings settings, Counters counters, Pooler<Statement, PgAnswer> pooler,
                    int most) {
+        this.loop = loop;
         this.settings = settings;
         this.counters = counters;
         this.pooler = pooler;
@@ -59,8 +61,11 @@
     /**
      * Guards against what no client of ours sends: an id that is open already would let one client end or
      * spoil another's request, and a read that is no SELECT would be run again as though it were harmless.
+     *
+     * <p>A client's time runs from when it wrote its statement, also behind others of its own. Guards against clients that
+     * write many at once: one that came to its turn late was given its whole time anew, and its client left before that.
      */
-    @Override public void take(Statement s, ClientSession session) throws Statement.Malformed {
+    @Override public void take(Statement s, double since, ClientSession session) throws Statement.Malformed {
         String id = s.id();
         Integer kind = classes.get(s.text("c"));
         if (kind == null) {
@@ -73,7 +78,8 @@
         }
         boolean inSession = freshness == Freshness.SESSION || freshness == Freshness.WRITE;
         double mark = s.names().containsKey("after") ? s.number("after") : Double.NaN;
-        var ask = new Ports.Ask<>(kind, Math.min(s.number("d"), c.giveUp()), inSession ? s.key() : null, mark,
+        double left = Math.max(0, Math.min(s.number("d"), c.giveUp()) - (now() - since));
+        var ask = new Ports.Ask<>(kind, left, inSession ? s.key() : null, mark,
                 (int) s.number("cluster"), s);
         if (open.putIfAbsent(id, "") != null) {
             throw new Statement.Malformed("a request with this id is open");
@@ -89,6 +95,8 @@
         open.replace(id, taken);              // unless the answer has come already
     }
 
+    @Override public double now() { return loop.now(); }
+
     @Override public boolean hold(int more) {
         held += more;
         return more <= 0 || held <= HELD_MOST;
