--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -181,7 +181,8 @@
 
     private void event(Runnable what) { turns.take(what); }
 
-    private double now() { return time.now(); }
+    /** The time (ms) by the clock that all deadlines are on. */
+    public double now() { return time.now(); }
 
     /** An attempt's last byte has left. */
     void written(Attempt<Q, A> a) {
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -25,7 +25,6 @@
     /** A welcomed session, and what a cancel has to bring to name it. */
     private record Key(int secret, ClientSession session) { }
 
-    private final Loop loop;
     private final Router.Settings settings;
     private final Counters counters;
     private final Pooler<Statement, PgAnswer> pooler;
@@ -41,7 +40,6 @@
 
     public PgFront(Loop loop, Router.Settings settings, Counters counters, Pooler<Statement, PgAnswer> pooler,
                    int most) {
-        this.loop = loop;
         this.settings = settings;
         this.counters = counters;
         this.pooler = pooler;
@@ -95,7 +93,7 @@
         open.replace(id, taken);              // unless the answer has come already
     }
 
-    @Override public double now() { return loop.now(); }
+    @Override public double now() { return pooler.now(); }
 
     @Override public boolean hold(int more) {
         held += more;
