Figures look once whether the start has ended, not at each step

It asks for the figures from its own thread while the start ends on the loop: "not serving" at the first look left the list of fronts empty, "serving" at the second asked it for one. Operators' calls come on the loop, where nothing ends between two looks, so that only the test could meet it. The word is read once now. No test of its own makes that order; the test that met it passed before and after.

--- a/src/main/java/crankspar/daemon/OperatorCalls.java
+++ b/src/main/java/crankspar/daemon/OperatorCalls.java
@@ -26,16 +26,17 @@
 
     @Override public List<Figure> figures() {
         var all = new ArrayList<Figure>();
+        boolean serving = parts.serving;      // read once: the start may end between two looks at it
         var classes = new LinkedHashMap<String, long[]>();
-        List<Served> fronts = parts.serving ? parts.fronts : List.of();
+        List<Served> fronts = serving ? parts.fronts : List.of();
         long tries = 0;
         long active = 0;
         Set<String> listed = new HashSet<>();
         Set<String> avoided = new HashSet<>();
         for (int i = 0; i < parts.planned.size(); i++) {
-            tries += count(classes, parts.planned.get(i), parts.serving ? fronts.get(i).core() : null);
+            tries += count(classes, parts.planned.get(i), serving ? fronts.get(i).core() : null);
         }
-        if (!parts.serving) {                 // all there is to come, at nought
+        if (!serving) {                 // all there is to come, at nought
             listed.addAll(parts.known);
             avoided.addAll(parts.store.under(Directory.DRAIN).keySet());
         }
@@ -54,7 +55,7 @@
         all.add(Figure.gauge("pool_size", listed.size()));
         avoided.retainAll(listed);
         all.add(Figure.gauge("pool_ejected", avoided.size()));
-        if (parts.serving && parts.peering.shared() != null) {
+        if (serving && parts.peering.shared() != null) {
             parts.peering.shared().figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
             parts.peering.shared().counts().forEach((name, n) -> all.add(Figure.count(name, n)));
         }
@@ -66,7 +67,7 @@
             parts.auditing.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
             parts.auditing.counts().forEach((name, n) -> all.add(Figure.count(name, n)));
         }
-        if (parts.serving && parts.pooling != null) {
+        if (serving && parts.pooling != null) {
             parts.pooling.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
         }
         return all;
