Notices of drains share a bulletin's time and checksum, and keep what drains once

Reread: DrainNotice had Bulletin's reading of the sender's time and checksum a second time, and DrainNotices a set beside the keys of its map. Nothing changes on the wire or in what is decided.

--- a/src/main/java/crankspar/hearsay/Bulletin.java
+++ b/src/main/java/crankspar/hearsay/Bulletin.java
@@ -97,11 +97,8 @@
             throw new Malformed("version");
         }
         int from = b.get() & 0xff;
-        long base = (long) now + (short) (b.getShort() - (short) (long) now);
+        long base = base(bytes, b, now);
         int end = bytes.length - SUM;
-        if (sum(bytes, end, base) != get24(ByteBuffer.wrap(bytes, end, SUM))) {
-            throw new Malformed("checksum");
-        }
         int rest = end - b.position();
         int count = version == FACTS ? rest / FACT : rest < COUNT ? 0 : b.get() & 0xff;
         rest = end - b.position() - count * FACT;
@@ -123,6 +120,16 @@
         return new Bulletin(from, base, facts, loads);
     }
 
+    /** The sender's time, of which two bytes were sent, once the checksum over all of it and of what stands before holds. */
+    static long base(byte[] bytes, ByteBuffer at, double now) throws Malformed {
+        long base = (long) now + (short) (at.getShort() - (short) (long) now);
+        int end = bytes.length - SUM;
+        if (sum(bytes, end, base) != get24(ByteBuffer.wrap(bytes, end, SUM))) {
+            throw new Malformed("checksum");
+        }
+        return base;
+    }
+
     static void put24(ByteBuffer b, int value) { b.put((byte) (value >>> 16)).putShort((short) value); }
 
     static int get24(ByteBuffer b) { return (b.get() & 0xff) << 16 | b.getShort() & 0xffff; }
--- a/src/main/java/crankspar/hearsay/DrainNotice.java
+++ b/src/main/java/crankspar/hearsay/DrainNotice.java
@@ -35,13 +35,9 @@
             throw new Bulletin.Malformed("version");
         }
         int from = b.get() & 0xff;
-        long base = (long) now + (short) (b.getShort() - (short) (long) now);
-        int end = bytes.length - Bulletin.SUM;
-        if (Bulletin.sum(bytes, end, base) != Bulletin.get24(ByteBuffer.wrap(bytes, end, Bulletin.SUM))) {
-            throw new Bulletin.Malformed("checksum");
-        }
+        long base = Bulletin.base(bytes, b, now);
         var keys = new ArrayList<Integer>();
-        while (b.position() < end) {
+        while (b.position() < bytes.length - Bulletin.SUM) {
             keys.add(Bulletin.get24(b));
         }
         return new DrainNotice(from, base, keys);
--- a/src/main/java/crankspar/hearsay/DrainNotices.java
+++ b/src/main/java/crankspar/hearsay/DrainNotices.java
@@ -55,10 +55,9 @@
     private final int me;
     private final double place;
     private final Map<Integer, String> listed = new HashMap<>();
-    private final Set<Integer> draining = new HashSet<>();
     /** When a peer said last that this one drains. */
     private final Map<Integer, Double> said = new HashMap<>();
-    /** From when on each that drains by the own list is to be told, or told again (ms). */
+    /** Those that drain by the own list, and from when on each is to be told, or told again (ms). */
     private final Map<Integer, Double> due = new HashMap<>();
     private final Map<String, Long> counts = new TreeMap<>();
     private final List<Effect> effects = new ArrayList<>();
@@ -109,8 +108,7 @@
         listed.clear();
         e.all().forEach(id -> listed.merge(Bulletin.key(id), id, (a, b) -> ""));
         listed.values().removeIf(String::isEmpty); // two of one key: neither is told or believed
-        draining.clear();
-        e.draining().stream().map(Bulletin::key).filter(listed::containsKey).forEach(draining::add);
+        List<Integer> draining = e.draining().stream().map(Bulletin::key).filter(listed::containsKey).toList();
         due.keySet().retainAll(draining);
         draining.forEach(k -> due.putIfAbsent(k, now));
         said.keySet().retainAll(listed.keySet());
