--- a/src/test/java/crankspar/rest/BrokenOffTest.java
+++ b/src/test/java/crankspar/rest/BrokenOffTest.java
@@ -2,61 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.Router.Health;
-import crankspar.Router.Member;
-import crankspar.TestSettings;
-import crankspar.core.Counters;
-import crankspar.net.Loop;
 import crankspar.net.ScriptedPeer;
 import crankspar.net.ScriptedPeer.Wire;
-import crankspar.policy.Balance;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Connections of the REST front that are cut: an answer on its way, and a client that leaves. */
-class BrokenOffTest {
-    private final List<AutoCloseable> open = new ArrayList<>();
-    private final Counters counters = new Counters();
-    private Loop loop;
-    private InetSocketAddress address;
-
-    @BeforeEach void start() throws Exception { loop = new Loop("test"); }
-
-    @AfterEach void stop() throws Exception {
-        loop.close();
-        for (AutoCloseable c : open) {
-            c.close();
-        }
-    }
-
-    private Wire pooler(ScriptedPeer... servers) throws Exception {
-        RestFront.Parts parts = RestFront.build(loop, TestSettings.platform(), counters, on -> { }, Balance::new, 50, 50);
-        loop.runAndWait(() -> {
-            var members = new ArrayList<Member>();
-            for (int i = 0; i < servers.length; i++) {
-                open.add(servers[i]);
-                parts.pool().locate("m" + i, servers[i].address());
-                members.add(new Member("m" + i, "burnaby", i == 0, 1, Health.RUNNING, 1, "", 0));
-            }
-            parts.pooler().start(members);
-        });
-        address = parts.front().listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        return client();
-    }
-
-    private Wire client() throws Exception {
-        Wire wire = Wire.to(address);
-        open.add(wire);
-        return wire;
-    }
-
+class BrokenOffTest extends RestDoor {
     private void counted(String name, long least) throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
         var n = new long[1];
--- a/src/test/java/crankspar/rest/RestFrontTest.java
+++ b/src/test/java/crankspar/rest/RestFrontTest.java
@@ -2,40 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.policy.Balance;
-import crankspar.Router.Health;
-import crankspar.Router.Member;
-import crankspar.TestSettings;
-import crankspar.core.Counters;
-import crankspar.net.Loop;
 import crankspar.net.ScriptedPeer;
 import crankspar.net.ScriptedPeer.Wire;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Stories of REST clients and stand-in REST servers, over loopback. */
-class RestFrontTest {
-    private final List<AutoCloseable> open = new ArrayList<>();
-    private final Counters counters = new Counters();
-    private Loop loop;
-    private InetSocketAddress address;
-
-    @BeforeEach void start() throws Exception { loop = new Loop("test"); }
-
-    @AfterEach void stop() throws Exception {
-        loop.close();
-        for (AutoCloseable c : open) {
-            c.close();
-        }
-    }
-
+class RestFrontTest extends RestDoor {
     /** A stand-in server of group 1; the first one is listed as primary. */
     private ScriptedPeer server(ScriptedPeer.Script script) throws Exception {
         var peer = new ScriptedPeer(script);
@@ -43,28 +18,6 @@
         return peer;
     }
 
-    private Wire pooler(ScriptedPeer... servers) throws Exception {
-        RestFront.Parts parts = RestFront.build(loop, TestSettings.platform(), counters, on -> { }, Balance::new, 50, 50);
-        var members = new ArrayList<Member>();
-        for (int i = 0; i < servers.length; i++) {
-            members.add(new Member("m" + i, "burnaby", i == 0, 1, Health.RUNNING, 1, "", 0));
-        }
-        loop.runAndWait(() -> {
-            for (int i = 0; i < servers.length; i++) {
-                parts.pool().locate("m" + i, servers[i].address());
-            }
-            parts.pooler().start(members);
-        });
-        address = parts.front().listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        return client();
-    }
-
-    private Wire client() throws Exception {
-        Wire wire = Wire.to(address);
-        open.add(wire);
-        return wire;
-    }
-
     private static String get(String target, String... headers) {
         return "GET " + target + " HTTP/1.1\r\nHost: p\r\n" + String.join("", headers) + "\r\n";
     }
