An operator's change is acknowledged once it is on disk, and written until it is

Cause: the yes went out before the file with the operator's drains was written; a write that failed was never tried again, one whose process was ending was dropped, a file that could not be read at the start was taken for read. When a database came back is kept in the same step as its return.

--- a/src/main/java/crankspar/daemon/Assembly.java
+++ b/src/main/java/crankspar/daemon/Assembly.java
@@ -20,9 +20,9 @@
 import crankspar.policy.Balance;
 import crankspar.pooling.PoolingFront;
 import crankspar.rest.RestFront;
+import crankspar.store.Commits;
+import crankspar.store.LocalStateFile;
 import crankspar.store.Replication;
-import crankspar.store.SharedEntries;
-import crankspar.store.Snapshots;
 import crankspar.store.Store;
 import crankspar.store.StoreResource;
 import java.io.IOException;
@@ -43,10 +43,13 @@
     private static final double SERVERS = 0.35;
     /** What one process may hold where the platform sets no limit. */
     private static final int SOCKETS = 1024;
+    /** Changes of the store that nobody waits for are written to its snapshot together, this long (ms) after the first. */
+    private static final double SNAPSHOT_DELAY = 500;
 
     final Loop loop;
     final Counters counters = new Counters();
     final Store store;
+    final Commits commits;
     final Presence presence;
     final Peering peering;
     final Leaving leaving;
@@ -66,7 +69,8 @@
     private final boolean sharesWatch;
     private SharedWatch sharedWatch;
     private Pooler<Statement, PgAnswer> platformCore;
-    private SharedEntries marks;
+    /** Where what operators asked for outlives this process; in the order in which they were opened. */
+    private final List<LocalStateFile> stateFiles = new ArrayList<>();
 
     Assembly(Config config, Operator operator, Path shared) throws Config.Bad, IOException, InterruptedException {
         Router.Settings restSettings = operator != null && operator.settings() != null ? operator.settings() : config != null ? config.settings() : null;
@@ -82,12 +86,13 @@
         peering = new Peering(loop, counters);
         String node = operator != null ? operator.name() : config.name();
         store = new Store(node, node + "#" + Long.toHexString(ThreadLocalRandom.current().nextLong()));
+        commits = new Commits(store);
         presence = new Presence(shared, node);
         leaving = new Leaving(this);
         calls = new OperatorCalls(this);
         try {
             if (shared != null) {
-                loop.runAndWait(() -> marks = new SharedEntries(loop, store, beside(shared, ".marks"), List.of(Directory.DRAIN, Directory.RETURNED)));
+                keep(new LocalStateFile.Terms(beside(shared, ".marks"), Directory::isDrainOverride, 0, true));
             }
             InetSocketAddress mgmt = config != null && config.mgmt() != null ? config.mgmt() : operator != null ? operator.mgmt() : null;
             mgmtAddress = mgmt == null ? null : new Calls(loop, counters, calls).listen(mgmt);
@@ -137,7 +142,7 @@
     /** The store holds what the program was given, beside what it learns. */
     private void keepConfiguration(Config config, Operator operator) throws IOException, InterruptedException {
         if (operator != null && operator.store().snapshot() != null) {
-            new Snapshots(loop, store, operator.store().snapshot());
+            keep(new LocalStateFile.Terms(operator.store().snapshot(), key -> true, SNAPSHOT_DELAY, false));
         }
         loop.runAndWait(() -> {
             try {
@@ -153,6 +158,12 @@
         });
     }
 
+    private void keep(LocalStateFile.Terms terms) throws IOException, InterruptedException {
+        LocalStateFile file = LocalStateFile.open(loop, store, counters, terms);
+        stateFiles.add(file);
+        loop.runAndWait(() -> commits.add(file));
+    }
+
     private Path beside(Path shared, String ending) { return shared.resolve("crankspar-" + Integer.toHexString(store.node().hashCode()) + ending); }
 
     private void build(Config config, Operator operator, Router.Settings restSettings, Path shared) throws IOException, InterruptedException {
@@ -178,7 +189,7 @@
         if (rest != null) {
             add(how.serve(new Fronts.Plan(Fronts.REST, restSettings, rest.discovery(), rest.members(), false, discovery -> {
                 RestFront.Parts made = RestFront.build(loop, restSettings, counters, discovery, Balance::new, clients, servers);
-                made.front().add(StoreResource.PATH, new StoreResource(store, counters));
+                made.front().add(StoreResource.PATH, new StoreResource(store, commits, counters));
                 return new Fronts.Made(made.front(), made.pooler(), made.pool(), () -> made.front().listen(rest.listen()));
             })));
             LOG.info("the REST front listens at " + address(Fronts.REST));
@@ -257,14 +268,12 @@
 
     boolean fenced() { return auditing != null && auditing.fenced(); }
 
-    /** What others must find when this process is gone: the last marks, the ledger, that it no longer serves. */
+    /** What others must find when this process is gone: the last changes of the state, the ledger, that it no longer serves. */
     void settle() {
         if (auditing != null) {
             auditing.close();
         }
-        if (marks != null) {
-            marks.close();
-        }
+        stateFiles.forEach(LocalStateFile::close);
         presence.close();
     }
 
--- a/src/main/java/crankspar/daemon/Directory.java
+++ b/src/main/java/crankspar/daemon/Directory.java
@@ -29,6 +29,8 @@
     static final String DRAIN = "drain/";
     /** When a mark was taken back (Unix ms). */
     static final String RETURNED = "returned/";
+    /** A return that was noted so short a time ago (ms) is the same one. */
+    private static final double SAME_RETURN = 2000;
     private static final Logger LOG = Logger.getLogger(Directory.class.getName());
 
     private final Ports.Time clock;
@@ -72,6 +74,10 @@
         }
         take(list);
         revision = list.revision();
+        List<String> out = members.keySet().stream().filter(this::banned).toList();
+        if (!out.isEmpty()) {
+            LOG.info("out by an operator's call before this start: " + out);
+        }
         pooler.start(marked(list.members()));
     }
 
@@ -202,6 +208,15 @@
                 Math.max(m.lastStart(), returned(m.id())));
     }
 
+    /** Whether a key says that an operator has a member out, or when one was put back. */
+    static boolean isDrainOverride(String key) { return key.startsWith(DRAIN) || key.startsWith(RETURNED); }
+
+    /** Who ends a drain with a call notes the return in the same step. */
+    private boolean returnNoted(String id) {
+        String at = store.get(RETURNED + id);
+        return at != null && at.matches("[0-9]{1,15}") && Math.abs(clock.now() - Long.parseLong(at)) < SAME_RETURN;
+    }
+
     private double returned(String id) {
         String at = store.get(RETURNED + id);
         return at != null && at.matches("[0-9]{1,15}") && clock.now() - Long.parseLong(at) < ramp
@@ -213,7 +228,7 @@
             return;
         }
         String id = e.key().substring(DRAIN.length());
-        if (e.value() == null) {
+        if (e.value() == null && !returnNoted(id)) {
             try {
                 store.put(RETURNED + id, Long.toString((long) clock.now()));
             } catch (Store.Refused refused) {
--- a/src/main/java/crankspar/daemon/OperatorCalls.java
+++ b/src/main/java/crankspar/daemon/OperatorCalls.java
@@ -3,13 +3,16 @@
 import crankspar.Router;
 import crankspar.core.Pooler;
 import crankspar.mgmt.Operations;
-import crankspar.store.Store;
+import crankspar.store.Change;
+import crankspar.store.CommitResult;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /** What operators ask of this pooler, on the loop. It answers while it is still being put together. */
@@ -83,27 +86,38 @@
         return core == null ? 0 : core.figures().tries();
     }
 
-    @Override public Done disable(String id) { return marked(id, "by hand"); }
+    @Override public void disable(String id, Consumer<Done> told) {
+        change(id, "disable", List.of(new Change(Directory.DRAIN + id, "by hand")), told);
+    }
 
-    @Override public Done enable(String id) { return marked(id, null); }
+    /** When it came back is kept with it: a process that starts soon after must not take it for a warm one. */
+    @Override public void enable(String id, Consumer<Done> told) {
+        change(id, "enable", parts.store.get(Directory.DRAIN + id) == null ? List.of(new Change(Directory.DRAIN + id, null))
+                : List.of(new Change(Directory.RETURNED + id, Long.toString((long) parts.loop.now())), new Change(Directory.DRAIN + id, null)), told);
+    }
 
     /**
-     * The operator's mark is the store's, whoever sets it; an id is known while it is listed or marked. A
-     * process that is still starting takes it too: operators call the new one as soon as it is there, and the
-     * one that serves hears of it through the shared file.
+     * The operator's drain is the store's, whoever sets it; an id is known while it is listed or drained. A process that is
+     * still starting takes it too: operators call the new one as soon as it is there, and the one that serves hears of it
+     * through the file that both share. The yes waits until that file holds it.
      */
-    private Done marked(String id, String why) {
+    private void change(String id, String what, List<Change> changes, Consumer<Done> told) {
         boolean here = parts.serving ? parts.fronts.stream().anyMatch(f -> f.members().lists(id)) : parts.known.contains(id);
         if (parts.store.get(Directory.DRAIN + id) == null && !here) {
-            return parts.serving ? Done.UNKNOWN_ID : Done.NOT_NOW;
-        }
-        try {
-            parts.store.put(Directory.DRAIN + id, why);
-            return Done.YES;
-        } catch (Store.Refused e) {
-            LOG.warning("no mark: " + e.getMessage());
-            return Done.NOT_NOW;
+            told.accept(parts.serving ? Done.UNKNOWN_ID : Done.NOT_NOW);
+            return;
         }
+        double called = parts.loop.now();
+        parts.commits.commit(changes, result -> {
+            boolean committed = result instanceof CommitResult.Committed;
+            LOG.log(committed ? Level.INFO : Level.WARNING, "operator's call: " + what + " " + id + (committed ? " is in force after " : " is refused after ")
+                    + Math.round(parts.loop.now() - called) + " ms" + reason(result));
+            told.accept(committed ? Done.YES : Done.NOT_NOW);
+        });
+    }
+
+    private static String reason(CommitResult result) {
+        return result instanceof CommitResult.NotDurable e ? ": " + e.reason() : result instanceof CommitResult.Invalid e ? ": " + e.reason() : "";
     }
 
     @Override public Done drain() { return parts.leaving.drain(); }
--- a/src/main/java/crankspar/mgmt/Call.java
+++ b/src/main/java/crankspar/mgmt/Call.java
@@ -13,6 +13,7 @@
     private final HttpParser parser = new HttpParser(true, BODY_MOST, this);
     private HttpHead.Request head;
     private Out out;
+    private boolean whole;
     private boolean over;
 
     Call(Calls calls) { this.calls = calls; }
@@ -33,7 +34,10 @@
 
     @Override public void body(byte[] part) { } // no call has one: read past
 
-    @Override public void end() { answer(calls.answer(head)); }
+    @Override public void end() {
+        whole = true;
+        calls.answer(head, this::answer);
+    }
 
     private void answer(byte[] response) {
         if (!over) {
@@ -43,9 +47,9 @@
         }
     }
 
-    /** The rest of the call did not come in time. */
+    /** The rest of the call did not come in time; one that is whole has its answer coming. */
     void late() {
-        if (!over) {
+        if (!over && !whole) {
             calls.counters().add("calls_half");
             answer(Calls.said(408, "the call did not come whole"));
         }
--- a/src/main/java/crankspar/mgmt/Calls.java
+++ b/src/main/java/crankspar/mgmt/Calls.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * Where operators call: HTTP/1.1, one call a connection. Its sockets are apart from the clients', so that a
@@ -54,8 +55,8 @@
 
     void closed(Call call) { open.remove(call); }
 
-    /** The answer to a whole call. */
-    byte[] answer(HttpHead.Request head) {
+    /** Answers a whole call; {@code told} hears the response once, at once or later. */
+    void answer(HttpHead.Request head, Consumer<byte[]> told) {
         counters.add("calls");
         String path = head.target().split("\\?", 2)[0];
         boolean member = path.startsWith(MEMBERS) && path.substring(MEMBERS.length()).matches("[^/]+/(disable|enable)");
@@ -65,18 +66,23 @@
             default -> member ? "POST" : path.startsWith(AUDIT) ? "GET" : null;
         };
         if (method == null) {
-            return said(404, "nothing is here");
-        }
-        if (!head.method().equals(method)) {
-            return said(405, "only " + method);
+            told.accept(said(404, "nothing is here"));
+        } else if (!head.method().equals(method)) {
+            told.accept(said(405, "only " + method));
+        } else if (member) {
+            member(path.substring(MEMBERS.length()).split("/"), told);
+        } else {
+            told.accept(answerAtOnce(path, head.target()));
         }
+    }
+
+    private byte[] answerAtOnce(String path, String target) {
         return switch (path) {
             case "/-/ready" -> operations.ready() ? said(200, "ready") : said(503, "not ready");
             case "/-/metrics" -> said(200, metrics());
             case "/-/drain" -> said(operations.drain(), "drains");
             case "/-/resume" -> said(operations.resume(), "serves");
-            default -> path.startsWith(AUDIT) ? audit(path.substring(AUDIT.length()), head.target())
-                    : member(path.substring(MEMBERS.length()).split("/"));
+            default -> audit(path.substring(AUDIT.length()), target);
         };
     }
 
@@ -97,15 +103,19 @@
                 json.getBytes(StandardCharsets.UTF_8));
     }
 
-    private byte[] member(String[] words) {
+    private void member(String[] words, Consumer<byte[]> told) {
         String id;
         try {
             id = URLDecoder.decode(words[0].replace("+", "%2B"), StandardCharsets.UTF_8);
         } catch (IllegalArgumentException e) {
-            return said(404, "no league database has such an id");
+            told.accept(said(404, "no league database has such an id"));
+            return;
+        }
+        if (words[1].equals("disable")) {
+            operations.disable(id, done -> told.accept(said(done, id + " is out")));
+        } else {
+            operations.enable(id, done -> told.accept(said(done, id + " may serve")));
         }
-        return words[1].equals("disable") ? said(operations.disable(id), id + " is out")
-                : said(operations.enable(id), id + " may serve");
     }
 
     private String metrics() {
--- a/src/main/java/crankspar/mgmt/Operations.java
+++ b/src/main/java/crankspar/mgmt/Operations.java
@@ -1,6 +1,7 @@
 package crankspar.mgmt;
 
 import java.util.List;
+import java.util.function.Consumer;
 
 /** What operators may ask of the pooler, whatever fronts it has. Called on the loop. */
 public interface Operations {
@@ -16,8 +17,10 @@
     /** Whether this process can serve. */
     boolean ready();
     List<Figure> figures();
-    Done disable(String id);
-    Done enable(String id);
+    /** Takes a database out; {@code told} hears once, at once or later, and of a yes only when that survives a kill. */
+    void disable(String id, Consumer<Done> told);
+    /** Puts a database back; as {@link #disable}. */
+    void enable(String id, Consumer<Done> told);
     Done drain();
     Done resume();
     /** A page of the audit as JSON, or null where no audit is set up or it has no such page. */
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -24,6 +24,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * The second front: pages of the read classes and writes with an idempotency key, over HTTP/1.1. It words
@@ -32,7 +33,8 @@
 public final class RestFront implements RestSession.Desk, Front {
     /** Pages of something else than the servers' data, such as the store. */
     public interface Resource {
-        byte[] answer(HttpHead.Request head, Map<String, String> query, byte[] body);
+        /** {@code told} hears the whole response once, at once or later; on the loop. */
+        void answer(HttpHead.Request head, Map<String, String> query, byte[] body, Consumer<byte[]> told);
     }
 
     /** What a request lacks or has wrong, for its client. */
@@ -71,7 +73,7 @@
         this.pooler = pooler;
         clients = new Clients<>(loop, counters, most, () -> new RestSession(this));
         settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
-        resources.put("/v1/status", this::status);
+        resources.put("/v1/status", (head, query, body, told) -> told.accept(status(head, query, body)));
     }
 
     /** A front with its core: the caller feeds both with members. */
@@ -110,7 +112,7 @@
             Map<String, String> query = parameters(mark < 0 ? "" : target.substring(mark + 1));
             Resource resource = resources.get(path);
             if (resource != null) {
-                session.answer(resource.answer(call.head(), query, call.body()));
+                resource.answer(call.head(), query, call.body(), session::answer);
                 return;
             }
             String[] parts = path.split("/", -1);
--- a/src/main/java/crankspar/store/Store.java
+++ b/src/main/java/crankspar/store/Store.java
@@ -58,6 +58,9 @@
 
     public String node() { return node; }
 
+    /** Who signs this process's versions. */
+    String writer() { return writer; }
+
     public String get(String key) {
         Entry e = entries.get(key);
         return e == null ? null : e.value();
@@ -88,22 +91,30 @@
         take(new Entry(key, value, counter + 1, writer));
     }
 
-    /** Takes an entry, from here or a peer, if it is newer than what is held. */
-    public boolean take(Entry e) throws Refused {
+    /** Whether a write of this node's own would be taken now. */
+    void check(Change change) throws Refused { added(new Entry(change.key(), change.value(), counter + 1, writer)); }
+
+    /** By how many bytes the store would grow with an entry that it can take. */
+    private long added(Entry e) throws Refused {
         if (e.key().isEmpty() || e.key().length() > KEY_MOST || e.node().isEmpty() || e.node().length() > KEY_MOST
                 || e.counter() < 1 || e.counter() > COUNTER_MOST) {
             throw new Refused("no key or no version: " + e.key());
         }
         Entry old = entries.get(e.key());
-        if (!e.newerThan(old)) {
-            return false;
-        }
         long size = size(e) - (old == null ? 0 : size(old));
         if (e.value() != null && e.value().length() > VALUE_MOST || bytes + size > BYTES_MOST
                 || old == null && entries.size() >= ENTRIES_MOST) {
             throw new Refused("no room for " + e.key());
         }
-        bytes += size;
+        return size;
+    }
+
+    /** Takes an entry, from here or a peer, if it is newer than what is held. */
+    public boolean take(Entry e) throws Refused {
+        if (!e.newerThan(entries.get(e.key()))) {
+            return false;
+        }
+        bytes += added(e);
         counter = Math.max(counter, e.counter());
         entries.put(e.key(), e);
         Long before = places.put(e.key(), ++place);
--- a/src/main/java/crankspar/store/StoreJson.java
+++ b/src/main/java/crankspar/store/StoreJson.java
@@ -6,19 +6,19 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.zip.CRC32C;
 
 /** Entries as JSON, on the wire between peers and in a snapshot alike. */
 final class StoreJson {
     /** Entries as read; {@code next} is a page's, null in a snapshot. */
     record Read(List<Store.Entry> entries, String next, boolean more) { }
 
+    private static final String CHECKSUM = "crc32c";
+
     private StoreJson() { }
 
     static byte[] write(Collection<Store.Entry> entries, String next, boolean more) {
@@ -64,10 +64,31 @@
                 Boolean.TRUE.equals(object.get("more")));
     }
 
-    /** Written beside and renamed, so that a reader or a crash meets the old one or the new one, whole. */
-    static void save(Path file, Collection<Store.Entry> entries) throws IOException {
-        Path beside = file.resolveSibling(file.getFileName() + ".new");
-        Files.write(beside, write(entries, null, false));
-        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    /** The content of a state file: entries with a checksum over them. Earlier releases read past the checksum. */
+    static byte[] writeState(Collection<Store.Entry> entries) {
+        String items = new String(write(entries, null, false), StandardCharsets.UTF_8);
+        return (items.substring(0, items.length() - 1) + ",\"" + CHECKSUM + "\":" + checksum(items) + "}").getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** The entries of a state file, whole; those of earlier releases have no checksum. */
+    static List<Store.Entry> readState(byte[] bytes) throws StateFile.Corrupt {
+        try {
+            List<Store.Entry> entries = read(bytes).entries();
+            Object told = Json.object(new String(bytes, StandardCharsets.UTF_8)).get(CHECKSUM);
+            if (told != null && !told.equals(checksum(new String(write(entries, null, false), StandardCharsets.UTF_8)))) {
+                throw new StateFile.Corrupt("the checksum does not fit");
+            }
+            return entries;
+        } catch (StateFile.Corrupt e) {
+            throw e;
+        } catch (IOException | RuntimeException e) {
+            throw new StateFile.Corrupt(String.valueOf(e.getMessage()).lines().findFirst().orElse("empty"));
+        }
+    }
+
+    private static long checksum(String text) {
+        var crc = new CRC32C();
+        crc.update(text.getBytes(StandardCharsets.UTF_8));
+        return crc.getValue();
     }
 }
--- a/src/main/java/crankspar/store/StoreResource.java
+++ b/src/main/java/crankspar/store/StoreResource.java
@@ -7,8 +7,10 @@
 import crankspar.rest.RestFront;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 
 /**
  * The store on the paged REST protocol: {@code GET} pages through the changes after a cursor, {@code PUT}
@@ -20,21 +22,23 @@
     private static final int LIMIT_MOST = 500;
 
     private final Store store;
+    private final Commits commits;
     private final Counters counters;
     /** The order of changes starts anew with each start, so a cursor names the start that it belongs to. */
     private final String epoch = Long.toString(ThreadLocalRandom.current().nextLong() >>> 1, 36);
 
-    public StoreResource(Store store, Counters counters) {
+    public StoreResource(Store store, Commits commits, Counters counters) {
         this.store = store;
+        this.commits = commits;
         this.counters = counters;
     }
 
-    @Override public byte[] answer(HttpHead.Request head, Map<String, String> query, byte[] body) {
-        return switch (head.method()) {
-            case "GET" -> page(query);
-            case "PUT" -> write(body);
-            default -> RestFront.problem(405, "method", "The method is not allowed here", "only GET and PUT");
-        };
+    @Override public void answer(HttpHead.Request head, Map<String, String> query, byte[] body, Consumer<byte[]> told) {
+        switch (head.method()) {
+            case "GET" -> told.accept(page(query));
+            case "PUT" -> write(body, told);
+            default -> told.accept(RestFront.problem(405, "method", "The method is not allowed here", "only GET and PUT"));
+        }
     }
 
     private byte[] page(Map<String, String> query) {
@@ -49,21 +53,29 @@
                 StoreJson.write(page.entries(), epoch + "-" + page.next(), page.more()));
     }
 
-    private byte[] write(byte[] body) {
+    /** The answer waits until the entry is on disk, where a file keeps it. */
+    private void write(byte[] body, Consumer<byte[]> told) {
         try {
             Map<?, ?> object = Json.object(new String(body, StandardCharsets.UTF_8));
             if (!(object.get("key") instanceof String key)
                     || !(object.get("value") == null || object.get("value") instanceof String)) {
-                return RestFront.problem(400, "malformed", "No entry came", "key and value are texts");
+                told.accept(RestFront.problem(400, "malformed", "No entry came", "key and value are texts"));
+                return;
             }
-            store.put(key, (String) object.get("value"));
-            counters.add("store_writes");
-            return HttpText.response(200, Map.of("Content-Type", "application/json"),
-                    "{}".getBytes(StandardCharsets.US_ASCII));
+            commits.commit(List.of(new Change(key, (String) object.get("value"))), result -> told.accept(answer(result)));
         } catch (IOException e) {
-            return RestFront.problem(400, "malformed", "The content is no JSON", String.valueOf(e.getMessage()));
-        } catch (Store.Refused e) {
-            return RestFront.problem(422, "refused", "The store does not take this", e.getMessage());
+            told.accept(RestFront.problem(400, "malformed", "The content is no JSON", String.valueOf(e.getMessage())));
+        }
+    }
+
+    private byte[] answer(CommitResult result) {
+        if (result instanceof CommitResult.Invalid e) {
+            return RestFront.problem(422, "refused", "The store does not take this", e.reason());
+        }
+        if (result instanceof CommitResult.NotDurable e) {
+            return RestFront.problem(503, "not-durable", "The entry could not be kept; it is not in force", e.reason());
         }
+        counters.add("store_writes");
+        return HttpText.response(200, Map.of("Content-Type", "application/json"), "{}".getBytes(StandardCharsets.US_ASCII));
     }
 }
