A busy loop hears news before work; nothing is written to a database that has begun to drain

Change: connections that bring news have a channel group of their own, and news runs before the next task (NewsFirstExecutor); what waits for a connection to a database that drains goes elsewhere, after the routing policy has heard of it.

--- a/src/main/java/crankspar/daemon/Directory.java
+++ b/src/main/java/crankspar/daemon/Directory.java
@@ -79,11 +79,15 @@
             LOG.info("out by an operator's call before this start: " + out);
         }
         pooler.start(marked(list.members()));
+        forgetUnusable(list);
     }
 
     void listed(MemberList list) {
+        Set<String> before = Set.copyOf(members.keySet());
         take(list);
         pooler.members(list.complete() ? ListKind.FULL : ListKind.CHANGES, marked(list.members()));
+        before.stream().filter(id -> !members.containsKey(id)).forEach(pool::forget);
+        forgetUnusable(list);
         keep(list.revision());
         revision = list.revision();
         hearer.listed(revision, members.values(), true);
@@ -133,17 +137,20 @@
         var told = new ArrayList<Member>();
         for (String id : ids) {
             Member m = members.get(id);
-            if (m == null) {
-                continue;
+            if (m != null) {
+                if (usable(m) && addresses.containsKey(id)) {
+                    pool.locate(id, addresses.get(id));
+                }
+                told.add(mark(m));
             }
-            if (!usable(m)) {
-                pool.forget(id);
-            } else if (addresses.containsKey(id)) {
-                pool.locate(id, addresses.get(id));
-            }
-            told.add(mark(m));
         }
         pooler.members(ListKind.CHANGES, told);
+        told.stream().map(Member::id).filter(id -> !usable(members.get(id))).forEach(pool::forget);
+    }
+
+    /** After the module has heard: what waited for a connection is told elsewhere then, and the module must not choose the same member again. */
+    private void forgetUnusable(MemberList list) {
+        list.members().stream().map(Member::id).filter(id -> members.containsKey(id) && !usable(members.get(id))).forEach(pool::forget);
     }
 
     private boolean usable(Member m) { return m.health() == Health.RUNNING && !kept(m.id()); }
@@ -171,7 +178,6 @@
 
     private void take(MemberList list) {
         if (list.complete()) {
-            members.keySet().stream().filter(id -> !list.addresses().containsKey(id)).forEach(pool::forget);
             members.keySet().retainAll(list.addresses().keySet());
             addresses.keySet().retainAll(list.addresses().keySet());
         }
@@ -184,9 +190,6 @@
             } else {
                 members.put(m.id(), m);
             }
-            if (!usable(m)) {
-                pool.forget(m.id());
-            }
         }
     }
 
@@ -239,12 +242,7 @@
         if (m != null) {
             LOG.log(Level.INFO, "operator's mark: " + m.id() + (e.value() == null ? " may serve" : " drains"),
                     StructuredData.of("member", "id", m.id(), "drain", e.value() != null, "by", e.node()));
-            if (e.value() != null) {
-                pool.forget(m.id());
-            } else if (usable(m) && addresses.containsKey(m.id())) {
-                pool.locate(m.id(), addresses.get(m.id()));
-            }
-            pooler.members(ListKind.CHANGES, List.of(mark(m)));
+            overlaid(List.of(id));
         }
     }
 
--- a/src/main/java/crankspar/mgmt/Calls.java
+++ b/src/main/java/crankspar/mgmt/Calls.java
@@ -39,7 +39,7 @@
     }
 
     public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-        return loop.listen(address, this::admit).address();
+        return loop.listenUrgent(address, this::admit).address();
     }
 
     private Machine admit() {
--- a/src/main/java/crankspar/net/Loop.java
+++ b/src/main/java/crankspar/net/Loop.java
@@ -11,7 +11,6 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleConsumer;
 import java.util.function.Supplier;
@@ -35,8 +34,10 @@
     /** Between two of these rounds (ms). */
     private static final double NEXT_ROUND = 1;
 
-    private final ScheduledThreadPoolExecutor executor;
+    private final NewsFirstExecutor executor;
     private final AsynchronousChannelGroup group;
+    /** Of connections that bring news of what has changed: a backlog of work does not delay it. */
+    private final AsynchronousChannelGroup newsGroup;
     private final long wallAtStart = System.currentTimeMillis();
     private final long nanosAtStart = System.nanoTime();
     private final Pause pause = new Pause();
@@ -48,10 +49,9 @@
     private volatile Thread thread;
 
     public Loop(String name) throws IOException {
-        executor = new ScheduledThreadPoolExecutor(1, task -> thread = new Thread(task, name));
-        executor.setRemoveOnCancelPolicy(true);
-        executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        executor = new NewsFirstExecutor(task -> thread = new Thread(task, name));
         group = AsynchronousChannelGroup.withCachedThreadPool(executor, 0);
+        newsGroup = AsynchronousChannelGroup.withCachedThreadPool(executor.forNews(), 0);
     }
 
     /** Unix ms: the wall clock is read once, so that no step of it reaches a deadline or an age. */
@@ -75,8 +75,15 @@
     /** Runs on the loop as soon as may be. */
     public void run(Runnable what) { after(0, what, Kind.WORK); }
 
-    /** As {@link #run}, also while what waits is held after a pause: for news of what has changed, never for work. */
-    public void runUrgent(Runnable what) { after(0, what, Kind.NEWS); }
+    /** As {@link #run}, before all that waits and also while that is held after a pause: for news of what has changed, never for work. */
+    public void runUrgent(Runnable what) {
+        double due = now();
+        try {
+            executor.executeNews(() -> due(due, what, Kind.NEWS));
+        } catch (RejectedExecutionException e) {
+            LOG.fine("news after the end");
+        }
+    }
 
     private void due(double due, Runnable what, Kind kind) {
         double began = now();
@@ -183,7 +190,7 @@
     public Stream connect(InetSocketAddress address, Machine machine) {
         AsynchronousSocketChannel channel = null;
         try {
-            channel = AsynchronousSocketChannel.open(group);
+            channel = AsynchronousSocketChannel.open(machine.urgent() ? newsGroup : group);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
             var stream = new Stream(this, channel, machine);
             channel.connect(address, stream, new CompletionHandler<Void, Stream>() {
@@ -199,7 +206,12 @@
     }
 
     /** A listening socket; each connection gets a machine of its own, or is closed when there is none. */
-    public Listener listen(InetSocketAddress address, Supplier<Machine> machines) throws IOException {
+    public Listener listen(InetSocketAddress address, Supplier<Machine> machines) throws IOException { return listen(address, machines, group); }
+
+    /** As {@link #listen(InetSocketAddress, Supplier)}, for connections that bring news. */
+    public Listener listenUrgent(InetSocketAddress address, Supplier<Machine> machines) throws IOException { return listen(address, machines, newsGroup); }
+
+    private Listener listen(InetSocketAddress address, Supplier<Machine> machines, AsynchronousChannelGroup group) throws IOException {
         var server = AsynchronousServerSocketChannel.open(group);
         try {
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -271,6 +283,7 @@
 
     @Override public void close() {
         try {
+            newsGroup.shutdownNow();          // first: the other's end is the executor's, which its last completions need
             group.shutdownNow();
         } catch (IOException e) {
             LOG.fine("close of the group: " + e);
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -7,7 +7,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -38,6 +41,8 @@
         InetSocketAddress address;
         double goneAt = Double.POSITIVE_INFINITY;
         final ArrayDeque<Link> idle = new ArrayDeque<>();
+        /** Connections that are coming up, each for a request that is not written yet. */
+        final Set<Link> dialled = new HashSet<>();
     }
 
     /** One connection with what it carries. */
@@ -59,6 +64,7 @@
 
         void dial(double within) {
             open++;
+            member.dialled.add(this);
             counters.add("server_connections_opened");
             carrier.keeper(this);
             stream = loop.connect(address, carrier);
@@ -71,7 +77,7 @@
             if (within < dialTimeout) {
                 loop.after(within, () -> {
                     if (!up) {
-                        unsent();
+                        unsent("unsent_too_late", "no connection while its data was fresh");
                     }
                 });
             }
@@ -81,13 +87,21 @@
          * What it was opened for can wait no longer; it goes on coming up, for the next. Guards against a busy moment that
          * was taken for a crash: the member had done nothing wrong, and the handshake was paid for nothing.
          */
-        private void unsent() {
+        private void unsent(String counter, String why) {
             first = null;
             Ports.Hearer<A> told = hearer;
             hearer = null;
             if (told != null) {
-                counters.add("unsent_too_late");
-                told.ended(new AttemptEnd.Unsent<>("no connection while its data was fresh"));
+                counters.add(counter);
+                told.ended(new AttemptEnd.Unsent<>(why));
+            }
+        }
+
+        /** Its member takes nothing new: what waits for this connection goes elsewhere, and the connection is of no use. */
+        void callBack() {
+            if (!up && !closed) {
+                drop();
+                unsent("unsent_member_left", "its database takes nothing new");
             }
         }
 
@@ -151,9 +165,10 @@
 
         @Override public void ready() {
             if (!up && loop.now() > latest) { // guards against stale reads: a loop held up may run this before its timer
-                unsent();
+                unsent("unsent_too_late", "no connection while its data was fresh");
             }
             up = true;
+            member.dialled.remove(this);
             if (closed) {
                 return;                       // settled too late
             }
@@ -193,6 +208,7 @@
             settling = false;
             open--;
             member.idle.remove(this);
+            member.dialled.remove(this);
             stream.close();
         }
 
@@ -228,12 +244,17 @@
         m.goneAt = Double.POSITIVE_INFINITY;
     }
 
-    /** A member that drains or is gone keeps no idle connections, and after a while no entry. */
+    /**
+     * A member that drains or is gone keeps no idle connections, and after a while no entry. What waits for a connection to it is
+     * not written: on a busy loop that connection came up past the grace that the rules give. Its request is told so, so that the
+     * module has to know of the member's state by then.
+     */
     @Override public void forget(String id) {
         Member m = members.get(id);
         if (m != null) {
             m.goneAt = loop.now();
             new ArrayDeque<>(m.idle).forEach(Link::drop);
+            List.copyOf(m.dialled).forEach(Link::callBack);
         }
     }
 
--- a/src/test/java/crankspar/net/PoolTest.java
+++ b/src/test/java/crankspar/net/PoolTest.java
@@ -100,4 +100,21 @@
         assertThat(send(0, 200, carried)).isInstanceOf(AttemptEnd.Served.class);
         assertThat(carried).hasValue(1);
     }
+
+    /** Guards against a send past a drain's grace: on a busy loop the connection came up long after the drain was heard. */
+    @Test void aConnectionOnItsWayToADatabaseThatDrainsCarriesNothing() throws Exception {
+        var carried = new AtomicInteger();
+        try (var server = new ScriptedPeer(wire -> wire.ends())) {
+            var told = new CompletableFuture<AttemptEnd<String>>();
+            loop.runAndWait(() -> {
+                var pool = new Pool<String, String>(loop, new Counters(), () -> new Slow(0, carried), "probe", 250, 30_000, 8);
+                pool.locate("m", server.address());
+                pool.send("m", "query", 500, 200, told::complete);
+                pool.forget("m");
+            });
+            assertThat(told.get(5, TimeUnit.SECONDS)).as("no effect, and nobody is to blame").isInstanceOf(AttemptEnd.Unsent.class);
+            loop.runAndWait(() -> { });
+            assertThat(carried).hasValue(0);
+        }
+    }
 }
