--- a/src/main/java/crankspar/daemon/Presence.java
+++ b/src/main/java/crankspar/daemon/Presence.java
@@ -18,10 +18,14 @@
 final class Presence implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(Presence.class.getName());
 
+    /** How long after a failure it is announced again (ms). */
+    private static final long RETRY = 250;
+
     private final Path dir;
     private final String prefix;
     private Path own;
     private FileChannel channel;
+    private volatile boolean closed;
 
     /** {@code dir} may be null: then nobody else is ever seen. */
     Presence(Path dir, String name) {
@@ -29,11 +33,28 @@
         prefix = "crankspar-" + Integer.toHexString(name.hashCode()) + ".serves-";
     }
 
-    /** Says that this process serves. */
+    /** Says that this process serves; where the folder does not take that now, again and again beside the loop until it does. */
     void announce() {
-        if (dir == null) {
+        if (dir == null || announced()) {
             return;
         }
+        var again = new Thread(() -> {
+            try {
+                do {
+                    Thread.sleep(RETRY);
+                } while (!closed && !announced());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "announce");
+        again.setDaemon(true);
+        again.start();
+    }
+
+    private synchronized boolean announced() {
+        if (closed) {
+            return true;
+        }
         try {
             own = dir.resolve(prefix + UUID.randomUUID());
             // Locked before it has its name, so that nobody takes it for a dead one's.
@@ -41,11 +62,26 @@
             channel = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
             channel.lock();
             Files.move(beside, own);
+            return true;
         } catch (IOException e) {
-            LOG.warning("not announced: " + e);
+            LOG.warning("not announced, it is tried again: " + e);
+            clear();
+            return false;
         }
     }
 
+    private void clear() {
+        try {
+            Files.deleteIfExists(dir.resolve(own.getFileName() + ".new"));
+            if (channel != null) {
+                channel.close();
+            }
+        } catch (IOException e) {
+            LOG.fine("not cleared away: " + e);
+        }
+        channel = null;
+    }
+
     /** Whether another process of this pooler serves; files of dead ones are cleared away. */
     boolean another() {
         boolean found = false;
@@ -55,7 +91,7 @@
         try (DirectoryStream<Path> files = Files.newDirectoryStream(dir, prefix + "*")) {
             for (Path file : files) {
                 if (!file.equals(own) && !file.toString().endsWith(".new")) {
-                    found |= held(file);
+                    found |= heldOrUnknown(file);
                 }
             }
         } catch (IOException e) {
@@ -64,6 +100,16 @@
         return found;
     }
 
+    /** One file that cannot be looked at says nothing of the others. */
+    private static boolean heldOrUnknown(Path file) {
+        try {
+            return held(file);
+        } catch (IOException e) {
+            LOG.warning("not known whether " + file.getFileName() + " is another process's: " + e);
+            return false;
+        }
+    }
+
     private static boolean held(Path file) throws IOException {
         try (FileChannel other = FileChannel.open(file, StandardOpenOption.WRITE);
                 FileLock lock = other.tryLock()) {
@@ -79,7 +125,8 @@
         }
     }
 
-    @Override public void close() {
+    @Override public synchronized void close() {
+        closed = true;
         if (channel != null) {
             try {
                 Files.deleteIfExists(own);
--- a/src/main/java/crankspar/handover/SessionRing.java
+++ b/src/main/java/crankspar/handover/SessionRing.java
@@ -13,6 +13,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.TreeSet;
 
 /**
  * Commits by session, shared by the processes of one pooler while one replaces the other: each write that a client is
@@ -22,12 +23,13 @@
  *
  * <p>A ring of {@link #SLOTS} entries of 24 bytes behind a head of 16: the entries so far and, of what was overwritten, the
  * newest commit. A session is known by the hash of its name: two that share one wait for the later commit of both, which is
- * never wrong. An entry counts once its number is in place, so that a writer that dies on the way harms nobody but what
- * comes behind it, up to the next turn of the ring. Times are Unix ms. One process's calls come from one thread.
+ * never wrong. An entry counts once its number is in place; one whose writer died on the way is passed over. Times are Unix ms. One process's calls come from one thread.
  */
 public final class SessionRing implements Ports.Sessions {
     /** At seven writes a second ten minutes' worth, at a hundred 40 s; what is older is known as one common commit. */
     static final int SLOTS = 4096;
+    /** Writers on their way at once are two at most; what those that died have left is looked at again until then. */
+    private static final int INCOMPLETE_MOST = 64;
     private static final int HEAD = 16;
     private static final int SLOT = 24;
     static final int BYTES = HEAD + SLOTS * SLOT;
@@ -35,6 +37,8 @@
 
     private final ByteBuffer shared;
     private final Map<Integer, Long> commits = new HashMap<>();
+    /** Entries that were claimed and not complete when they were last looked at. */
+    private final TreeSet<Long> incomplete = new TreeSet<>();
     private final LinkedHashMap<Integer, Long> written = new LinkedHashMap<>(); // hash by the entry that told it last
     private long read, floor;
 
@@ -57,6 +61,28 @@
         }
     }
 
+    /**
+     * Takes one entry; false where its writer is still on the way, or died there. Such an entry holds up nothing behind it: its
+     * write was not answered yet, and what comes later may have been.
+     */
+    private boolean take(long entry) {
+        int at = at(entry);
+        long number = (long) LONGS.getAcquire(shared, at);
+        long hash = (long) LONGS.getAcquire(shared, at + 8);
+        long commit = (long) LONGS.getAcquire(shared, at + 16);
+        if (number < entry + 1) {
+            return false;
+        }
+        if (number == entry + 1 && (long) LONGS.getAcquire(shared, at) == number) {
+            commits.merge((int) hash, commit, Math::max);
+            written.remove((int) hash);
+            written.put((int) hash, entry);
+        } else {
+            floor = Math.max(floor, (long) LONGS.getAcquire(shared, 8)); // overwritten meanwhile
+        }
+        return true;
+    }
+
     private long count() { return (long) LONGS.getAcquire(shared, 0); }
 
     private static int at(long entry) { return HEAD + (int) (entry % SLOTS) * SLOT; }
@@ -96,20 +122,13 @@
             read = count - SLOTS;             // overwritten before it was read: known as what was dropped
         }
         floor = Math.max(floor, (long) LONGS.getAcquire(shared, 8));
+        incomplete.removeIf(entry -> entry < count - SLOTS || take(entry));
         for (; read < count; read++) {
-            int at = at(read);
-            long number = (long) LONGS.getAcquire(shared, at);
-            long hash = (long) LONGS.getAcquire(shared, at + 8);
-            long commit = (long) LONGS.getAcquire(shared, at + 16);
-            if (number < read + 1 && count - read < SLOTS / 2) {
-                break;                        // on its way; one whose writer died is passed over half a turn later
-            }
-            if (number == read + 1 && (long) LONGS.getAcquire(shared, at) == number) {
-                commits.merge((int) hash, commit, Math::max);
-                written.remove((int) hash);
-                written.put((int) hash, read);
-            } else if (number > read + 1) {
-                floor = Math.max(floor, (long) LONGS.getAcquire(shared, 8));
+            if (!take(read)) {
+                incomplete.add(read);
+                while (incomplete.size() > INCOMPLETE_MOST) {
+                    incomplete.remove(incomplete.first());
+                }
             }
         }
         for (Iterator<Integer> i = written.keySet().iterator(); written.size() > SLOTS && i.hasNext();) {
--- a/src/test/java/crankspar/daemon/ReloadTest.java
+++ b/src/test/java/crankspar/daemon/ReloadTest.java
@@ -9,6 +9,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -54,4 +57,28 @@
             }
         }
     }
+
+    /** Guards against a signal that is lost with one failed read: the file was half written, or the disk refused for a moment. */
+    @Test void aSignalIsCarriedOutThoughTheFileCannotBeReadAtFirst() throws Exception {
+        try (ScriptedPeer first = discovery("first"); ScriptedPeer second = discovery("second")) {
+            Path file = Files.writeString(dir.resolve("config.json"), json(first.address()));
+            var env = Map.of("BALANCER_CONFIG", file.toString());
+            var reloads = new Reloads(null, env);
+            try (var daemon = new Daemon(Config.read(env), null)) {
+                reloads.serve(daemon);
+                assertThat(first.next()).isEqualTo("GET /api/targets?stream=1&index=7 HTTP/1.1");
+                Files.delete(file);
+                var refused = new CountDownLatch(1);
+                Logger.getLogger(Reloads.class.getName()).setFilter(line -> {
+                    refused.countDown();
+                    return true;
+                });
+                sun.misc.Signal.raise(new sun.misc.Signal("HUP"));
+                assertThat(refused.await(5, TimeUnit.SECONDS)).as("it was read, and was not there").isTrue();
+                Logger.getLogger(Reloads.class.getName()).setFilter(null);
+                Files.writeString(file, json(second.address()));
+                assertThat(second.next()).isEqualTo("GET /api/targets?stream=1&index=0 HTTP/1.1");
+            }
+        }
+    }
 }
--- a/src/test/java/crankspar/handover/SessionRingTest.java
+++ b/src/test/java/crankspar/handover/SessionRingTest.java
@@ -48,7 +48,21 @@
         }
     }
 
-    /** A writer that died half way holds up what comes behind it for half a turn of the ring at most. */
+    /** Guards against a stale read: the first write behind one whose writer was killed on the way is known at once. */
+    @Test void aWriterThatWasKilledOnTheWayHoldsUpNothing() {
+        ByteBuffer shared = ByteBuffer.allocateDirect(SessionRing.BYTES).order(ByteOrder.nativeOrder());
+        var killed = new SessionRing(shared);
+        killed.wrote("a", 10);
+        shared.putLong(0, 2);                 // claimed, and never written
+        var next = new SessionRing(shared);
+        var beside = new SessionRing(shared);
+        next.wrote("b", 20);
+        assertThat(beside.need("b")).isEqualTo(20);
+        assertThat(next.need("b")).isEqualTo(20);
+        assertThat(next.need("a")).isEqualTo(10);
+    }
+
+    /** However long it stays so. */
     @Test void anEntryThatIsNeverWrittenIsPassedOver() {
         ByteBuffer shared = ByteBuffer.allocateDirect(SessionRing.BYTES).order(ByteOrder.nativeOrder());
         var ring = new SessionRing(shared);
