--- a/src/main/java/crankspar/daemon/Assembly.java
+++ b/src/main/java/crankspar/daemon/Assembly.java
@@ -103,7 +103,7 @@
             build(config, operator, restSettings, shared);
             connect(config, operator);
             presence.announce();
-            loop.run(() -> serving = true);
+            loop.runAndWait(() -> serving = true); // a call that comes right after the start overtakes work that waits
         } catch (IOException | RuntimeException e) {
             loop.close();
             throw e;
--- a/src/main/java/crankspar/daemon/Leaving.java
+++ b/src/main/java/crankspar/daemon/Leaving.java
@@ -53,6 +53,8 @@
             parts.loop.run(parts.peering.shared()::leave);
         }
         double answered = Math.min(longest, KILL_MOST) + KILL_AFTER - SPARE - since;
+        // First: of two processes that are told to end together, each took the other for its successor, and both closed their doors.
+        parts.presence.close();
         if (parts.presence.another()) {
             handOver(answered);
         } else {
--- a/src/main/java/crankspar/daemon/OperatorCalls.java
+++ b/src/main/java/crankspar/daemon/OperatorCalls.java
@@ -73,6 +73,7 @@
         if (serving && parts.pooling != null) {
             parts.pooling.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
         }
+        all.add(Figure.gauge("memory_peak_kib", ProcessMemory.peak()));
         return all;
     }
 
--- a/src/test/java/crankspar/daemon/UpgradeTest.java
+++ b/src/test/java/crankspar/daemon/UpgradeTest.java
@@ -95,6 +95,33 @@
         assertThat(dir.toFile().list((d, name) -> name.contains(".serves-"))).as("nothing is left behind").isEmpty();
     }
 
+    /** Signals in series: both processes are told to end. Neither is the other's successor then, and new clients still find a door. */
+    @Test void twoThatAreToldToEndTogetherBothServeOn() throws Exception {
+        try (var server = new ScriptedPeer(wire -> Pg.serve(wire, (pg, sql) -> pg.row("v", System.currentTimeMillis())));
+                Daemon old = daemon(null, server); Daemon next = daemon(old.pgAddress(), server)) {
+            var stops = new java.util.ArrayList<Thread>();
+            var together = new CountDownLatch(1);
+            for (Daemon d : List.of(old, next)) {
+                var stop = new Thread(() -> {
+                    try {
+                        together.await();
+                        d.stop();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                stop.start();
+                stops.add(stop);
+            }
+            together.countDown();
+            TimeUnit.MILLISECONDS.sleep(300); // time is the matter here: new connections come for so long after the signal
+            assertThat(Pg.welcomed(Wire.to(old.pgAddress())).ask("")).isEqualTo(List.of(new PgMessage.EmptyQueryResponse()));
+            for (Thread stop : stops) {
+                stop.join(6000);
+            }
+        }
+    }
+
     /** Guards against a successor that ends because its predecessor still has the peers' port. */
     @Test void aSuccessorWaitsForThePeersPort() throws Exception {
         int port;
