--- a/src/main/java/crankspar/audit/Digest.java
+++ b/src/main/java/crankspar/audit/Digest.java
@@ -24,7 +24,7 @@
         Malformed(String why) { super(why, null, false, false); }
     }
 
-    /** Apart from the versions of hearsay's and membership's datagrams, which come to the same port. */
+    /** Apart from the versions of gossip's and membership's datagrams, which come to the same port. */
     public static final byte VERSION = 0x51;
     /** What the platform lets through between poolers (bytes). */
     public static final int MOST = 256;
--- a/src/main/java/crankspar/audit/Standing.java
+++ b/src/main/java/crankspar/audit/Standing.java
@@ -103,7 +103,7 @@
     /** What a peer told of a drain counts so long (ms): one of a hundred is heard every 7 s. */
     static final double TOLD_MOST = 10_000;
     static final int DRAINS_MOST = 256;
-    /** Hearing so much of the fleet counts as hearing all of it. */
+    /** GossipReceiver so much of the fleet counts as hearing all of it. */
     static final double WHOLE = 0.8;
     /** Claims that discovery did not bear out. */
     static final int REFUTED_MOST = 32;
--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -5,13 +5,15 @@
 import crankspar.config.Config;
 import crankspar.config.Operator;
 import crankspar.daemon.Daemon;
-import crankspar.hearsay.Hearing;
+import crankspar.gossip.GossipReceiver;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.stream.Stream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -59,7 +61,7 @@
     int adapter() throws IOException {
         var in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16);
         try {
-            new BenchLink(Hearing.before(Balance::new)).run(in, System.out);
+            new BenchLink(GossipReceiver.before(Balance::new)).run(in, System.out);
             return 0;
         } catch (BenchLink.Malformed e) {
             System.err.println("adapter: " + e.getMessage());
@@ -70,13 +72,25 @@
     @Command(hidden = true, description = "Starts as serve would, and ends: the build records the classes that a start loads.")
     int rehearse(@Parameters(paramLabel = "FILE", description = "a platform's configuration") Path file)
             throws IOException, InterruptedException {
-        try (var started = new Daemon(Config.read(Map.of("BALANCER_CONFIG", file.toString())), null)) {
+        Path folder = Files.createTempDirectory("rehearsal"); // a start that has one loads more
+        try (var started = new Daemon(Config.read(Map.of("BALANCER_CONFIG", file.toString())), null, folder)) {
             return started.pgAddress() == null ? 1 : 0;
         } catch (Config.Bad e) {
             return Serve.bad(e);
+        } finally {
+            delete(folder);
         }
     }
 
+    private static void delete(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+        Files.delete(folder);
+    }
+
     @Command(description = "Prints the version.")
     int version() {
         System.out.println(new Version().getVersion()[0]);
--- a/src/main/java/crankspar/core/Attempt.java
+++ b/src/main/java/crankspar/core/Attempt.java
@@ -4,14 +4,14 @@
 final class Attempt<Q, A> implements Ports.Hearer<A> {
     private final Pooler<Q, A> core;
     final String request;
-    final Owed<Q, A> owed;
+    final PendingRequest<Q, A> owed;
     final int number;
     final String member;
     final double sent;
     Ports.Call call;
     boolean ended, written, told;
 
-    Attempt(Pooler<Q, A> core, String request, Owed<Q, A> owed, String member, double now) {
+    Attempt(Pooler<Q, A> core, String request, PendingRequest<Q, A> owed, String member, double now) {
         this.core = core;
         this.request = request;
         this.owed = owed;
--- a/src/main/java/crankspar/core/Owed.java
+++ b/src/main/java/crankspar/core/PendingRequest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 
 /** A request that is owed its one final answer. */
-final class Owed<Q, A> {
+final class PendingRequest<Q, A> {
     /**
      * A bounded read's data ages while its connection comes up, but the module judged it at once: sent later
      * than this (ms), it could be answered from data past its bound.
@@ -31,7 +31,7 @@
     /** Whose answer has begun: no other's counts from then on. */
     Attempt<Q, A> begun;
 
-    Owed(Ports.Ask<Q> ask, RequestClass kind, Ports.Reply<A> reply, double now, String name) {
+    PendingRequest(Ports.Ask<Q> ask, RequestClass kind, Ports.Reply<A> reply, double now, String name) {
         this.name = name;
         this.ask = ask;
         this.kind = kind;
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -46,7 +46,7 @@
     private final Discovery discovery;
     private final Counters counters;
     private final Router module;
-    private final Map<String, Owed<Q, A>> owed = new HashMap<>();
+    private final Map<String, PendingRequest<Q, A>> owed = new HashMap<>();
     private final Turns turns;
     private final Figures figures;
     private final int most;                   // attempts of one request that may be out at once
@@ -98,7 +98,7 @@
         double ttl = Math.max(0, Math.min(asked.ttl(), lastAnswer - now));
         var ask = new Ask<>(asked.requestClass(), ttl, asked.session(), asked.mark(), asked.group(), asked.query());
         String name = audit == null ? null : naming.apply(ask.query());
-        var o = new Owed<>(ask, settings.classes().get(ask.requestClass()), reply, now, name == null ? id : name);
+        var o = new PendingRequest<>(ask, settings.classes().get(ask.requestClass()), reply, now, name == null ? id : name);
         owed.put(id, o);
         owing++;
         double mark = ask.mark();
@@ -122,7 +122,7 @@
 
     /** The client has left: nothing is owed any more. */
     public void gone(String id) {
-        Owed<Q, A> o = owed.get(id);
+        PendingRequest<Q, A> o = owed.get(id);
         if (o != null && !o.over) {
             counters.add("gone");
             event(() -> module.onGone(now(), id));
@@ -140,7 +140,7 @@
 
     /** The client waits for the answer that says it is called off: nothing further is sent, what is out is ended. A begun one goes on. */
     public void cancelled(String id) {
-        Owed<Q, A> o = owed.get(id);
+        PendingRequest<Q, A> o = owed.get(id);
         if (o != null && !o.over && o.begun == null) {
             counters.add("cancelled");
             event(() -> module.onGone(now(), id));
@@ -151,7 +151,7 @@
 
     /** The client has left, and its answer is kept for who asks again: what has been written is awaited, nothing further begins. */
     public void left(String id) {
-        Owed<Q, A> o = owed.get(id);
+        PendingRequest<Q, A> o = owed.get(id);
         if (o != null && !o.over && o.begun == null) {
             o.left = true;
             o.out.stream().filter(a -> !a.written).toList().forEach(this::callOff);
@@ -159,7 +159,7 @@
         }
     }
 
-    private void endIfLeft(String id, Owed<Q, A> o) {
+    private void endIfLeft(String id, PendingRequest<Q, A> o) {
         if (o.left && o.out.isEmpty()) {
             cancelled(id);
         }
@@ -168,7 +168,7 @@
     /** The process ends: what is still owed gets its answer now. */
     public void giveUp() {
         new ArrayList<>(owed.entrySet()).forEach(e -> {
-            Owed<Q, A> o = e.getValue();
+            PendingRequest<Q, A> o = e.getValue();
             if (!o.over) {
                 event(() -> module.onGone(now(), e.getKey()));
                 answer(e.getKey(), o, new FinalAnswer.Failed<>(o.mayHaveRun || !o.out.isEmpty(), "this pooler ends"));
@@ -199,7 +199,7 @@
 
     // ---- What the module wants.
     @Override public void send(String request, String member, double timeout) {
-        Owed<Q, A> o = owed.get(request);
+        PendingRequest<Q, A> o = owed.get(request);
         if (o == null) {
             return;
         }
@@ -234,7 +234,7 @@
      * outcome waits for the note behind its answer.
      */
     private boolean began(Attempt<Q, A> a, A answer, AttemptEnd.Note tell) {
-        Owed<Q, A> o = a.owed;
+        PendingRequest<Q, A> o = a.owed;
         if (a.ended || o.over || o.begun != null) {
             return false;
         }
@@ -307,20 +307,20 @@
     }
 
     @Override public void refuse(String request, double retryIn) {
-        Owed<Q, A> o = owed.get(request);
+        PendingRequest<Q, A> o = owed.get(request);
         if (o != null && !o.over && o.begun == null) {
             answer(request, o, new FinalAnswer.Refused<>(retryIn));
         }
     }
 
     @Override public void fail(String request) {
-        Owed<Q, A> o = owed.get(request);
+        PendingRequest<Q, A> o = owed.get(request);
         if (o != null && !o.over && o.begun == null) {
             answer(request, o, new FinalAnswer.Failed<>(o.mayHaveRun || !o.out.isEmpty(), "given up"));
         }
     }
 
-    private void answer(String id, Owed<Q, A> o, FinalAnswer<A> answer) {
+    private void answer(String id, PendingRequest<Q, A> o, FinalAnswer<A> answer) {
         conclude(id, o);
         figures.answered(o.ask.requestClass(), answer);
         if (audit != null) {
@@ -331,7 +331,7 @@
         o.reply.answer(answer);
     }
 
-    private void conclude(String id, Owed<Q, A> o) {
+    private void conclude(String id, PendingRequest<Q, A> o) {
         o.over = true;
         owing--;
         // Behind what the module is yet to hear: a send that it asks for meanwhile still gets its outcome.
@@ -343,7 +343,7 @@
     }
 
     @Override public void cancel(String request, int number) {
-        Owed<Q, A> o = owed.get(request);
+        PendingRequest<Q, A> o = owed.get(request);
         if (o != null) {
             o.out.stream().filter(a -> a.number == number && o.begun != a).findFirst().ifPresent(this::callOff);
         }
--- a/src/main/java/crankspar/daemon/Assembly.java
+++ b/src/main/java/crankspar/daemon/Assembly.java
@@ -10,7 +10,7 @@
 import crankspar.duties.SharedProbes;
 import crankspar.duties.SharedWatch;
 import crankspar.handover.SessionRing;
-import crankspar.hearsay.Hearing;
+import crankspar.gossip.GossipReceiver;
 import crankspar.mgmt.Calls;
 import crankspar.net.Loop;
 import crankspar.net.Pool;
@@ -50,9 +50,9 @@
     final Counters counters = new Counters();
     final Store store;
     final Commits commits;
-    final Presence presence;
+    final InstanceLock instanceLock;
     final Peering peering;
-    final Leaving leaving;
+    final GracefulShutdown shutdown;
     final OperatorCalls calls;
     /** The fronts that are set up, in the order in which they were built, and the settings of those to come. */
     final List<Served> fronts = new ArrayList<>();
@@ -62,7 +62,7 @@
     final InetSocketAddress mgmtAddress;
     volatile Auditing auditing;
     /** Null where poolers tell each other nothing of drains. */
-    volatile Noticing noticing;
+    volatile DrainPropagation drainPropagation;
     PoolingFront pooling;
     /** On the loop: all fronts stand. */
     boolean serving;
@@ -87,8 +87,8 @@
         String node = operator != null ? operator.name() : config.name();
         store = new Store(node, node + "#" + Long.toHexString(ThreadLocalRandom.current().nextLong()));
         commits = new Commits(store);
-        presence = new Presence(shared, node);
-        leaving = new Leaving(this);
+        instanceLock = new InstanceLock(shared, node);
+        shutdown = new GracefulShutdown(this);
         calls = new OperatorCalls(this);
         try {
             if (shared != null) {
@@ -102,7 +102,7 @@
             keepConfiguration(config, operator);
             build(config, operator, restSettings, shared);
             connect(config, operator);
-            presence.announce();
+            instanceLock.announce();
             loop.runAndWait(() -> serving = true); // a call that comes right after the start overtakes work that waits
         } catch (IOException | RuntimeException e) {
             loop.close();
@@ -135,7 +135,7 @@
 
     private void warm(Config config) {
         long began = System.nanoTime();
-        int answered = new Warmup().run(config.settings(), config.known().members(), presence.another() ? Warmup.SUCCESSOR_MOST : Warmup.MOST);
+        int answered = new Warmup().run(config.settings(), config.known().members(), instanceLock.another() ? Warmup.SUCCESSOR_MOST : Warmup.MOST);
         LOG.info("warm after " + (System.nanoTime() - began) / 1_000_000 + " ms, " + answered + " served");
     }
 
@@ -177,7 +177,7 @@
             add(how.serve(new Fronts.Plan(Fronts.PLATFORM, config.settings(), config.discovery(), config.known(), true, discovery -> {
                 Router.Settings s = config.settings();
                 var pool = new Pool<Statement, PgAnswer>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(), s.limits().dialTimeout(), s.limits().connIdle(), servers);
-                platformCore = new Pooler<>(s, loop, pool, discovery, counters, Hearing.before(Balance::new));
+                platformCore = new Pooler<>(s, loop, pool, discovery, counters, GossipReceiver.before(Balance::new));
                 if (shared != null && s.sessionMarks() == Router.SessionMarks.REMEMBERED) {
                     shareSessions(beside(shared, ".sessions"));
                 }
@@ -216,7 +216,7 @@
 
     private void add(Served front) {
         fronts.add(front);
-        leaving.waitsFor(front.settings());
+        shutdown.waitsFor(front.settings());
     }
 
     /** The ways to other poolers, and what rests on them. */
@@ -230,7 +230,7 @@
         } else if (config != null && config.peers() != null && config.settings().limits().mayTell()) {
             peering.hear(config.peers(), config.settings().me(), fronts.get(0).core());
             if (operator == null || operator.audit() == null) { // the audit has its own word of drains, which two have to say
-                noticing = Noticing.attach(loop, peering, fronts.get(0));
+                drainPropagation = DrainPropagation.attach(loop, peering, fronts.get(0));
             }
         }
         if (operator != null && operator.audit() != null) {
@@ -241,7 +241,7 @@
     private void audit(Operator operator, Config config) throws Config.Bad, IOException, InterruptedException {
         Watch watch = fronts.stream().map(Served::watch).filter(w -> w != null).findFirst().orElse(null);
         auditing = new Auditing(new Auditing.Parts(loop, counters, store, peering, fronts.stream().map(Served::front).toList(),
-                fronts.stream().map(Served::members).toList(), watch, leaving::on), operator.audit(), config, config != null ? config.name() : operator.name(), planned.get(0));
+                fronts.stream().map(Served::members).toList(), watch, shutdown::on), operator.audit(), config, config != null ? config.name() : operator.name(), planned.get(0));
         if (platformCore != null) {
             auditing.attach(platformCore, statement -> statement.names().get("id"));
         } else {
@@ -274,7 +274,7 @@
             auditing.close();
         }
         stateFiles.forEach(LocalStateFile::close);
-        presence.close();
+        instanceLock.close();
     }
 
     @Override public void close() {
--- a/src/main/java/crankspar/daemon/Daemon.java
+++ b/src/main/java/crankspar/daemon/Daemon.java
@@ -35,7 +35,7 @@
     public void stop() throws InterruptedException { stop(0); }
 
     /** As {@link #stop()}, where the signal to end came {@code since} ms ago: the kill follows the signal. */
-    public void stop(double since) throws InterruptedException { parts.leaving.stop(since); }
+    public void stop(double since) throws InterruptedException { parts.shutdown.stop(since); }
 
     @Override public void close() { parts.close(); }
 }
--- a/src/main/java/crankspar/daemon/Directory.java
+++ b/src/main/java/crankspar/daemon/Directory.java
@@ -240,7 +240,7 @@
         }
         Member m = members.get(id);
         if (m != null) {
-            LOG.log(Level.INFO, "operator's mark: " + m.id() + (e.value() == null ? " may serve" : " drains"),
+            LOG.log(Level.INFO, "operator's drain override: " + m.id() + (e.value() == null ? " may serve" : " drains"),
                     StructuredData.of("member", "id", m.id(), "drain", e.value() != null, "by", e.node()));
             overlaid(List.of(id));
         }
--- a/src/main/java/crankspar/daemon/Noticing.java
+++ b/src/main/java/crankspar/daemon/DrainPropagation.java
@@ -2,8 +2,8 @@
 
 import crankspar.Router.Health;
 import crankspar.Router.Member;
-import crankspar.hearsay.Bulletin;
-import crankspar.hearsay.DrainNotices;
+import crankspar.gossip.GossipMessage;
+import crankspar.gossip.DrainNotices;
 import crankspar.net.Loop;
 import java.util.Collection;
 import java.util.HashSet;
@@ -12,8 +12,8 @@
 import java.util.logging.Logger;
 
 /** Puts {@link DrainNotices} between the list, its watch and the other poolers, and carries out what it decides; on the loop. */
-final class Noticing {
-    private static final Logger LOG = Logger.getLogger(Noticing.class.getName());
+final class DrainPropagation {
+    private static final Logger LOG = Logger.getLogger(DrainPropagation.class.getName());
 
     private final Loop loop;
     private final Peering peering;
@@ -21,7 +21,7 @@
     private final DrainNotices notices;
     private int looks;
 
-    private Noticing(Loop loop, Peering peering, Directory directory, int me) {
+    private DrainPropagation(Loop loop, Peering peering, Directory directory, int me) {
         this.loop = loop;
         this.peering = peering;
         this.directory = directory;
@@ -29,18 +29,18 @@
     }
 
     /** Where lists are asked for, as a pushed list's agent is each pooler's own; null elsewhere. */
-    static Noticing attach(Loop loop, Peering peering, Served front) {
+    static DrainPropagation attach(Loop loop, Peering peering, Served front) {
         int me = front.settings().me();
-        if (front.watch() == null || !front.settings().askDiscovery() || front.settings().siblings() < 2 || me >= Bulletin.POOLERS_MOST) {
+        if (front.watch() == null || !front.settings().askDiscovery() || front.settings().siblings() < 2 || me >= GossipMessage.POOLERS_MOST) {
             return null;
         }
-        var noticing = new Noticing(loop, peering, front.members(), me);
-        peering.also(DrainNotices.FIRST, message -> noticing.step(new DrainNotices.Event.Told(message)));
+        var propagation = new DrainPropagation(loop, peering, front.members(), me);
+        peering.also(DrainNotices.FIRST, message -> propagation.step(new DrainNotices.Event.Told(message)));
         loop.run(() -> {
-            front.members().hearer((revision, members, byDiscovery) -> noticing.listed(members));
-            front.watch().onWord(() -> noticing.step(new DrainNotices.Event.Word()));
+            front.members().hearer((revision, members, byDiscovery) -> propagation.listed(members));
+            front.watch().onWord(() -> propagation.step(new DrainNotices.Event.Word()));
         });
-        return noticing;
+        return propagation;
     }
 
     Map<String, Long> counts() { return notices.counts(); }
--- a/src/main/java/crankspar/daemon/Fronts.java
+++ b/src/main/java/crankspar/daemon/Fronts.java
@@ -63,7 +63,7 @@
                 members[0].listed(plan.known()); // a fixed list is the present one
             }
         });
-        if (plan.waits() && parts.presence.another()) {
+        if (plan.waits() && parts.instanceLock.another()) {
             LOG.info("another process serves here: this one takes over once it has the list");
             listed.await((long) LIST_MOST, TimeUnit.MILLISECONDS);
             Thread.sleep((long) LOOK_ROUND);
--- a/src/main/java/crankspar/daemon/Leaving.java
+++ b/src/main/java/crankspar/daemon/GracefulShutdown.java
@@ -10,8 +10,8 @@
  * How this pooler goes: for good at a signal, or until an operator has it serve again. Clients use the connections that they
  * have for as long as these stay open, so that what is idle is closed gently and what is owed is answered first.
  */
-final class Leaving {
-    private static final Logger LOG = Logger.getLogger(Leaving.class.getName());
+final class GracefulShutdown {
+    private static final Logger LOG = Logger.getLogger(GracefulShutdown.class.getName());
     /** A stop is followed by a kill no sooner than the longest deadline, or this (ms), ... */
     private static final double KILL_MOST = 3000;
     /** ... and this much later. */
@@ -35,7 +35,7 @@
     private boolean on;
     private int drains;
 
-    Leaving(Assembly parts) { this.parts = parts; }
+    GracefulShutdown(Assembly parts) { this.parts = parts; }
 
     boolean on() { return on; }
 
@@ -54,8 +54,8 @@
         }
         double answered = Math.min(longest, KILL_MOST) + KILL_AFTER - SPARE - since;
         // First: of two processes that are told to end together, each took the other for its successor, and both closed their doors.
-        parts.presence.close();
-        if (parts.presence.another()) {
+        parts.instanceLock.close();
+        if (parts.instanceLock.another()) {
             handOver(answered);
         } else {
             alone(answered, Math.max(KILL_AFTER - SPARE - since, answered - LAST_REQUEST));
--- a/src/main/java/crankspar/daemon/Presence.java
+++ b/src/main/java/crankspar/daemon/InstanceLock.java
@@ -15,8 +15,8 @@
  * Which processes of this pooler serve: each that does holds a lock on a file of its own. The kernel frees
  * the lock of one that dies, however it dies, so that a file left behind does no harm.
  */
-final class Presence implements AutoCloseable {
-    private static final Logger LOG = Logger.getLogger(Presence.class.getName());
+final class InstanceLock implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(InstanceLock.class.getName());
 
     /** How long after a failure it is announced again (ms). */
     private static final long RETRY = 250;
@@ -28,7 +28,7 @@
     private volatile boolean closed;
 
     /** {@code dir} may be null: then nobody else is ever seen. */
-    Presence(Path dir, String name) {
+    InstanceLock(Path dir, String name) {
         this.dir = dir;
         prefix = "crankspar-" + Integer.toHexString(name.hashCode()) + ".serves-";
     }
--- a/src/main/java/crankspar/daemon/OperatorCalls.java
+++ b/src/main/java/crankspar/daemon/OperatorCalls.java
@@ -23,7 +23,7 @@
 
     OperatorCalls(Assembly parts) { this.parts = parts; }
 
-    @Override public boolean ready() { return parts.serving && !parts.leaving.on() && !parts.fenced(); }
+    @Override public boolean ready() { return parts.serving && !parts.shutdown.on() && !parts.fenced(); }
 
     @Override public String audit(String page, Map<String, String> query) { return parts.auditing == null ? null : parts.auditing.page(page, query); }
 
@@ -63,8 +63,8 @@
             parts.peering.shared().counts().forEach((name, n) -> all.add(Figure.count(name, n)));
         }
         fronts.forEach(f -> f.core().counts().forEach((name, n) -> all.add(Figure.count(name, n))));
-        if (parts.noticing != null) {
-            parts.noticing.counts().forEach((name, n) -> all.add(Figure.count(name, n)));
+        if (parts.drainPropagation != null) {
+            parts.drainPropagation.counts().forEach((name, n) -> all.add(Figure.count(name, n)));
         }
         if (parts.auditing != null) {
             parts.auditing.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
@@ -121,7 +121,7 @@
         return result instanceof CommitResult.NotDurable e ? ": " + e.reason() : result instanceof CommitResult.Invalid e ? ": " + e.reason() : "";
     }
 
-    @Override public Done drain() { return parts.leaving.drain(); }
+    @Override public Done drain() { return parts.shutdown.drain(); }
 
-    @Override public Done resume() { return parts.leaving.resume(); }
+    @Override public Done resume() { return parts.shutdown.resume(); }
 }
--- a/src/main/java/crankspar/daemon/Peering.java
+++ b/src/main/java/crankspar/daemon/Peering.java
@@ -19,7 +19,7 @@
 import java.util.function.Consumer;
 import java.util.logging.Logger;
 
-/** The ways to the other poolers: hearsay's datagrams where these are plain, or membership's with what is divided by it. */
+/** The ways to the other poolers: gossip's datagrams where these are plain, or membership's with what is divided by it. */
 final class Peering implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(Peering.class.getName());
     /** How often the peers' port is tried again while a predecessor has it (ms). */
--- a/src/main/java/crankspar/daemon/Warmup.java
+++ b/src/main/java/crankspar/daemon/Warmup.java
@@ -10,7 +10,7 @@
 import crankspar.core.Pooler;
 import crankspar.core.Ports;
 import crankspar.core.Reach;
-import crankspar.hearsay.Hearing;
+import crankspar.gossip.GossipReceiver;
 import crankspar.net.Carrier;
 import crankspar.net.Machine;
 import crankspar.pg.PgAnswer;
@@ -80,7 +80,7 @@
         work = WORK * settings.classes().stream().mapToDouble(Router.RequestClass::aim).min().orElse(200);
         int group = known.isEmpty() ? 1 : known.get(0).group();
         List<Member> members = members(settings.zones(), group);
-        var pooler = new Pooler<Statement, PgAnswer>(settings, this, this, this, counters, Hearing.before(Balance::new));
+        var pooler = new Pooler<Statement, PgAnswer>(settings, this, this, this, counters, GossipReceiver.before(Balance::new));
         pooler.peers(pooler::heard);
         if (audit != null) {
             pooler.audit(audit, statement -> statement.names().get("id"));
--- a/src/main/java/crankspar/daemon/package-info.java
+++ b/src/main/java/crankspar/daemon/package-info.java
@@ -3,9 +3,9 @@
  * {@code policy}, what a connection does in the fronts.
  *
  * <p>{@link crankspar.daemon.Daemon} is what others see of it. {@code Assembly} builds the parts in their order, all
- * fronts by one way ({@code Fronts}); {@code Leaving} ends in order, for good or until an operator says otherwise;
+ * fronts by one way ({@code Fronts}); {@code GracefulShutdown} ends in order, for good or until an operator says otherwise;
  * {@code Reload} takes over files that were read anew; {@code OperatorCalls} answers operators. {@code Directory} lays
- * marks over discovery's list for one front, {@code Presence} knows whether another process of this pooler serves,
+ * drain overrides over the discovery list for one front, {@code InstanceLock} knows whether another process of this pooler serves,
  * {@code Peering} has the ways to other poolers and {@code Auditing} the audit, where that is set.
  */
 package crankspar.daemon;
--- a/src/main/java/crankspar/discovery/Following.java
+++ b/src/main/java/crankspar/discovery/DiscoveryClient.java
@@ -18,7 +18,7 @@
  * all times, and one that is not answered has another beside it after half of the time that the drain rule leaves; the agent
  * is this machine's own, so that nothing needs to be spread.
  */
-final class Following {
+final class DiscoveryClient {
     /** No word for this long (ms) and a watch is broken: an empty line is due each 2 s. */
     static final double SILENT = 2500;
     /** A connection that takes longer to come up (ms) is a cut link's. */
@@ -82,7 +82,7 @@
     private double again, openAt = Double.POSITIVE_INFINITY;
 
     /** {@code grace} is how long the rules let new work reach a member after it was told to drain (ms). */
-    Following(boolean pushed, double grace) {
+    DiscoveryClient(boolean pushed, double grace) {
         this.pushed = pushed;
         haste = pushed ? Math.max(HASTE_LEAST, Math.min(HASTE, grace / 2)) : HASTE;
         again = Math.min(AGAIN, haste);
--- a/src/main/java/crankspar/discovery/Watch.java
+++ b/src/main/java/crankspar/discovery/Watch.java
@@ -20,7 +20,7 @@
 import java.util.logging.Logger;
 
 /**
- * The calls to discovery, as {@link Following} wants them: mostly one that stays open. When discovery moves, the call at the
+ * The calls to discovery, as {@link DiscoveryClient} wants them: mostly one that stays open. When discovery moves, the call at the
  * old address is heard on until the one at the new address has brought its list.
  */
 public final class Watch implements Ports.Discovery {
@@ -35,7 +35,7 @@
     private final Counters counters;
     private final Consumer<MemberList> lists;
     private final Runnable lost;
-    private final Following following;
+    private final DiscoveryClient following;
     private final Map<Integer, Session> sessions = new HashMap<>();
     private InetSocketAddress address;
     private long revision;
@@ -50,14 +50,14 @@
         this.counters = counters;
         this.lists = lists;
         this.lost = lost;
-        following = new Following(terms.pushed(), terms.grace());
+        following = new DiscoveryClient(terms.pushed(), terms.grace());
     }
 
     /** The module's wish; an agent's lists are followed whatever it wishes. */
-    @Override public void watch(boolean on) { step(new Following.Event.Wanted(on)); }
+    @Override public void watch(boolean on) { step(new DiscoveryClient.Event.Wanted(on)); }
 
     /** Asks once for what is new, and hears no further; nothing where a call stands. */
-    public void ask() { step(new Following.Event.Once()); }
+    public void ask() { step(new DiscoveryClient.Event.Once()); }
 
     /** Runs after each line that discovery has written, lists and empty ones alike: what is in force is the present list then. */
     public void onWord(Runnable what) { word.add(what); }
@@ -81,22 +81,22 @@
         counters.add("discovery_moves");
         this.address = address;
         revision = 0;
-        step(new Following.Event.Moved());
+        step(new DiscoveryClient.Event.Moved());
     }
 
-    private void step(Following.Event event) {
-        for (Following.Effect effect : following.step(loop.now(), event)) {
-            if (effect instanceof Following.Effect.Open e) {
+    private void step(DiscoveryClient.Event event) {
+        for (DiscoveryClient.Effect effect : following.step(loop.now(), event)) {
+            if (effect instanceof DiscoveryClient.Effect.Open e) {
                 counters.add("discovery_watches");
                 var session = new Session(e.call());
                 sessions.put(e.call(), session);
                 session.stream = loop.connect(address, session);
-            } else if (effect instanceof Following.Effect.Drop e) {
+            } else if (effect instanceof DiscoveryClient.Effect.Drop e) {
                 Session session = sessions.remove(e.call());
                 if (session != null) {
                     session.drop();
                 }
-            } else if (effect instanceof Following.Effect.Lost e) {
+            } else if (effect instanceof DiscoveryClient.Effect.Lost e) {
                 counters.add("discovery_lost");
                 LOG.info("watch lost: " + e.why());
                 lost.run();
@@ -107,7 +107,7 @@
             int mine = ++looks;               // only the last of the looks that were set is taken
             loop.after(next - loop.now() + 1, () -> {
                 if (mine == looks) {
-                    step(new Following.Event.Look());
+                    step(new DiscoveryClient.Event.Look());
                 }
             });
         }
@@ -133,12 +133,12 @@
                 drop();
                 sessions.remove(call);
                 LOG.info("a call to discovery ended: " + why);
-                step(new Following.Event.Ended(call));
+                step(new DiscoveryClient.Event.Ended(call));
             }
         }
 
         @Override public void opened(Out out) {
-            step(new Following.Event.Up(call));
+            step(new DiscoveryClient.Event.Up(call));
             out.write(HttpText.request("GET", "/api/targets?stream=1&index=" + revision,
                     Map.of("Host", at.getHostString() + ":" + at.getPort()), new byte[0]));
         }
@@ -167,7 +167,7 @@
                 objects.feed(part);
             }
             if (!over && objects.begun()) {
-                step(new Following.Event.Begun(call));
+                step(new DiscoveryClient.Event.Begun(call));
             }
         }
 
@@ -188,7 +188,7 @@
         }
 
         @Override public boolean emptyLine() {
-            step(new Following.Event.Word(call));
+            step(new DiscoveryClient.Event.Word(call));
             if (at.equals(address)) {
                 word.forEach(Runnable::run);
             }
--- a/src/main/java/crankspar/discovery/package-info.java
+++ b/src/main/java/crankspar/discovery/package-info.java
@@ -2,7 +2,7 @@
  * The list of members and how it is followed.
  *
  * <p>It owns the list's form ({@link crankspar.discovery.MemberList}) and one connection or a few to discovery
- * ({@link crankspar.discovery.Watch}). {@link crankspar.discovery.Following} decides when a call is made, made again or given
+ * ({@link crankspar.discovery.Watch}). {@link crankspar.discovery.DiscoveryClient} decides when a call is made, made again or given
  * up, and knows no socket, clock or chance; {@link crankspar.discovery.Objects} cuts what comes into lists, however they are
  * laid out. What a list means for a request is never decided here: it goes to the module as it came.
  *
--- a/src/main/java/crankspar/hearsay/DrainNotices.java
+++ b/src/main/java/crankspar/gossip/DrainNotices.java
@@ -1,4 +1,4 @@
-package crankspar.hearsay;
+package crankspar.gossip;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -64,7 +64,7 @@
     private Set<String> drained = Set.of();
     private double word = Double.NEGATIVE_INFINITY;
 
-    /** {@code me} is this pooler's number among all, below {@link Bulletin#POOLERS_MOST}. */
+    /** {@code me} is this pooler's number among all, below {@link GossipMessage#POOLERS_MOST}. */
     public DrainNotices(int me) {
         this.me = me;
         place = SPREAD * (Integer.remainderUnsigned((me + 1) * 0x9E3779B9, 1000) / 1000.0);
@@ -106,9 +106,9 @@
 
     private void listed(double now, Event.Listed e) {
         listed.clear();
-        e.all().forEach(id -> listed.merge(Bulletin.key(id), id, (a, b) -> ""));
+        e.all().forEach(id -> listed.merge(GossipMessage.key(id), id, (a, b) -> ""));
         listed.values().removeIf(String::isEmpty); // two of one key: neither is told or believed
-        List<Integer> draining = e.draining().stream().map(Bulletin::key).filter(listed::containsKey).toList();
+        List<Integer> draining = e.draining().stream().map(GossipMessage::key).filter(listed::containsKey).toList();
         due.keySet().retainAll(draining);
         draining.forEach(k -> due.putIfAbsent(k, now));
         said.keySet().retainAll(listed.keySet());
@@ -118,7 +118,7 @@
         DrainNotice n;
         try {
             n = DrainNotice.decode(message, now);
-        } catch (Bulletin.Malformed e) {
+        } catch (GossipMessage.Malformed e) {
             count("drain_notices_dropped_" + e.getMessage());
             return;
         }
--- a/src/main/java/crankspar/hearsay/Bulletin.java
+++ b/src/main/java/crankspar/gossip/GossipMessage.java
@@ -1,4 +1,4 @@
-package crankspar.hearsay;
+package crankspar.gossip;
 
 import crankspar.Router.Role;
 import java.nio.ByteBuffer;
@@ -18,7 +18,7 @@
  * @param base the sender's clock (whole ms) when it was written
  * @param loads how many of the sender's requests are in flight where, none left out but for want of room
  */
-public record Bulletin(int from, long base, List<Fact> facts, List<Load> loads) {
+public record GossipMessage(int from, long base, List<Fact> facts, List<Load> loads) {
     /** @param position clock time (ms); negative infinity where only the role is told */
     public record Fact(int key, Role role, double position) { }
 
@@ -87,7 +87,7 @@
     }
 
     /** {@code now} is the receiver's clock (ms): the sender's is within half a minute of it, or the message is torn. */
-    public static Bulletin decode(byte[] bytes, double now) throws Malformed {
+    public static GossipMessage decode(byte[] bytes, double now) throws Malformed {
         if (bytes.length < HEAD || bytes.length > MOST) {
             throw new Malformed("length");
         }
@@ -117,7 +117,7 @@
         while (b.position() < end) {
             loads.add(new Load(get24(b), b.get() & 0xff));
         }
-        return new Bulletin(from, base, facts, loads);
+        return new GossipMessage(from, base, facts, loads);
     }
 
     /** The sender's time, of which two bytes were sent, once the checksum over all of it and of what stands before holds. */
--- a/src/main/java/crankspar/hearsay/Hearing.java
+++ b/src/main/java/crankspar/gossip/GossipReceiver.java
@@ -1,4 +1,4 @@
-package crankspar.hearsay;
+package crankspar.gossip;
 
 import crankspar.Router;
 import java.util.List;
@@ -11,7 +11,7 @@
  * it alike. Every event goes on to the module unchanged; what passes is noted, and what peers told comes to the module as
  * {@link Router#onHearsay}.
  */
-public final class Hearing implements Router {
+public final class GossipReceiver implements Router {
     /** The module's own cookies count up from nought and never come so far. */
     private static final long COOKIE = 1L << 40;
 
@@ -23,12 +23,12 @@
 
     private final Router module;
     private final Actions actions;
-    private final Hearsay hearsay;
+    private final GossipService gossip;
     private boolean waiting;
 
-    private Hearing(BiFunction<Settings, Actions, Router> module, Settings settings, Actions actions) {
+    private GossipReceiver(BiFunction<Settings, Actions, Router> module, Settings settings, Actions actions) {
         this.actions = actions;
-        hearsay = new Hearsay(settings);
+        gossip = new GossipService(settings);
         this.module = module.apply(settings, new Counting(actions));
     }
 
@@ -39,7 +39,7 @@
         Counting(Actions to) { this.to = to; }
 
         @Override public void send(String request, String member, double timeout) {
-            hearsay.inFlight(member, 1);
+            gossip.inFlight(member, 1);
             wake();
             to.send(request, member, timeout);
         }
@@ -56,25 +56,25 @@
     /** Makes the module, with an ear where the settings allow poolers to tell and there are too many for each to learn by itself. */
     public static BiFunction<Settings, Actions, Router> before(BiFunction<Settings, Actions, Router> module) {
         return (settings, actions) -> settings.limits().mayTell() && settings.siblings() > FEW
-                && settings.siblings() <= Bulletin.POOLERS_MOST ? new Hearing(module, settings, actions) : module.apply(settings, actions);
+                && settings.siblings() <= GossipMessage.POOLERS_MOST ? new GossipReceiver(module, settings, actions) : module.apply(settings, actions);
     }
 
     @Override public void onStart(double now) { module.onStart(now); }
 
     @Override public void onMembers(double now, ListKind kind, List<Member> members) {
-        hearsay.members(kind, members);
+        gossip.members(kind, members);
         module.onMembers(now, kind, members);
     }
 
     @Override public void onWatchLost(double now) { module.onWatchLost(now); }
 
     @Override public void onRequest(double now, Request request) {
-        hearsay.request();
+        gossip.request();
         module.onRequest(now, request);
     }
 
     @Override public void onOutcome(double now, Outcome o) {
-        hearsay.inFlight(o.member(), -1);
+        gossip.inFlight(o.member(), -1);
         learned(o.member(), o.role(), o.position());
         module.onOutcome(now, o);
     }
@@ -87,14 +87,14 @@
     }
 
     private void learned(String member, Role role, double position) {
-        hearsay.learned(member, role, position);
+        gossip.learned(member, role, position);
         wake();
     }
 
     private void wake() {
-        if (!waiting && hearsay.due()) {
+        if (!waiting && gossip.due()) {
             waiting = true;
-            actions.setTimer(hearsay.period(), COOKIE);
+            actions.setTimer(gossip.period(), COOKIE);
         }
     }
 
@@ -106,16 +106,16 @@
             return;
         }
         waiting = false;
-        byte[] message = hearsay.next(now);
+        byte[] message = gossip.next(now);
         if (message != null) {
             actions.tell(message);
         }
-        hand(now, hearsay.look(now));
+        hand(now, gossip.look(now));
         wake();
     }
 
     @Override public void onPeer(double now, byte[] message) {
-        hand(now, hearsay.heard(now, message));
+        hand(now, gossip.heard(now, message));
     }
 
     private void hand(double now, List<Router.Told> news) {
@@ -124,7 +124,7 @@
         }
     }
 
-    @Override public Map<String, Long> counts() { return hearsay.counts(); }
+    @Override public Map<String, Long> counts() { return gossip.counts(); }
 
     @Override public Set<String> avoided() { return module.avoided(); }
 }
--- a/src/main/java/crankspar/hearsay/Hearsay.java
+++ b/src/main/java/crankspar/gossip/GossipService.java
@@ -1,4 +1,4 @@
-package crankspar.hearsay;
+package crankspar.gossip;
 
 import crankspar.Router;
 import crankspar.Router.Health;
@@ -21,7 +21,7 @@
  *
  * <p>State is bounded by the own list and the number of poolers: an entry for each database, a number for each of both.
  */
-public final class Hearsay {
+public final class GossipService {
     /**
      * Share of a request's worth that telling may cost. Measured with 14 poolers: half of it is spent at a step of a
      * tenth of the bound.
@@ -95,7 +95,7 @@
     }
 
     /** What one peer said it had in flight, and when by its clock. */
-    private record Loads(long base, double heard, List<Bulletin.Load> loads) { }
+    private record Loads(long base, double heard, List<GossipMessage.Load> loads) { }
 
     private final Map<Integer, Known> known = new HashMap<>();
     private final Map<Integer, Group> groups = new HashMap<>();
@@ -114,7 +114,7 @@
     private long told, heard;
     private final Map<String, Long> dropped = new HashMap<>();
 
-    public Hearsay(Router.Settings settings) {
+    public GossipService(Router.Settings settings) {
         receivers = Math.max(1, settings.siblings() - 1);
         me = settings.me();
         price = settings.prices().peer();
@@ -122,10 +122,10 @@
                 .mapToDouble(Router.RequestClass::bound).min().orElse(BOUND);
         period = PERIOD * bound;
         saved = Math.min(most(), LENT * earned());
-        tellsLoads = earned() >= Bulletin.LOAD; // else what is told of load is a chance remnant, and older than the request
+        tellsLoads = earned() >= GossipMessage.LOAD; // else what is told of load is a chance remnant, and older than the request
     }
 
-    private double most() { return SAVED * Bulletin.MOST; }
+    private double most() { return SAVED * GossipMessage.MOST; }
 
     /** How long what was learned waits for company (ms). */
     public double period() { return period; }
@@ -133,13 +133,13 @@
     /** A request came: it earns what telling may cost. The price is for a full message to one receiver. */
     public void request() { saved = Math.min(most(), saved + earned()); }
 
-    private double earned() { return price > 0 ? Bulletin.MOST * COST / price / receivers : Bulletin.MOST; }
+    private double earned() { return price > 0 ? GossipMessage.MOST * COST / price / receivers : GossipMessage.MOST; }
 
     /** The own list: only what it names is told or believed. */
     public void members(ListKind kind, List<Member> members) {
         Set<String> full = new HashSet<>();
         for (Member m : members) {
-            int key = Bulletin.key(m.id());
+            int key = GossipMessage.key(m.id());
             Known k = known.get(key);
             if (m.health() == Health.GONE) {
                 if (k != null && k.id.equals(m.id())) {
@@ -162,7 +162,7 @@
 
     /** First-hand: an answer's note or a probe's report. */
     public void learned(String id, Role role, double position) {
-        Known k = known.get(Bulletin.key(id));
+        Known k = known.get(GossipMessage.key(id));
         if (k == null || !k.id.equals(id) || Double.isNaN(position) || position < k.position) {
             return;
         }
@@ -172,7 +172,7 @@
 
     /** One of the own requests is on its way there, or has ended. */
     public void inFlight(String id, int change) {
-        Known k = known.get(Bulletin.key(id));
+        Known k = known.get(GossipMessage.key(id));
         if (k != null && k.id.equals(id)) {
             k.own = Math.max(0, k.own + change);
         }
@@ -196,45 +196,45 @@
 
     /** The next message for all, or null: changed roles first, then what is newest to the others. */
     public byte[] next(double now) {
-        int room = (int) Math.min(Bulletin.MOST, saved) - Bulletin.HEAD;
-        if (room < Bulletin.COUNT + Bulletin.LOAD) {
+        int room = (int) Math.min(GossipMessage.MOST, saved) - GossipMessage.HEAD;
+        if (room < GossipMessage.COUNT + GossipMessage.LOAD) {
             return null;
         }
         List<Known> out = known.values().stream().filter(this::worth)
                 .sorted(Comparator.comparing((Known k) -> k.role == k.toldRole)
                         .thenComparing(k -> k.role == Role.PRIMARY).thenComparing(k -> -k.news()))
-                .limit(room / Bulletin.FACT).toList();
-        List<Bulletin.Load> loads = known.values().stream().filter(k -> tellsLoads && k.own > 0 && !k.twins)
-                .sorted(Comparator.comparing((Known k) -> -k.own)).limit(Math.max(0, room - Bulletin.COUNT - out.size() * Bulletin.FACT) / Bulletin.LOAD)
-                .map(k -> new Bulletin.Load(Bulletin.key(k.id), k.own)).toList();
+                .limit(room / GossipMessage.FACT).toList();
+        List<GossipMessage.Load> loads = known.values().stream().filter(k -> tellsLoads && k.own > 0 && !k.twins)
+                .sorted(Comparator.comparing((Known k) -> -k.own)).limit(Math.max(0, room - GossipMessage.COUNT - out.size() * GossipMessage.FACT) / GossipMessage.LOAD)
+                .map(k -> new GossipMessage.Load(GossipMessage.key(k.id), k.own)).toList();
         if (out.isEmpty() && loads.isEmpty() && idle) {
             return null;
         }
-        var facts = new ArrayList<Bulletin.Fact>(out.size());
+        var facts = new ArrayList<GossipMessage.Fact>(out.size());
         for (Known k : out) {
-            facts.add(new Bulletin.Fact(Bulletin.key(k.id), k.role, k.position));
+            facts.add(new GossipMessage.Fact(GossipMessage.key(k.id), k.role, k.position));
             k.told(k.position, k.role);
         }
         told += facts.size();
         idle = loads.isEmpty();
-        byte[] bytes = new Bulletin(me, (long) now, facts, loads).encode();
+        byte[] bytes = new GossipMessage(me, (long) now, facts, loads).encode();
         saved -= bytes.length;
         return bytes;
     }
 
     /** What a peer told, as far as it can be believed: never of a database that the own list has not named. */
     public List<Router.Told> heard(double now, byte[] bytes) {
-        Bulletin b;
+        GossipMessage b;
         try {
-            b = Bulletin.decode(bytes, now);
-        } catch (Bulletin.Malformed e) {
+            b = GossipMessage.decode(bytes, now);
+        } catch (GossipMessage.Malformed e) {
             return drop(e.getMessage());
         }
         if (b.base() > now + AHEAD_MOST || b.base() < now - LATE_MOST) {
             return drop(b.base() > now ? "ahead" : "late");
         }
         var news = new ArrayList<Known>(b.facts().size());
-        for (Bulletin.Fact f : b.facts()) {
+        for (GossipMessage.Fact f : b.facts()) {
             Known k = known.get(f.key());
             if (k == null || k.twins) {
                 drop("unlisted");
@@ -295,7 +295,7 @@
     }
 
     private void count(Loads of, int sign) {
-        for (Bulletin.Load l : of == null ? List.<Bulletin.Load>of() : of.loads()) {
+        for (GossipMessage.Load l : of == null ? List.<GossipMessage.Load>of() : of.loads()) {
             Known k = known.get(l.key());
             if (k != null && !k.twins) {
                 k.others = Math.max(0, k.others + sign * l.count());
--- a/src/test/java/crankspar/HearsayStoryTest.java
+++ b/src/test/java/crankspar/GossipStoryTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 /** What peers tell reaches the decisions: with fourteen poolers each sees a replica's answers too seldom for a bound. */
-class HearsayStoryTest {
+class GossipStoryTest {
     private final Fake fake = new Fake();
 
     private Fake fleet() {
--- a/src/test/java/crankspar/PropertyTest.java
+++ b/src/test/java/crankspar/PropertyTest.java
@@ -27,7 +27,7 @@
     private record Sent(String request, int number, String member) { }
 
     /** What the driver knows of one request. */
-    private static final class Owed {
+    private static final class PendingRequest {
         Router.RequestClass kind;
         double deadline;
         double firstRisk = Double.NaN;
@@ -43,7 +43,7 @@
         final Router module;
         final Trace trace = new Trace(this);
         final Random random;
-        final Map<String, Owed> owed = new TreeMap<>();
+        final Map<String, PendingRequest> owed = new TreeMap<>();
         final List<Sent> out = new ArrayList<>();
         final List<Sent> ended = new ArrayList<>();
         final Set<String> draining = new HashSet<>();
@@ -62,7 +62,7 @@
 
         @Override public void send(String request, String member, double timeout) {
             log.append("send ").append(request).append(member);
-            Owed o = owed.get(request);
+            PendingRequest o = owed.get(request);
             boolean safe = o.kind.repeat() == Repeat.SAFE;
             assertTrue(!o.over && now < o.deadline, "sent after its end");
             assertTrue(!draining.contains(member), "sent to a draining member");
@@ -78,7 +78,7 @@
         }
 
         @Override public void refuse(String request, double retryIn) {
-            Owed o = owed.get(request);
+            PendingRequest o = owed.get(request);
             assertTrue(o.kind.repeat() == Repeat.SAFE || !o.ran && o.out == 0, "refused though it may have run");
             close(request, "refuse ");
         }
@@ -100,7 +100,7 @@
         @Override public void log(String text) { }
 
         void end(Sent s, Status status) {
-            Owed o = owed.get(s.request());
+            PendingRequest o = owed.get(s.request());
             out.remove(s);
             ended.add(s);
             o.out--;
@@ -130,7 +130,7 @@
             int what = random.nextInt(100);
             if (what < 45) {
                 String id = "r" + i;
-                var o = new Owed();
+                var o = new PendingRequest();
                 int kind = random.nextInt(settings.classes().size());
                 o.kind = settings.classes().get(kind);
                 double ttl = o.kind.giveUp() * (0.4 + 0.6 * random.nextDouble());
--- a/src/test/java/crankspar/ReplayTest.java
+++ b/src/test/java/crankspar/ReplayTest.java
@@ -3,7 +3,7 @@
 import crankspar.policy.Balance;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.hearsay.Hearing;
+import crankspar.gossip.GossipReceiver;
 import crankspar.lab.RoutingModel;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -49,7 +49,7 @@
         Router.Settings mine = TestSettings.platform(poolers);
         var trace = new Trace[1];
         var world = new RoutingModel.World(poolers, poolers, poolers / 8 + 1, 6, Math.min(900, 60.0 * poolers), 0.1, mine);
-        var model = new RoutingModel(world, Hearing.before((settings, actions) -> {
+        var model = new RoutingModel(world, GossipReceiver.before((settings, actions) -> {
             if (settings.me() != 0 || trace[0] != null) {
                 return new Balance(settings, actions);
             }
--- a/src/test/java/crankspar/discovery/FollowingTest.java
+++ b/src/test/java/crankspar/discovery/DiscoveryClientTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.discovery.Following.Effect;
-import crankspar.discovery.Following.Event;
+import crankspar.discovery.DiscoveryClient.Effect;
+import crankspar.discovery.DiscoveryClient.Event;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
@@ -15,11 +15,11 @@
 import org.junit.jupiter.api.Test;
 
 /** When discovery is called, on a clock of the test's own. */
-class FollowingTest {
+class DiscoveryClientTest {
     private double now;
     private final List<String> told = new ArrayList<>();
 
-    private String at(Following f, double time, Event event) {
+    private String at(DiscoveryClient f, double time, Event event) {
         while (f.next() <= time) {
             now = Math.max(now, f.next());
             note(f.step(now, new Event.Look()));
@@ -39,7 +39,7 @@
 
     /** A watch that falls silent: the second call is out well before the 6 s after which its news counts as told. */
     @Test void anAskedWatchThatFallsSilentIsFollowedUpWhetherOrNotTheFirstCallIsAnswered() {
-        var f = new Following(false, 250);
+        var f = new DiscoveryClient(false, 250);
         assertThat(at(f, 0, new Event.Wanted(true))).isEqualTo("+1");
         at(f, 10, new Event.Word(1));
         at(f, 2510, new Event.Look());
@@ -52,7 +52,7 @@
     }
 
     @Test void aCallThatWaitsInLineKeepsItsPlace() {
-        var f = new Following(false, 250);
+        var f = new DiscoveryClient(false, 250);
         at(f, 0, new Event.Wanted(true));
         at(f, 1, new Event.Up(1));
         at(f, 3000, new Event.Look());
@@ -64,7 +64,7 @@
 
     /** Nobody asks for it, an agent's word is heard at its return, and its end is nobody's news. */
     @Test void aPushedListIsFollowedAtAllTimes() {
-        var f = new Following(true, 250);
+        var f = new DiscoveryClient(true, 250);
         assertThat(at(f, 0, new Event.Wanted(true))).isEqualTo("+1");
         assertThat(at(f, 1, new Event.Wanted(false))).isEmpty();
         at(f, 5, new Event.Word(1));
@@ -84,7 +84,7 @@
 
     /** Guards against bytes that come and never make a list: they are a silence. */
     @Test void whatNeverEndsIsSilence() {
-        var f = new Following(false, 250);
+        var f = new DiscoveryClient(false, 250);
         at(f, 0, new Event.Wanted(true));
         at(f, 10, new Event.Word(1));
         for (double t = 1000; t < 4000; t += 100) {
@@ -95,7 +95,7 @@
 
     /** Guards against a single question, of the audit's, whose answer ended the watch that was on its way. */
     @Test void whatWasAskedOnceLeavesAWatchOnItsWayAlone() {
-        var f = new Following(false, 250);
+        var f = new DiscoveryClient(false, 250);
         at(f, 0, new Event.Wanted(true));
         assertThat(at(f, 1, new Event.Ended(1))).isEqualTo("lost");
         assertThat(at(f, 2, new Event.Once())).isEqualTo("+2");
@@ -106,7 +106,7 @@
     }
 
     @Test void theFormerAddressIsHeardUntilTheNewOneSpeaks() {
-        var f = new Following(false, 250);
+        var f = new DiscoveryClient(false, 250);
         at(f, 0, new Event.Wanted(true));
         at(f, 10, new Event.Word(1));
         assertThat(at(f, 100, new Event.Moved())).isEqualTo("+2");
@@ -118,7 +118,7 @@
 
     /** Whatever comes in whatever order: few calls stand, an agent is called without end, an asked one leaves the module a turn. */
     @Property(tries = 500, seed = "20261202") void callsAreBoundedAndNeverForgotten(@ForAll boolean pushed, @ForAll("happenings") List<int[]> happenings) {
-        var f = new Following(pushed, 250);
+        var f = new DiscoveryClient(pushed, 250);
         var open = new ArrayList<Integer>();
         double t = 0;
         boolean lost = false;
@@ -133,7 +133,7 @@
                     lost = true;
                 }
             }
-            assertThat(open.size()).isLessThanOrEqualTo(Following.LINGER + 2);
+            assertThat(open.size()).isLessThanOrEqualTo(DiscoveryClient.LINGER + 2);
             assertThat(!open.isEmpty() || lost || f.next() < t + 5000).isTrue();
             assertThat(lost && pushed).isFalse();
             t += h[1];
--- a/src/test/java/crankspar/discovery/SixSecondsTest.java
+++ b/src/test/java/crankspar/discovery/SixSecondsTest.java
@@ -5,8 +5,8 @@
 import crankspar.Router.Actions;
 import crankspar.Router.ListKind;
 import crankspar.TestSettings;
-import crankspar.discovery.Following.Effect;
-import crankspar.discovery.Following.Event;
+import crankspar.discovery.DiscoveryClient.Effect;
+import crankspar.discovery.DiscoveryClient.Event;
 import crankspar.policy.Balance;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,7 +24,7 @@
 
 /**
  * What discovery had counts as told 6 s after it could be reached, whatever became of the calls before: the calls of
- * {@link Following} with the module's own waits between them, on a clock of the test's.
+ * {@link DiscoveryClient} with the module's own waits between them, on a clock of the test's.
  */
 class SixSecondsTest {
     private static final double RULE = 6000;
@@ -40,7 +40,7 @@
 
     private final class World implements Actions {
         final PriorityQueue<Due> timers = new PriorityQueue<>(java.util.Comparator.comparingDouble(Due::at).thenComparingLong(Due::order));
-        final Following following = new Following(false, 250);
+        final DiscoveryClient following = new DiscoveryClient(false, 250);
         final Set<Integer> open = new HashSet<>();
         final Map<Integer, Integer> spanOf = new HashMap<>();
         final Balance module;
--- a/src/test/java/crankspar/hearsay/DrainNoticesTest.java
+++ b/src/test/java/crankspar/gossip/DrainNoticesTest.java
@@ -1,9 +1,9 @@
-package crankspar.hearsay;
+package crankspar.gossip;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.hearsay.DrainNotices.Effect;
-import crankspar.hearsay.DrainNotices.Event;
+import crankspar.gossip.DrainNotices.Effect;
+import crankspar.gossip.DrainNotices.Event;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -45,14 +45,14 @@
         long count(String what) { return notices.counts().getOrDefault("drain_notices_" + what, 0L); }
     }
 
-    private static byte[] notice(int from, double at, String... ids) { return new DrainNotice(from, (long) at, List.of(ids).stream().map(Bulletin::key).toList()).encode(); }
+    private static byte[] notice(int from, double at, String... ids) { return new DrainNotice(from, (long) at, List.of(ids).stream().map(GossipMessage::key).toList()).encode(); }
 
     @Test void whoHasAWatchTellsAndWhoHasNoneActsOnIt() {
         var watches = new One(1).lists().word().lists("b").word();
         now += DrainNotices.SPREAD;
         watches.look();
         assertThat(watches.told).hasSize(1);
-        assertThat(watches.told.get(0)).hasSize(Bulletin.HEAD + DrainNotice.KEY);
+        assertThat(watches.told.get(0)).hasSize(GossipMessage.HEAD + DrainNotice.KEY);
         var deaf = new One(2).lists().hears(watches.told.get(0));
         assertThat(deaf.drained).containsExactly("b");
         now += DrainNotices.HELD + 10;
@@ -146,7 +146,7 @@
                 assertThat(one.drained).isEmpty();
             }
             assertThat(ALL).containsAll(one.drained);
-            assertThat(one.told).allMatch(m -> m.length <= Bulletin.MOST);
+            assertThat(one.told).allMatch(m -> m.length <= GossipMessage.MOST);
         }
     }
 }
--- a/src/test/java/crankspar/hearsay/HearsayTest.java
+++ b/src/test/java/crankspar/gossip/GossipServiceTest.java
@@ -1,4 +1,4 @@
-package crankspar.hearsay;
+package crankspar.gossip;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -16,16 +16,16 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 
-class HearsayTest {
+class GossipServiceTest {
     private static final double NOW = 1_767_225_600_000.4;
 
     private static Member member(String id, Health health) { return new Member(id, "burnaby", false, 1, health, 1, "", 0); }
 
-    private static Hearsay pooler(String... ids) { return pooler(14, 0, ids); }
+    private static GossipService pooler(String... ids) { return pooler(14, 0, ids); }
 
     @Test void whatOneLearnedTheOthersHearOnce() {
-        Hearsay a = pooler("x", "y");
-        Hearsay b = pooler("x", "y");
+        GossipService a = pooler("x", "y");
+        GossipService b = pooler("x", "y");
         a.learned("x", Role.REPLICA, NOW - 40.5);
         byte[] message = a.next(NOW);
         var told = b.heard(NOW + 20, message);
@@ -39,8 +39,8 @@
     }
 
     @Test void whatAnotherHasToldIsNotToldAgain() {
-        Hearsay a = pooler("x");
-        Hearsay b = pooler("x");
+        GossipService a = pooler("x");
+        GossipService b = pooler("x");
         a.learned("x", Role.REPLICA, NOW);
         b.learned("x", Role.REPLICA, NOW + 10);
         b.heard(NOW + 10, a.next(NOW));
@@ -50,7 +50,7 @@
     }
 
     @Test void aChangedRoleGoesFirstAndAPrimarysPlaceSeldom() {
-        Hearsay a = pooler("x");
+        GossipService a = pooler("x");
         a.learned("x", Role.REPLICA, NOW);
         a.next(NOW);
         a.learned("x", Role.PRIMARY, NOW + 1);
@@ -63,7 +63,7 @@
     }
 
     @Test void bytesAreEarnedByRequestsAndBounded() {
-        Hearsay a = pooler("x");
+        GossipService a = pooler("x");
         int bytes = 0;
         for (int i = 0; i < 10_000; i++) {
             a.learned("x", Role.REPLICA, NOW + 100 * i);
@@ -81,7 +81,7 @@
     @Test void aMessageHoldsNoMoreThanThePlatformLetsThrough() {
         String[] ids = new String[100];
         Arrays.setAll(ids, i -> "s-" + i);
-        Hearsay a = pooler(3, 0, ids);
+        GossipService a = pooler(3, 0, ids);
         for (String id : ids) {
             a.learned(id, Role.REPLICA, NOW);
         }
@@ -89,22 +89,22 @@
         assertThat(a.due()).as("the rest waits its turn").isTrue();
     }
 
-    private static Hearsay pooler(int me, String... ids) { return pooler(3, me, ids); }
+    private static GossipService pooler(int me, String... ids) { return pooler(3, me, ids); }
 
-    private static Hearsay pooler(int poolers, int me, String... ids) {
-        var h = new Hearsay(TestSettings.platform(poolers, me));
+    private static GossipService pooler(int poolers, int me, String... ids) {
+        var h = new GossipService(TestSettings.platform(poolers, me));
         h.members(ListKind.FULL, Arrays.stream(ids).map(id -> member(id, Health.RUNNING)).toList());
         return h;
     }
 
-    private static int inFlight(Hearsay at, double now, byte[] message) {
+    private static int inFlight(GossipService at, double now, byte[] message) {
         return at.heard(now, message).stream().mapToInt(t -> t.inFlight()).max().orElse(-1);
     }
 
     @Test void requestsInFlightAddUpOverAllPeersAndAreTakenBack() {
-        Hearsay a = pooler(1, "x");
-        Hearsay b = pooler(2, "x");
-        Hearsay c = pooler(0, "x");
+        GossipService a = pooler(1, "x");
+        GossipService b = pooler(2, "x");
+        GossipService c = pooler(0, "x");
         a.inFlight("x", 2);
         b.inFlight("x", 1);
         assertThat(inFlight(c, NOW, a.next(NOW))).isEqualTo(2);
@@ -121,8 +121,8 @@
     }
 
     @Test void aPeerThatFellSilentHasNothingInFlight() {
-        Hearsay a = pooler(1, "x");
-        Hearsay b = pooler(2, "x");
+        GossipService a = pooler(1, "x");
+        GossipService b = pooler(2, "x");
         a.inFlight("x", 5);
         b.heard(NOW, a.next(NOW));
         assertThat(b.look(NOW + 100)).isEmpty();
@@ -134,27 +134,27 @@
 
     /** Guards against bounds for all requests in flight where only the own are seen. */
     @Test void aPoolerThatHearsTooFewPeersKnowsNoLoadsUntilItHearsThemAgain() {
-        Hearsay a = pooler(1, "x");
-        Hearsay b = pooler(2, "x");
+        GossipService a = pooler(1, "x");
+        GossipService b = pooler(2, "x");
         a.inFlight("x", 5);
         assertThat(inFlight(b, NOW, a.next(NOW))).isEqualTo(5);
         assertThat(b.look(NOW + 4900)).noneMatch(t -> t.inFlight() < 0);
         assertThat(b.look(NOW + 5100)).singleElement().satisfies(t -> assertThat(t.inFlight()).isEqualTo(-1));
         a.inFlight("x", -4);
         assertThat(inFlight(b, NOW + 6000, a.next(NOW + 6000))).isEqualTo(1);
-        Hearsay c = pooler(14, 2, "x");
+        GossipService c = pooler(14, 2, "x");
         c.heard(NOW, a.next(NOW + 6045));
         assertThat(inFlight(c, NOW, a.next(NOW))).as("one of thirteen peers").isEqualTo(-1);
     }
 
     @Test void aHundredTellNoLoadsAndWhatMakesAGroupFresher() {
-        Hearsay a = pooler(100, 0, "x", "y");
-        Hearsay b = pooler(100, 1, "x", "y");
+        GossipService a = pooler(100, 0, "x", "y");
+        GossipService b = pooler(100, 1, "x", "y");
         a.inFlight("x", 3);
         assertThat(a.due()).as("load is too dear to tell").isFalse();
         a.learned("x", Role.REPLICA, NOW);
         byte[] first = a.next(NOW);
-        assertThat(first).hasSize(Bulletin.HEAD + Bulletin.FACT);
+        assertThat(first).hasSize(GossipMessage.HEAD + GossipMessage.FACT);
         b.heard(NOW + 10, first);
         b.learned("y", Role.REPLICA, NOW + 60);
         assertThat(b.due()).as("the group's other replica is known to be fresh").isFalse();
@@ -163,7 +163,7 @@
     }
 
     @Test void whatTheListSaysOfARoleIsNoNews() {
-        Hearsay a = pooler(100, 0, "x");
+        GossipService a = pooler(100, 0, "x");
         a.learned("x", Role.REPLICA, NOW);
         a.next(NOW);
         a.learned("x", Role.REPLICA, NOW + 5);
@@ -173,16 +173,16 @@
     }
 
     @Test void aSenderThatIsNoPoolerOrOneselfCountsForNothing() {
-        byte[] stranger = new Bulletin(200, (long) NOW, List.of(), List.of(new Bulletin.Load(Bulletin.key("x"), 9))).encode();
-        byte[] self = new Bulletin(2, (long) NOW, List.of(), List.of(new Bulletin.Load(Bulletin.key("x"), 9))).encode();
-        Hearsay b = pooler(2, "x");
+        byte[] stranger = new GossipMessage(200, (long) NOW, List.of(), List.of(new GossipMessage.Load(GossipMessage.key("x"), 9))).encode();
+        byte[] self = new GossipMessage(2, (long) NOW, List.of(), List.of(new GossipMessage.Load(GossipMessage.key("x"), 9))).encode();
+        GossipService b = pooler(2, "x");
         assertThat(b.heard(NOW, stranger)).isEmpty();
         assertThat(b.heard(NOW, self)).isEmpty();
     }
 
     @Test void aMemberOfAnotherListIsDropped() {
-        Hearsay a = pooler("x", "y");
-        Hearsay b = pooler("y");
+        GossipService a = pooler("x", "y");
+        GossipService b = pooler("y");
         a.learned("x", Role.PRIMARY, NOW);
         assertThat(b.heard(NOW, a.next(NOW))).isEmpty();
         assertThat(b.counts()).containsEntry("hearsay_dropped_unlisted", 1L);
@@ -192,8 +192,8 @@
     }
 
     @Test void tornForgedLateAndUnknownMessagesAreDroppedAndCounted() throws Exception {
-        Hearsay a = pooler("x");
-        Hearsay b = pooler("x");
+        GossipService a = pooler("x");
+        GossipService b = pooler("x");
         a.learned("x", Role.REPLICA, NOW);
         byte[] good = a.next(NOW);
         assertThat(b.heard(NOW, Arrays.copyOf(good, good.length - 1))).isEmpty();
@@ -211,7 +211,7 @@
                 .containsEntry("hearsay_dropped_checksum", 3L).containsEntry("hearsay_dropped_late", 1L)
                 .containsEntry("hearsay_dropped_ahead", 1L);
         assertThat(b.heard(NOW, good)).hasSize(1);
-        assertThatThrownBy(() -> Bulletin.decode(new byte[300], NOW)).isInstanceOf(Bulletin.Malformed.class);
+        assertThatThrownBy(() -> GossipMessage.decode(new byte[300], NOW)).isInstanceOf(GossipMessage.Malformed.class);
     }
 
     @Property(tries = 500) void anyBytesAreHarmless(@ForAll @Size(max = 300) byte[] bytes) {
@@ -221,7 +221,7 @@
     @Property(tries = 300) void noPositionIsEverRaised(@ForAll @IntRange(min = 0, max = 60_000) int behind,
                                                      @ForAll @IntRange(min = 0, max = 999) int fraction) {
         double position = NOW - behind - fraction / 1000.0;
-        Hearsay a = pooler("x");
+        GossipService a = pooler("x");
         a.learned("x", Role.REPLICA, position);
         pooler("x").heard(NOW, a.next(NOW)).forEach(t -> assertThat(t.position()).isLessThanOrEqualTo(position));
     }
