--- a/src/main/java/crankspar/net/NewsFirstExecutor.java
+++ b/src/main/java/crankspar/net/NewsFirstExecutor.java
@@ -10,63 +10,76 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One thread for work, timers and news, news first: what has come for it runs before the next task of any kind, however many
- * wait. Guards against a busy loop: with a queue of 0.3 s a drain that discovery had written was heard only after everything
- * that stood before it, and requests went to the draining database past the grace that the rules give.
+ * One thread for work, timers and news, news first: what has come for it runs before the next task
+ * of any kind, however many wait. Guards against a busy loop: with a queue of 0.3 s a drain that
+ * discovery had written was heard only after everything that stood before it, and requests went to
+ * the draining database past the grace that the rules give.
  */
 final class NewsFirstExecutor extends ScheduledThreadPoolExecutor {
-    /** News that runs before one task at most: news that brings news must not keep work waiting for ever. */
-    private static final int AT_ONCE = 64;
+  /**
+   * News that runs before one task at most: news that brings news must not keep work waiting for
+   * ever.
+   */
+  private static final int AT_ONCE = 64;
 
-    private final Queue<Runnable> news = new ConcurrentLinkedQueue<>();
+  private final Queue<Runnable> news = new ConcurrentLinkedQueue<>();
 
-    NewsFirstExecutor(ThreadFactory threads) {
-        super(1, threads);
-        setRemoveOnCancelPolicy(true);
-        setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
-    }
+  NewsFirstExecutor(ThreadFactory threads) {
+    super(1, threads);
+    setRemoveOnCancelPolicy(true);
+    setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+  }
 
-    /** Runs before whatever waits; from any thread. */
-    void executeNews(Runnable task) {
-        news.add(task);
-        execute(() -> { });                   // wakes an idle thread; the news runs before it
-    }
+  /** Runs before whatever waits; from any thread. */
+  void executeNews(Runnable task) {
+    news.add(task);
+    execute(() -> {}); // wakes an idle thread; the news runs before it
+  }
 
-    @Override protected void beforeExecute(Thread thread, Runnable task) {
-        super.beforeExecute(thread, task);
-        for (int i = 0; i < AT_ONCE; i++) {
-            Runnable next = news.poll();
-            if (next == null) {
-                return;
-            }
-            next.run();
-        }
+  @Override
+  protected void beforeExecute(Thread thread, Runnable task) {
+    super.beforeExecute(thread, task);
+    for (int i = 0; i < AT_ONCE; i++) {
+      Runnable next = news.poll();
+      if (next == null) {
+        return;
+      }
+      next.run();
     }
+  }
 
-    /** The same thread, for a channel group whose completions are news. Its life is this executor's. */
-    ExecutorService forNews() {
-        return new AbstractExecutorService() {
-            @Override public void execute(Runnable task) {
-                executeNews(task);
-            }
+  /**
+   * The same thread, for a channel group whose completions are news. Its life is this executor's.
+   */
+  ExecutorService forNews() {
+    return new AbstractExecutorService() {
+      @Override
+      public void execute(Runnable task) {
+        executeNews(task);
+      }
 
-            @Override public void shutdown() { }
+      @Override
+      public void shutdown() {}
 
-            @Override public List<Runnable> shutdownNow() {
-                return List.of();
-            }
+      @Override
+      public List<Runnable> shutdownNow() {
+        return List.of();
+      }
 
-            @Override public boolean isShutdown() {
-                return NewsFirstExecutor.this.isShutdown();
-            }
+      @Override
+      public boolean isShutdown() {
+        return NewsFirstExecutor.this.isShutdown();
+      }
 
-            @Override public boolean isTerminated() {
-                return NewsFirstExecutor.this.isTerminated();
-            }
+      @Override
+      public boolean isTerminated() {
+        return NewsFirstExecutor.this.isTerminated();
+      }
 
-            @Override public boolean awaitTermination(long timeout, TimeUnit unit) throws InterruptedException {
-                return NewsFirstExecutor.this.awaitTermination(timeout, unit);
-            }
-        };
-    }
+      @Override
+      public boolean awaitTermination(long timeout, TimeUnit unit) throws InterruptedException {
+        return NewsFirstExecutor.this.awaitTermination(timeout, unit);
+      }
+    };
+  }
 }
--- a/src/main/java/crankspar/store/package-info.java
+++ b/src/main/java/crankspar/store/package-info.java
@@ -1,10 +1,12 @@
 /**
- * The store: a small map of versioned values, with what operators asked for among them. {@link crankspar.store.Store} holds it
- * on the loop; {@link crankspar.store.Commits} takes changes that somebody waits for.
+ * The store: a small map of versioned values, with what operators asked for among them. {@link
+ * crankspar.store.Store} holds it on the loop; {@link crankspar.store.Commits} takes changes that
+ * somebody waits for.
  *
- * <p>A change is acknowledged once it is on disk, where a file keeps its key: {@link crankspar.store.LocalStateFile} drives that,
- * {@code CommitQueue} decides it (no I/O, stepped with events), {@code StateFile} is the file and {@code EntryMerge} what two
- * processes of one pooler make of it together. {@link crankspar.store.Replication} pulls other nodes' changes; nothing
- * here routes a request.
+ * <p>A change is acknowledged once it is on disk, where a file keeps its key: {@link
+ * crankspar.store.LocalStateFile} drives that, {@code CommitQueue} decides it (no I/O, stepped with
+ * events), {@code StateFile} is the file and {@code EntryMerge} what two processes of one pooler
+ * make of it together. {@link crankspar.store.Replication} pulls other nodes' changes; nothing here
+ * routes a request.
  */
 package crankspar.store;
--- a/src/test/java/crankspar/lab/rig/AcknowledgedDrainTest.java
+++ b/src/test/java/crankspar/lab/rig/AcknowledgedDrainTest.java
@@ -14,61 +14,87 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * What an operator was told yes to holds for the next process too, however soon the one that said so is killed: the folder
- * lasts. The incident of the second of December: of 152 requests after such a start 59 went to a database that was out.
+ * What an operator was told yes to holds for the next process too, however soon the one that said
+ * so is killed: the folder lasts. The incident of the second of December: of 152 requests after
+ * such a start 59 went to a database that was out.
  */
 class AcknowledgedDrainTest {
-    private static final int ROUNDS = 6;
+  private static final int ROUNDS = 6;
 
-    private static int freePort() throws IOException {
-        try (var s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return s.getLocalPort();
-        }
+  private static int freePort() throws IOException {
+    try (var s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
     }
+  }
 
-    private static String configuration(int port, int mgmt, ScriptedPeer database) {
-        return "{\"name\":\"n3\",\"mgmt\":\"127.0.0.1:" + mgmt + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:1\",\"known\":{\"revision\":7,\"complete\":true,\"members\":[{\"id\":\"s-1\","
-                + "\"host_port\":\"127.0.0.1:" + database.address().getPort() + "\",\"locality\":\"burnaby\",\"flavor\":\"m\",\"cell\":2,\"phase\":\"up\",\"size\":1.0,"
-                + "\"up_since_ms\":0,\"role\":\"primary\"}]},\"settings\":" + TestSettings.JSON + "}";
-    }
+  private static String configuration(int port, int mgmt, ScriptedPeer database) {
+    return "{\"name\":\"n3\",\"mgmt\":\"127.0.0.1:"
+        + mgmt
+        + "\",\"listen\":\"127.0.0.1:"
+        + port
+        + "\",\"discovery\":\"127.0.0.1:1\",\"known\":{\"revision\":7,\"complete\":true,\"members\":[{\"id\":\"s-1\","
+        + "\"host_port\":\"127.0.0.1:"
+        + database.address().getPort()
+        + "\",\"locality\":\"burnaby\",\"flavor\":\"m\",\"cell\":2,\"phase\":\"up\",\"size\":1.0,"
+        + "\"up_since_ms\":0,\"role\":\"primary\"}]},\"settings\":"
+        + TestSettings.JSON
+        + "}";
+  }
 
-    /** The process is killed on the first bytes of the answer, and nothing of this test stands between the two. */
-    private static String calledAndKilled(PlatformProcess process, InetSocketAddress mgmt, String what) throws IOException, InterruptedException {
-        try (Wire wire = Wire.to(mgmt)) {
-            wire.send("POST /-/league-databases/s-1/" + what + " HTTP/1.1\r\nHost: x\r\n\r\n");
-            byte[] status = wire.read(12);
-            process.kill();
-            return new String(status, StandardCharsets.US_ASCII);
-        }
+  /**
+   * The process is killed on the first bytes of the answer, and nothing of this test stands between
+   * the two.
+   */
+  private static String calledAndKilled(
+      PlatformProcess process, InetSocketAddress mgmt, String what)
+      throws IOException, InterruptedException {
+    try (Wire wire = Wire.to(mgmt)) {
+      wire.send("POST /-/league-databases/s-1/" + what + " HTTP/1.1\r\nHost: x\r\n\r\n");
+      byte[] status = wire.read(12);
+      process.kill();
+      return new String(status, StandardCharsets.US_ASCII);
     }
+  }
 
-    @Test void aDatabaseThatWasTakenOutStaysOutThoughTheProcessIsKilledAtOnce() throws Exception {
-        var self = new ScriptedPeer[1];
-        self[0] = new ScriptedPeer(wire -> Pg.serve(wire, (pg, sql) -> {
-            if (!sql.startsWith("SHOW")) {
-                self[0].saw(sql);
-            }
-            pg.row("v", System.currentTimeMillis());
-        }));
-        var address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
-        var mgmt = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
-        int sent = 0;
-        try (ScriptedPeer database = self[0];
-                var process = new PlatformProcess("durable", address, configuration(address.getPort(), mgmt.getPort(), database), null, null)) {
-            for (int round = 0; round < ROUNDS; round++) {
-                process.start();
-                assertThat(calledAndKilled(process, mgmt, "disable")).isEqualTo("HTTP/1.1 200");
-                process.start();
-                try (Wire wire = Wire.to(address)) {
-                    Pg.welcomed(wire).ask("/* id=r" + round + ",c=waiver-check,d=400,cluster=2 */ SELECT 1");
-                }
-                sent += database.left();
-                while (database.left() > 0) {
-                    database.next();
-                }
-                assertThat(calledAndKilled(process, mgmt, "enable")).isEqualTo("HTTP/1.1 200");
-            }
+  @Test
+  void aDatabaseThatWasTakenOutStaysOutThoughTheProcessIsKilledAtOnce() throws Exception {
+    var self = new ScriptedPeer[1];
+    self[0] =
+        new ScriptedPeer(
+            wire ->
+                Pg.serve(
+                    wire,
+                    (pg, sql) -> {
+                      if (!sql.startsWith("SHOW")) {
+                        self[0].saw(sql);
+                      }
+                      pg.row("v", System.currentTimeMillis());
+                    }));
+    var address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+    var mgmt = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+    int sent = 0;
+    try (ScriptedPeer database = self[0];
+        var process =
+            new PlatformProcess(
+                "durable",
+                address,
+                configuration(address.getPort(), mgmt.getPort(), database),
+                null,
+                null)) {
+      for (int round = 0; round < ROUNDS; round++) {
+        process.start();
+        assertThat(calledAndKilled(process, mgmt, "disable")).isEqualTo("HTTP/1.1 200");
+        process.start();
+        try (Wire wire = Wire.to(address)) {
+          Pg.welcomed(wire).ask("/* id=r" + round + ",c=waiver-check,d=400,cluster=2 */ SELECT 1");
+        }
+        sent += database.left();
+        while (database.left() > 0) {
+          database.next();
         }
-        assertThat(sent).as("requests to a database that was out, of " + ROUNDS).isZero();
+        assertThat(calledAndKilled(process, mgmt, "enable")).isEqualTo("HTTP/1.1 200");
+      }
     }
+    assertThat(sent).as("requests to a database that was out, of " + ROUNDS).isZero();
+  }
 }
--- a/src/test/java/crankspar/lab/rig/DiskFaultTest.java
+++ b/src/test/java/crankspar/lab/rig/DiskFaultTest.java
@@ -22,179 +22,223 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Operators' calls to a real process whose disk refuses, stands still, or whose life ends at any step of a write. */
+/**
+ * Operators' calls to a real process whose disk refuses, stands still, or whose life ends at any
+ * step of a write.
+ */
 class DiskFaultTest {
-    /** Steps of one acknowledged change on the disk are fewer than this. */
-    private static final int STEPS_MOST = 12;
-    private static final int OK = 200;
-    private static final int UNAVAILABLE = 503;
-    private static final int NONE = 0;
+  /** Steps of one acknowledged change on the disk are fewer than this. */
+  private static final int STEPS_MOST = 12;
 
-    @TempDir Path dir;
-    private ScriptedPeer database;
-    private InetSocketAddress address;
-    private InetSocketAddress mgmt;
-    private PlatformProcess process;
-    private FaultShim faults;
-    private int asked;
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+  private static final int NONE = 0;
 
-    private static int freePort() throws IOException {
-        try (var s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return s.getLocalPort();
-        }
+  @TempDir Path dir;
+  private ScriptedPeer database;
+  private InetSocketAddress address;
+  private InetSocketAddress mgmt;
+  private PlatformProcess process;
+  private FaultShim faults;
+  private int asked;
+
+  private static int freePort() throws IOException {
+    try (var s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
     }
+  }
 
-    @BeforeEach void prepare() throws Exception {
-        database = new ScriptedPeer(wire -> Pg.serve(wire, (pg, sql) -> {
-            if (!sql.startsWith("SHOW")) {
-                database.saw(sql);
-            }
-            pg.row("v", System.currentTimeMillis());
-        }));
-        address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
-        mgmt = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
-        process = new PlatformProcess("disk", address, "{\"name\":\"n3\",\"mgmt\":\"127.0.0.1:" + mgmt.getPort() + "\",\"listen\":\"127.0.0.1:" + address.getPort()
+  @BeforeEach
+  void prepare() throws Exception {
+    database =
+        new ScriptedPeer(
+            wire ->
+                Pg.serve(
+                    wire,
+                    (pg, sql) -> {
+                      if (!sql.startsWith("SHOW")) {
+                        database.saw(sql);
+                      }
+                      pg.row("v", System.currentTimeMillis());
+                    }));
+    address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+    mgmt = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+    process =
+        new PlatformProcess(
+            "disk",
+            address,
+            "{\"name\":\"n3\",\"mgmt\":\"127.0.0.1:"
+                + mgmt.getPort()
+                + "\",\"listen\":\"127.0.0.1:"
+                + address.getPort()
                 + "\",\"discovery\":\"127.0.0.1:1\",\"known\":{\"revision\":7,\"complete\":true,\"members\":[{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:"
-                + database.address().getPort() + "\",\"locality\":\"burnaby\",\"flavor\":\"m\",\"cell\":2,\"phase\":\"up\",\"size\":1.0,\"up_since_ms\":0,"
-                + "\"role\":\"primary\"}]},\"settings\":" + TestSettings.JSON + "}", null, null);
-        faults = new FaultShim(dir.resolve("faults"), process.folder().resolve("tmp"));
-        process.environment(faults.environment());
-    }
+                + database.address().getPort()
+                + "\",\"locality\":\"burnaby\",\"flavor\":\"m\",\"cell\":2,\"phase\":\"up\",\"size\":1.0,\"up_since_ms\":0,"
+                + "\"role\":\"primary\"}]},\"settings\":"
+                + TestSettings.JSON
+                + "}",
+            null,
+            null);
+    faults = new FaultShim(dir.resolve("faults"), process.folder().resolve("tmp"));
+    process.environment(faults.environment());
+  }
 
-    @AfterEach void end() throws Exception {
-        process.close();
-        database.close();
-    }
+  @AfterEach
+  void end() throws Exception {
+    process.close();
+    database.close();
+  }
 
-    /** The status, or {@link #NONE} where the process died before it. */
-    private int call(String what) throws IOException {
-        try (Wire wire = Wire.to(mgmt)) {
-            wire.send("POST /-/league-databases/s-1/" + what + " HTTP/1.1\r\nHost: x\r\n\r\n");
-            return Integer.parseInt(new String(wire.read(12), StandardCharsets.US_ASCII).substring(9));
-        } catch (IOException e) {
-            return NONE;
-        }
+  /** The status, or {@link #NONE} where the process died before it. */
+  private int call(String what) throws IOException {
+    try (Wire wire = Wire.to(mgmt)) {
+      wire.send("POST /-/league-databases/s-1/" + what + " HTTP/1.1\r\nHost: x\r\n\r\n");
+      return Integer.parseInt(new String(wire.read(12), StandardCharsets.US_ASCII).substring(9));
+    } catch (IOException e) {
+      return NONE;
     }
+  }
 
-    /** Whether a request reaches the database now. */
-    private boolean reaches() throws Exception {
-        try (Wire wire = Wire.to(address)) {
-            Pg.welcomed(wire).ask("/* id=d" + ++asked + ",c=waiver-check,d=400,cluster=2 */ SELECT 1");
-        }
-        boolean reached = database.left() > 0;
-        while (database.left() > 0) {
-            database.next();
-        }
-        return reached;
+  /** Whether a request reaches the database now. */
+  private boolean reaches() throws Exception {
+    try (Wire wire = Wire.to(address)) {
+      Pg.welcomed(wire).ask("/* id=d" + ++asked + ",c=waiver-check,d=400,cluster=2 */ SELECT 1");
     }
-
-    /** Whether it stays out, or comes back: a database that was put back counts as cold and gets little at first. */
-    private void serves(boolean expected, String when) throws Exception {
-        if (!expected) {
-            assertThat(reaches()).as(when).isFalse();
-            return;
-        }
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos((long) Rig.WAIT);
-        while (!reaches()) {
-            assertThat(System.nanoTime()).as(when).isLessThan(until);
-        }
+    boolean reached = database.left() > 0;
+    while (database.left() > 0) {
+      database.next();
     }
+    return reached;
+  }
 
-    /** Killed at each step in turn, of a call that takes out and of one that puts back: whatever was said yes to holds. */
-    @Test void aYesHoldsWhereverTheProcessDies() throws Exception {
-        for (String what : List.of("disable", "enable")) {
-            int deaths = 0;
-            for (int step = 1; step <= STEPS_MOST; step++) {
-                process.start();
-                assertThat(call(what.equals("disable") ? "enable" : "disable")).isEqualTo(OK);
-                faults.killAtStep(step);
-                int status = call(what);
-                boolean survived = status != NONE;
-                faults.killAtStep(0);
-                process.kill();
-                process.start();
-                assertThat(status).as(what + " at step " + step).isIn(OK, NONE);
-                if (survived) {
-                    serves(what.equals("enable"), what + ", killed at step " + step + " or later");
-                }
-                assertThat(call(what)).as(what + " again").isEqualTo(OK);
-                serves(what.equals("enable"), what + " again");
-                process.kill();
-                deaths += survived ? 0 : 1;
-                if (survived) {
-                    break;                    // it has no further step
-                }
-            }
-            assertThat(deaths).as("steps of " + what).isBetween(5, STEPS_MOST - 1);
-        }
+  /**
+   * Whether it stays out, or comes back: a database that was put back counts as cold and gets
+   * little at first.
+   */
+  private void serves(boolean expected, String when) throws Exception {
+    if (!expected) {
+      assertThat(reaches()).as(when).isFalse();
+      return;
+    }
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos((long) Rig.WAIT);
+    while (!reaches()) {
+      assertThat(System.nanoTime()).as(when).isLessThan(until);
     }
+  }
 
-    /** No space, an I/O error at a write, a sync, a rename, an open: a no in time, nothing in force, and a yes once it is over. */
-    @Test void aDiskThatRefusesGetsANoInTimeAndAYesLater() throws Exception {
+  /**
+   * Killed at each step in turn, of a call that takes out and of one that puts back: whatever was
+   * said yes to holds.
+   */
+  @Test
+  void aYesHoldsWhereverTheProcessDies() throws Exception {
+    for (String what : List.of("disable", "enable")) {
+      int deaths = 0;
+      for (int step = 1; step <= STEPS_MOST; step++) {
         process.start();
-        var refusals = new ArrayList<Map.Entry<Slot, Integer>>();
-        refusals.add(Map.entry(Slot.WRITE_ERRNO, FaultShim.ENOSPC));
-        refusals.add(Map.entry(Slot.SYNC_ERRNO, FaultShim.EIO));
-        refusals.add(Map.entry(Slot.RENAME_ERRNO, FaultShim.EIO));
-        refusals.add(Map.entry(Slot.OPEN_ERRNO, FaultShim.EMFILE));
-        for (Map.Entry<Slot, Integer> refusal : refusals) {
-            String where = refusal.getKey().toString();
-            faults.set(refusal.getKey(), refusal.getValue());
-            long began = System.nanoTime();
-            assertThat(call("disable")).as(where).isEqualTo(UNAVAILABLE);
-            assertThat((System.nanoTime() - began) / 1e6).as(where).isLessThan(1000);
-            serves(true, "nothing in force, " + where);
-            faults.clear();
-            assertThat(call("disable")).as("after " + where).isEqualTo(OK);
-            process.kill();
-            process.start();
-            serves(false, "after " + where);
-            assertThat(call("enable")).isEqualTo(OK);
-            serves(true, "after " + where);
-        }
-        assertThat(call("disable")).isEqualTo(OK);
-        faults.set(Slot.SYNC_ERRNO, FaultShim.EIO);
-        assertThat(call("enable")).as("it stays out where its return is not kept").isEqualTo(UNAVAILABLE);
-        serves(false, "it is out");
-        faults.clear();
+        assertThat(call(what.equals("disable") ? "enable" : "disable")).isEqualTo(OK);
+        faults.killAtStep(step);
+        int status = call(what);
+        boolean survived = status != NONE;
+        faults.killAtStep(0);
         process.kill();
         process.start();
-        serves(false, "a return that was refused");
+        assertThat(status).as(what + " at step " + step).isIn(OK, NONE);
+        if (survived) {
+          serves(what.equals("enable"), what + ", killed at step " + step + " or later");
+        }
+        assertThat(call(what)).as(what + " again").isEqualTo(OK);
+        serves(what.equals("enable"), what + " again");
+        process.kill();
+        deaths += survived ? 0 : 1;
+        if (survived) {
+          break; // it has no further step
+        }
+      }
+      assertThat(deaths).as("steps of " + what).isBetween(5, STEPS_MOST - 1);
     }
+  }
 
-    /** Refused for less than the caller waits: it is told yes, later. Every write comes in halves meanwhile. */
-    @Test void aShortRefusalIsWaitedFor() throws Exception {
-        process.start();
-        faults.set(Slot.HALF_WRITE, 1);
-        faults.set(Slot.WRITE_ERRNO, FaultShim.ENOSPC);
-        var ends = new Thread(() -> {
-            try {
+  /**
+   * No space, an I/O error at a write, a sync, a rename, an open: a no in time, nothing in force,
+   * and a yes once it is over.
+   */
+  @Test
+  void aDiskThatRefusesGetsANoInTimeAndAYesLater() throws Exception {
+    process.start();
+    var refusals = new ArrayList<Map.Entry<Slot, Integer>>();
+    refusals.add(Map.entry(Slot.WRITE_ERRNO, FaultShim.ENOSPC));
+    refusals.add(Map.entry(Slot.SYNC_ERRNO, FaultShim.EIO));
+    refusals.add(Map.entry(Slot.RENAME_ERRNO, FaultShim.EIO));
+    refusals.add(Map.entry(Slot.OPEN_ERRNO, FaultShim.EMFILE));
+    for (Map.Entry<Slot, Integer> refusal : refusals) {
+      String where = refusal.getKey().toString();
+      faults.set(refusal.getKey(), refusal.getValue());
+      long began = System.nanoTime();
+      assertThat(call("disable")).as(where).isEqualTo(UNAVAILABLE);
+      assertThat((System.nanoTime() - began) / 1e6).as(where).isLessThan(1000);
+      serves(true, "nothing in force, " + where);
+      faults.clear();
+      assertThat(call("disable")).as("after " + where).isEqualTo(OK);
+      process.kill();
+      process.start();
+      serves(false, "after " + where);
+      assertThat(call("enable")).isEqualTo(OK);
+      serves(true, "after " + where);
+    }
+    assertThat(call("disable")).isEqualTo(OK);
+    faults.set(Slot.SYNC_ERRNO, FaultShim.EIO);
+    assertThat(call("enable"))
+        .as("it stays out where its return is not kept")
+        .isEqualTo(UNAVAILABLE);
+    serves(false, "it is out");
+    faults.clear();
+    process.kill();
+    process.start();
+    serves(false, "a return that was refused");
+  }
+
+  /**
+   * Refused for less than the caller waits: it is told yes, later. Every write comes in halves
+   * meanwhile.
+   */
+  @Test
+  void aShortRefusalIsWaitedFor() throws Exception {
+    process.start();
+    faults.set(Slot.HALF_WRITE, 1);
+    faults.set(Slot.WRITE_ERRNO, FaultShim.ENOSPC);
+    var ends =
+        new Thread(
+            () -> {
+              try {
                 TimeUnit.MILLISECONDS.sleep(250);
-            } catch (InterruptedException e) {
+              } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
-            }
-            faults.set(Slot.WRITE_ERRNO, 0);
-        });
-        ends.start();
-        assertThat(call("disable")).isEqualTo(OK);
-        ends.join();
-        process.kill();
-        process.start();
-        serves(false, "it is out");
-    }
+              }
+              faults.set(Slot.WRITE_ERRNO, 0);
+            });
+    ends.start();
+    assertThat(call("disable")).isEqualTo(OK);
+    ends.join();
+    process.kill();
+    process.start();
+    serves(false, "it is out");
+  }
 
-    /** A start that cannot read what it owes serves nobody until it can. */
-    @Test void aStartWaitsUntilItHasReadWhatItOwes() throws Exception {
-        process.start();
-        assertThat(call("disable")).isEqualTo(OK);
-        process.kill();
-        faults.set(Slot.READ_ERRNO, FaultShim.EIO);
-        process.begin();
-        TimeUnit.MILLISECONDS.sleep(1500);    // time is the matter here: it must not serve, however long this lasts
-        assertThat(process.alive()).isTrue();
-        assertThat(process.listens()).as("it serves without knowing what is out").isFalse();
-        faults.clear();
-        Rig.until("it listens", Rig.WAIT, process::listens);
-        serves(false, "it is out");
-    }
+  /** A start that cannot read what it owes serves nobody until it can. */
+  @Test
+  void aStartWaitsUntilItHasReadWhatItOwes() throws Exception {
+    process.start();
+    assertThat(call("disable")).isEqualTo(OK);
+    process.kill();
+    faults.set(Slot.READ_ERRNO, FaultShim.EIO);
+    process.begin();
+    TimeUnit.MILLISECONDS.sleep(
+        1500); // time is the matter here: it must not serve, however long this lasts
+    assertThat(process.alive()).isTrue();
+    assertThat(process.listens()).as("it serves without knowing what is out").isFalse();
+    faults.clear();
+    Rig.until("it listens", Rig.WAIT, process::listens);
+    serves(false, "it is out");
+  }
 }
--- a/src/test/java/crankspar/lab/rig/FaultSoak.java
+++ b/src/test/java/crankspar/lab/rig/FaultSoak.java
@@ -16,219 +16,287 @@
 import java.util.regex.Pattern;
 
 /**
- * One soak of two real poolers under faults that a seed draws: planned restarts with the kill at the earliest moment, kills in
- * series, kills on an operator's yes, a disk that refuses, a wall clock that steps, stops, reloads; some with a crowd. Run
- * {@code main FIRST COUNT} for many seeds; it prints each with what broke, and a failing seed becomes a test.
+ * One soak of two real poolers under faults that a seed draws: planned restarts with the kill at
+ * the earliest moment, kills in series, kills on an operator's yes, a disk that refuses, a wall
+ * clock that steps, stops, reloads; some with a crowd. Run {@code main FIRST COUNT} for many seeds;
+ * it prints each with what broke, and a failing seed becomes a test.
  */
 final class FaultSoak implements AutoCloseable {
-    private static final int POOLERS = 2;
-    private static final int REPLICAS = 3;
-    private static final int CLIENTS = 12;
-    private static final int CROWD = 150;
-    private static final int FAULTS = 10;
-    /** The longest deadline and 0.7 s: the kill comes no sooner after SIGTERM. */
-    private static final long KILL_AFTER_MS = 3700;
-    private static final double LAST_TAKEN_MS = 700;
-    private static final long SERIES_MS = 250;
-    /** A request whose connection ended under it had been taken where it waited for longer than this (ms). */
-    private static final double CROSSED_MS = 400;
-    private static final Pattern ID = Pattern.compile("/\\* id=(p[0-9]+)\\.([0-9]+)");
-
-    /** A call to a pooler: status 0 where there was no answer; times are Unix ms of this process. */
-    private record Call(int pooler, String database, boolean out, double issued, double answered, int status) { }
-
-    /** A process's end: {@code told} is when SIGTERM came, NaN where it was killed outright. */
-    private record End(int pooler, double told, double killed) { }
-
-    private final Rig rig;
-    private final Random random;
-    private final List<FaultShim> shims = new ArrayList<>();
-    private final List<SoakClients> clients = new ArrayList<>();
-    private final List<Call> calls = new ArrayList<>();
-    private final List<End> ends = new ArrayList<>();
-    private final List<String> broken = new ArrayList<>();
-
-    FaultSoak(long seed, Path folder) throws Exception {
-        random = new Random(seed);
-        rig = new Rig(Rig.Parties.of(POOLERS, REPLICAS), seed);
-        for (int p = 0; p < POOLERS; p++) {
-            var shim = new FaultShim(folder.resolve("faults-" + seed + "-" + p), rig.pooler(p).folder().resolve("tmp"));
-            rig.pooler(p).environment(shim.environment());
-            shims.add(shim);
-        }
-        rig.start();
-        boolean crowd = random.nextInt(3) == 0;
-        for (int p = 0; p < POOLERS; p++) {
-            clients.add(new SoakClients(rig, p, CLIENTS, crowd ? CROWD : 0, seed + p));
-        }
-    }
+  private static final int POOLERS = 2;
+  private static final int REPLICAS = 3;
+  private static final int CLIENTS = 12;
+  private static final int CROWD = 150;
+  private static final int FAULTS = 10;
 
-    /** What broke, in words; empty where nothing did. */
-    List<String> run() throws Exception {
-        for (int i = 0; i < FAULTS; i++) {
-            TimeUnit.MILLISECONDS.sleep(100 + random.nextInt(500));
-            int p = random.nextInt(POOLERS);
-            if (!rig.pooler(p).alive()) {
-                broken.add("crash: p" + p + " ended by itself");
-                rig.pooler(p).start();
-            }
-            fault(p);
-        }
-        TimeUnit.MILLISECONDS.sleep(500);
-        clients.forEach(SoakClients::close);
-        checkDrains();
-        checkAnswers();
-        checkStatements();
-        broken.addAll(new Rules().once(rig.recording().executed()).broken());
-        return broken;
+  /** The longest deadline and 0.7 s: the kill comes no sooner after SIGTERM. */
+  private static final long KILL_AFTER_MS = 3700;
+
+  private static final double LAST_TAKEN_MS = 700;
+  private static final long SERIES_MS = 250;
+
+  /**
+   * A request whose connection ended under it had been taken where it waited for longer than this
+   * (ms).
+   */
+  private static final double CROSSED_MS = 400;
+
+  private static final Pattern ID = Pattern.compile("/\\* id=(p[0-9]+)\\.([0-9]+)");
+
+  /** A call to a pooler: status 0 where there was no answer; times are Unix ms of this process. */
+  private record Call(
+      int pooler, String database, boolean out, double issued, double answered, int status) {}
+
+  /** A process's end: {@code told} is when SIGTERM came, NaN where it was killed outright. */
+  private record End(int pooler, double told, double killed) {}
+
+  private final Rig rig;
+  private final Random random;
+  private final List<FaultShim> shims = new ArrayList<>();
+  private final List<SoakClients> clients = new ArrayList<>();
+  private final List<Call> calls = new ArrayList<>();
+  private final List<End> ends = new ArrayList<>();
+  private final List<String> broken = new ArrayList<>();
+
+  FaultSoak(long seed, Path folder) throws Exception {
+    random = new Random(seed);
+    rig = new Rig(Rig.Parties.of(POOLERS, REPLICAS), seed);
+    for (int p = 0; p < POOLERS; p++) {
+      var shim =
+          new FaultShim(
+              folder.resolve("faults-" + seed + "-" + p), rig.pooler(p).folder().resolve("tmp"));
+      rig.pooler(p).environment(shim.environment());
+      shims.add(shim);
+    }
+    rig.start();
+    boolean crowd = random.nextInt(3) == 0;
+    for (int p = 0; p < POOLERS; p++) {
+      clients.add(new SoakClients(rig, p, CLIENTS, crowd ? CROWD : 0, seed + p));
     }
+  }
 
-    private void fault(int p) throws Exception {
-        switch (random.nextInt(8)) {
-            case 0, 1 -> {
-                call(p, random.nextBoolean());
-                if (random.nextBoolean()) {
-                    killSeries(p);
-                }
-            }
-            case 2 -> plannedRestart(p);
-            case 3 -> killSeries(p);
-            case 4 -> {
-                Slot refused = List.of(Slot.WRITE_ERRNO, Slot.SYNC_ERRNO, Slot.RENAME_ERRNO).get(random.nextInt(3));
-                shims.get(p).set(refused, random.nextBoolean() ? FaultShim.ENOSPC : FaultShim.EIO);
-                call(p, random.nextBoolean());
-                TimeUnit.MILLISECONDS.sleep(random.nextInt(600));
-                if (random.nextInt(3) == 0) {
-                    killSeries(p);
-                }
-                shims.get(p).set(refused, 0);
-                call(p, random.nextBoolean());
-            }
-            case 5 -> shims.get(p).set(Slot.CLOCK_MS, List.of(3_600_000L, -3_600_000L, 5000L, -5000L).get(random.nextInt(4)));
-            case 6 -> {
-                rig.pooler(p).signal("STOP");
-                TimeUnit.MILLISECONDS.sleep(150);
-                rig.pooler(p).signal("CONT");
-            }
-            default -> rig.pooler(p).signal("HUP");
-        }
+  /** What broke, in words; empty where nothing did. */
+  List<String> run() throws Exception {
+    for (int i = 0; i < FAULTS; i++) {
+      TimeUnit.MILLISECONDS.sleep(100 + random.nextInt(500));
+      int p = random.nextInt(POOLERS);
+      if (!rig.pooler(p).alive()) {
+        broken.add("crash: p" + p + " ended by itself");
+        rig.pooler(p).start();
+      }
+      fault(p);
     }
+    TimeUnit.MILLISECONDS.sleep(500);
+    clients.forEach(SoakClients::close);
+    checkDrains();
+    checkAnswers();
+    checkStatements();
+    broken.addAll(new Rules().once(rig.recording().executed()).broken());
+    return broken;
+  }
 
-    /** Takes a replica out or puts it back, and kills on the first byte of the answer every third time. */
-    private void call(int p, boolean out) throws Exception {
-        String database = "db-" + (1 + random.nextInt(REPLICAS));
-        boolean kill = random.nextInt(3) == 0;
-        String[] at = rig.calls(p).split(":");
-        double issued = System.currentTimeMillis();
-        int status = 0;
-        try (Wire wire = Wire.to(new InetSocketAddress(at[0], Integer.parseInt(at[1])))) {
-            wire.send("POST /-/league-databases/" + database + (out ? "/disable" : "/enable") + " HTTP/1.1\r\nHost: x\r\n\r\n");
-            byte[] said = wire.read(12);
-            if (kill) {
-                rig.pooler(p).kill();
-            }
-            status = Integer.parseInt(new String(said, StandardCharsets.US_ASCII).substring(9));
-        } catch (IOException e) {
-            broken.add("operator: p" + p + " gave no answer: " + e);
+  private void fault(int p) throws Exception {
+    switch (random.nextInt(8)) {
+      case 0, 1 -> {
+        call(p, random.nextBoolean());
+        if (random.nextBoolean()) {
+          killSeries(p);
         }
-        calls.add(new Call(p, database, out, issued, System.currentTimeMillis(), status));
-        if (kill) {
-            ends.add(new End(p, Double.NaN, System.currentTimeMillis()));
-            rig.pooler(p).start();
+      }
+      case 2 -> plannedRestart(p);
+      case 3 -> killSeries(p);
+      case 4 -> {
+        Slot refused =
+            List.of(Slot.WRITE_ERRNO, Slot.SYNC_ERRNO, Slot.RENAME_ERRNO).get(random.nextInt(3));
+        shims.get(p).set(refused, random.nextBoolean() ? FaultShim.ENOSPC : FaultShim.EIO);
+        call(p, random.nextBoolean());
+        TimeUnit.MILLISECONDS.sleep(random.nextInt(600));
+        if (random.nextInt(3) == 0) {
+          killSeries(p);
         }
+        shims.get(p).set(refused, 0);
+        call(p, random.nextBoolean());
+      }
+      case 5 ->
+          shims
+              .get(p)
+              .set(
+                  Slot.CLOCK_MS,
+                  List.of(3_600_000L, -3_600_000L, 5000L, -5000L).get(random.nextInt(4)));
+      case 6 -> {
+        rig.pooler(p).signal("STOP");
+        TimeUnit.MILLISECONDS.sleep(150);
+        rig.pooler(p).signal("CONT");
+      }
+      default -> rig.pooler(p).signal("HUP");
     }
+  }
 
-    private void killSeries(int p) throws Exception {
-        for (int i = random.nextInt(3); i >= 0; i--) {
-            ends.add(new End(p, Double.NaN, System.currentTimeMillis()));
-            rig.pooler(p).kill();
-            if (i > 0) {
-                rig.pooler(p).begin();
-                TimeUnit.MILLISECONDS.sleep(SERIES_MS);
-            }
-        }
-        rig.pooler(p).start();
+  /**
+   * Takes a replica out or puts it back, and kills on the first byte of the answer every third
+   * time.
+   */
+  private void call(int p, boolean out) throws Exception {
+    String database = "db-" + (1 + random.nextInt(REPLICAS));
+    boolean kill = random.nextInt(3) == 0;
+    String[] at = rig.calls(p).split(":");
+    double issued = System.currentTimeMillis();
+    int status = 0;
+    try (Wire wire = Wire.to(new InetSocketAddress(at[0], Integer.parseInt(at[1])))) {
+      wire.send(
+          "POST /-/league-databases/"
+              + database
+              + (out ? "/disable" : "/enable")
+              + " HTTP/1.1\r\nHost: x\r\n\r\n");
+      byte[] said = wire.read(12);
+      if (kill) {
+        rig.pooler(p).kill();
+      }
+      status = Integer.parseInt(new String(said, StandardCharsets.US_ASCII).substring(9));
+    } catch (IOException e) {
+      broken.add("operator: p" + p + " gave no answer: " + e);
     }
+    calls.add(new Call(p, database, out, issued, System.currentTimeMillis(), status));
+    if (kill) {
+      ends.add(new End(p, Double.NaN, System.currentTimeMillis()));
+      rig.pooler(p).start();
+    }
+  }
 
-    private void plannedRestart(int p) throws Exception {
-        double told = System.currentTimeMillis();
-        rig.pooler(p).signal("TERM");
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(KILL_AFTER_MS);
-        while (rig.pooler(p).alive() && System.nanoTime() < until) {
-            TimeUnit.MILLISECONDS.sleep(2);
-        }
-        ends.add(new End(p, told, System.currentTimeMillis()));
-        rig.pooler(p).kill();
-        rig.pooler(p).start();
+  private void killSeries(int p) throws Exception {
+    for (int i = random.nextInt(3); i >= 0; i--) {
+      ends.add(new End(p, Double.NaN, System.currentTimeMillis()));
+      rig.pooler(p).kill();
+      if (i > 0) {
+        rig.pooler(p).begin();
+        TimeUnit.MILLISECONDS.sleep(SERIES_MS);
+      }
     }
+    rig.pooler(p).start();
+  }
 
-    /** From the yes on, with the rule's grace, until somebody asks for it back. */
-    private void checkDrains() {
-        List<Executed> executed = rig.recording().executed();
-        for (int i = 0; i < calls.size(); i++) {
-            Call c = calls.get(i);
-            if (!c.out() || c.status() != 200) {
-                continue;
-            }
-            double until = calls.subList(i + 1, calls.size()).stream().filter(d -> d.pooler() == c.pooler() && d.database().equals(c.database()) && !d.out())
-                    .mapToDouble(Call::issued).min().orElse(Double.POSITIVE_INFINITY);
-            long sent = executed.stream().filter(e -> e.server.equals(c.database()) && e.sql.contains("id=p" + c.pooler() + ".")
-                    && e.at > c.answered() + Rules.DRAIN_MOST && e.at < until).count();
-            if (sent > 0) {
-                broken.add("drain: p" + c.pooler() + " sent " + sent + " to " + c.database() + " that an operator had out");
-            }
-        }
+  private void plannedRestart(int p) throws Exception {
+    double told = System.currentTimeMillis();
+    rig.pooler(p).signal("TERM");
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(KILL_AFTER_MS);
+    while (rig.pooler(p).alive() && System.nanoTime() < until) {
+      TimeUnit.MILLISECONDS.sleep(2);
     }
+    ends.add(new End(p, told, System.currentTimeMillis()));
+    rig.pooler(p).kill();
+    rig.pooler(p).start();
+  }
 
-    private void checkAnswers() {
-        for (int p = 0; p < POOLERS; p++) {
-            int pooler = p;
-            for (SoakClients.Unanswered u : clients.get(p).unanswered()) {
-                boolean excused = ends.stream().anyMatch(e -> e.pooler() == pooler && e.killed() >= u.sent() - 1 && e.killed() <= u.ended() + CROSSED_MS
-                        && (Double.isNaN(e.told()) || u.sent() < e.told() + LAST_TAKEN_MS));
-                if (!excused && u.ended() - u.sent() > CROSSED_MS) {
-                    broken.add("lost: " + u.id() + " had no answer for " + Math.round(u.ended() - u.sent()) + " ms" + ends.stream()
-                            .filter(e -> e.pooler() == pooler && e.told() < u.ended()).map(e -> ", sent " + Math.round(u.sent() - e.told()) + " ms after SIGTERM").reduce((a, b) -> b).orElse(""));
-                }
-            }
-            if (clients.get(p).answered() < 100) {
-                broken.add("idle: p" + p + " answered " + clients.get(p).answered());
-            }
-        }
+  /** From the yes on, with the rule's grace, until somebody asks for it back. */
+  private void checkDrains() {
+    List<Executed> executed = rig.recording().executed();
+    for (int i = 0; i < calls.size(); i++) {
+      Call c = calls.get(i);
+      if (!c.out() || c.status() != 200) {
+        continue;
+      }
+      double until =
+          calls.subList(i + 1, calls.size()).stream()
+              .filter(
+                  d -> d.pooler() == c.pooler() && d.database().equals(c.database()) && !d.out())
+              .mapToDouble(Call::issued)
+              .min()
+              .orElse(Double.POSITIVE_INFINITY);
+      long sent =
+          executed.stream()
+              .filter(
+                  e ->
+                      e.server.equals(c.database())
+                          && e.sql.contains("id=p" + c.pooler() + ".")
+                          && e.at > c.answered() + Rules.DRAIN_MOST
+                          && e.at < until)
+              .count();
+      if (sent > 0) {
+        broken.add(
+            "drain: p"
+                + c.pooler()
+                + " sent "
+                + sent
+                + " to "
+                + c.database()
+                + " that an operator had out");
+      }
     }
+  }
 
-    private void checkStatements() {
-        for (Executed e : rig.recording().executed()) {
-            Matcher m = ID.matcher(e.sql);
-            boolean sent = m.find() && Long.parseLong(m.group(2)) <= clients.get(Integer.parseInt(m.group(1).substring(1))).sent();
-            if (!sent && !e.sql.startsWith("SHOW") && !e.sql.equals("SELECT 1")) {
-                broken.add("unsent: " + e.sql);
-            }
+  private void checkAnswers() {
+    for (int p = 0; p < POOLERS; p++) {
+      int pooler = p;
+      for (SoakClients.Unanswered u : clients.get(p).unanswered()) {
+        boolean excused =
+            ends.stream()
+                .anyMatch(
+                    e ->
+                        e.pooler() == pooler
+                            && e.killed() >= u.sent() - 1
+                            && e.killed() <= u.ended() + CROSSED_MS
+                            && (Double.isNaN(e.told()) || u.sent() < e.told() + LAST_TAKEN_MS));
+        if (!excused && u.ended() - u.sent() > CROSSED_MS) {
+          broken.add(
+              "lost: "
+                  + u.id()
+                  + " had no answer for "
+                  + Math.round(u.ended() - u.sent())
+                  + " ms"
+                  + ends.stream()
+                      .filter(e -> e.pooler() == pooler && e.told() < u.ended())
+                      .map(e -> ", sent " + Math.round(u.sent() - e.told()) + " ms after SIGTERM")
+                      .reduce((a, b) -> b)
+                      .orElse(""));
         }
+      }
+      if (clients.get(p).answered() < 100) {
+        broken.add("idle: p" + p + " answered " + clients.get(p).answered());
+      }
     }
+  }
 
-    long answered() {
-        return clients.stream().mapToLong(SoakClients::answered).sum();
+  private void checkStatements() {
+    for (Executed e : rig.recording().executed()) {
+      Matcher m = ID.matcher(e.sql);
+      boolean sent =
+          m.find()
+              && Long.parseLong(m.group(2))
+                  <= clients.get(Integer.parseInt(m.group(1).substring(1))).sent();
+      if (!sent && !e.sql.startsWith("SHOW") && !e.sql.equals("SELECT 1")) {
+        broken.add("unsent: " + e.sql);
+      }
     }
+  }
 
-    @Override public void close() throws IOException {
-        clients.forEach(SoakClients::close);
-        rig.close();
-    }
+  long answered() {
+    return clients.stream().mapToLong(SoakClients::answered).sum();
+  }
 
-    /** Many seeds by hand: the first seed and how many. */
-    public static void main(String[] args) throws Exception {
-        Path folder = Files.createTempDirectory("soak");
-        long first = Long.parseLong(args[0]);
-        int failed = 0;
-        for (long seed = first; seed < first + Integer.parseInt(args[1]); seed++) {
-            try (var soak = new FaultSoak(seed, folder)) {
-                List<String> broken = soak.run();
-                failed += broken.isEmpty() ? 0 : 1;
-                System.out.println("seed " + seed + ": " + soak.answered() + " answered, " + (broken.isEmpty() ? "kept" : "BROKEN " + broken));
-            }
-        }
-        System.out.println(args[1] + " seeds, " + failed + " broken");
-        System.exit(failed == 0 ? 0 : 1);
+  @Override
+  public void close() throws IOException {
+    clients.forEach(SoakClients::close);
+    rig.close();
+  }
+
+  /** Many seeds by hand: the first seed and how many. */
+  public static void main(String[] args) throws Exception {
+    Path folder = Files.createTempDirectory("soak");
+    long first = Long.parseLong(args[0]);
+    int failed = 0;
+    for (long seed = first; seed < first + Integer.parseInt(args[1]); seed++) {
+      try (var soak = new FaultSoak(seed, folder)) {
+        List<String> broken = soak.run();
+        failed += broken.isEmpty() ? 0 : 1;
+        System.out.println(
+            "seed "
+                + seed
+                + ": "
+                + soak.answered()
+                + " answered, "
+                + (broken.isEmpty() ? "kept" : "BROKEN " + broken));
+      }
     }
+    System.out.println(args[1] + " seeds, " + failed + " broken");
+    System.exit(failed == 0 ? 0 : 1);
+  }
 }
--- a/src/test/java/crankspar/store/StateFileTest.java
+++ b/src/test/java/crankspar/store/StateFileTest.java
@@ -15,93 +15,122 @@
 
 /** The file that outlives the process: whole, checked, and shared one update at a time. */
 class StateFileTest {
-    private static final List<Store.Entry> ENTRIES = List.of(new Store.Entry("returned/s-2", "1790000000000", 3, "n#1"),
-            new Store.Entry("drain/s-1", "by hand", 4, "n#1"), new Store.Entry("drain/s-2", null, 5, "n#2"));
+  private static final List<Store.Entry> ENTRIES =
+      List.of(
+          new Store.Entry("returned/s-2", "1790000000000", 3, "n#1"),
+          new Store.Entry("drain/s-1", "by hand", 4, "n#1"),
+          new Store.Entry("drain/s-2", null, 5, "n#2"));
 
-    @TempDir Path dir;
+  @TempDir Path dir;
 
-    private Path path() {
-        return dir.resolve("state");
-    }
+  private Path path() {
+    return dir.resolve("state");
+  }
 
-    /** Cut off at any byte, or with any byte changed, it is either recognized as corrupt or says the same. */
-    @Test void noByteOfItCanBeLostUnnoticed() throws Exception {
-        byte[] whole = StoreJson.writeState(ENTRIES);
-        assertThat(StoreJson.readState(whole)).isEqualTo(ENTRIES);
-        for (int length = 0; length < whole.length; length++) {
-            byte[] cut = Arrays.copyOf(whole, length);
-            assertThatThrownBy(() -> StoreJson.readState(cut)).as("cut off at " + length).isInstanceOf(StateFile.Corrupt.class);
-        }
-        for (int at = 0; at < whole.length; at++) {
-            byte[] flipped = whole.clone();
-            flipped[at] ^= 1;
-            List<Store.Entry> read = null;
-            try {
-                read = StoreJson.readState(flipped);
-            } catch (StateFile.Corrupt e) {
-                continue;
-            }
-            // The checksum's own key is no longer found where a letter of it is changed: then it counts as an earlier release's.
-            assertThat(read).as("byte " + at).isEqualTo(ENTRIES);
-        }
+  /**
+   * Cut off at any byte, or with any byte changed, it is either recognized as corrupt or says the
+   * same.
+   */
+  @Test
+  void noByteOfItCanBeLostUnnoticed() throws Exception {
+    byte[] whole = StoreJson.writeState(ENTRIES);
+    assertThat(StoreJson.readState(whole)).isEqualTo(ENTRIES);
+    for (int length = 0; length < whole.length; length++) {
+      byte[] cut = Arrays.copyOf(whole, length);
+      assertThatThrownBy(() -> StoreJson.readState(cut))
+          .as("cut off at " + length)
+          .isInstanceOf(StateFile.Corrupt.class);
     }
-
-    @Test void whatAnEarlierReleaseWroteIsReadAndItsReaderReadsThis() throws Exception {
-        Files.write(path(), StoreJson.write(ENTRIES, null, false));
-        var file = new StateFile(path());
-        assertThat(file.read()).isEqualTo(ENTRIES);
-        file.update(present -> present);
-        assertThat(StoreJson.read(Files.readAllBytes(path())).entries()).isEqualTo(ENTRIES);
+    for (int at = 0; at < whole.length; at++) {
+      byte[] flipped = whole.clone();
+      flipped[at] ^= 1;
+      List<Store.Entry> read = null;
+      try {
+        read = StoreJson.readState(flipped);
+      } catch (StateFile.Corrupt e) {
+        continue;
+      }
+      // The checksum's own key is no longer found where a letter of it is changed: then it counts
+      // as an earlier release's.
+      assertThat(read).as("byte " + at).isEqualTo(ENTRIES);
     }
+  }
 
-    /** A writer that is killed leaves its temporary file at any length: the content stands, and the next start clears it away. */
-    @Test void halfAWriteBesideItChangesNothing() throws Exception {
-        var file = new StateFile(path());
-        file.update(present -> ENTRIES);
-        Files.write(dir.resolve("state.1f.tmp"), Arrays.copyOf(StoreJson.writeState(ENTRIES), 20));
-        var next = new StateFile(path());
-        next.removeTemporaryFiles();
-        assertThat(next.read()).isEqualTo(ENTRIES);
-        try (Stream<Path> left = Files.list(dir)) {
-            assertThat(left.map(p -> p.getFileName().toString())).containsExactlyInAnyOrder("state", "state.lock");
-        }
-    }
+  @Test
+  void whatAnEarlierReleaseWroteIsReadAndItsReaderReadsThis() throws Exception {
+    Files.write(path(), StoreJson.write(ENTRIES, null, false));
+    var file = new StateFile(path());
+    assertThat(file.read()).isEqualTo(ENTRIES);
+    file.update(present -> present);
+    assertThat(StoreJson.read(Files.readAllBytes(path())).entries()).isEqualTo(ENTRIES);
+  }
 
-    @Test void aCorruptFileIsKeptAsideAndTheNextUpdateBeginsAnew() throws Exception {
-        Files.writeString(path(), "{\"items\":[");
-        var file = new StateFile(path());
-        assertThatThrownBy(file::read).isInstanceOf(StateFile.Corrupt.class);
-        file.update(present -> ENTRIES);
-        assertThat(file.read()).isEqualTo(ENTRIES);
-        try (Stream<Path> left = Files.list(dir)) {
-            assertThat(left.filter(p -> p.getFileName().toString().startsWith("state.corrupt-"))).hasSize(1);
-        }
+  /**
+   * A writer that is killed leaves its temporary file at any length: the content stands, and the
+   * next start clears it away.
+   */
+  @Test
+  void halfAWriteBesideItChangesNothing() throws Exception {
+    var file = new StateFile(path());
+    file.update(present -> ENTRIES);
+    Files.write(dir.resolve("state.1f.tmp"), Arrays.copyOf(StoreJson.writeState(ENTRIES), 20));
+    var next = new StateFile(path());
+    next.removeTemporaryFiles();
+    assertThat(next.read()).isEqualTo(ENTRIES);
+    try (Stream<Path> left = Files.list(dir)) {
+      assertThat(left.map(p -> p.getFileName().toString()))
+          .containsExactlyInAnyOrder("state", "state.lock");
     }
+  }
 
-    @Test void anUpdateWaitsForTheLockAndFailsWhereItIsNotFreed() throws Exception {
-        var file = new StateFile(path());
-        try (FileChannel other = FileChannel.open(dir.resolve("state.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
-            other.lock();
-            assertThatThrownBy(() -> file.update(present -> ENTRIES)).hasMessageContaining("holds the lock");
-        }
-        assertThat(file.update(present -> ENTRIES)).isEqualTo(ENTRIES);
+  @Test
+  void aCorruptFileIsKeptAsideAndTheNextUpdateBeginsAnew() throws Exception {
+    Files.writeString(path(), "{\"items\":[");
+    var file = new StateFile(path());
+    assertThatThrownBy(file::read).isInstanceOf(StateFile.Corrupt.class);
+    file.update(present -> ENTRIES);
+    assertThat(file.read()).isEqualTo(ENTRIES);
+    try (Stream<Path> left = Files.list(dir)) {
+      assertThat(left.filter(p -> p.getFileName().toString().startsWith("state.corrupt-")))
+          .hasSize(1);
     }
+  }
 
-    @Test void anotherProcessesUpdateIsSeenOnceAndNotOnesOwn() throws Exception {
-        var one = new StateFile(path());
-        var two = new StateFile(path());
-        assertThat(one.readIfChanged()).isNull();
-        two.update(present -> ENTRIES);
-        assertThat(two.readIfChanged()).isNull();
-        assertThat(one.readIfChanged()).isEqualTo(ENTRIES);
-        assertThat(one.readIfChanged()).isNull();
-        one.update(present -> EntryMerge.merge(present, List.of(), List.of(new Change("drain/s-1", null)), "n#1"));
-        assertThat(two.readIfChanged()).contains(new Store.Entry("drain/s-1", null, 6, "n#1"));
+  @Test
+  void anUpdateWaitsForTheLockAndFailsWhereItIsNotFreed() throws Exception {
+    var file = new StateFile(path());
+    try (FileChannel other =
+        FileChannel.open(
+            dir.resolve("state.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+      other.lock();
+      assertThatThrownBy(() -> file.update(present -> ENTRIES))
+          .hasMessageContaining("holds the lock");
     }
+    assertThat(file.update(present -> ENTRIES)).isEqualTo(ENTRIES);
+  }
 
-    @Test void aChangeIsNewerThanAllThatEitherSideHolds() {
-        var ours = List.of(new Store.Entry("drain/s-1", "by hand", 9, "n#1"));
-        assertThat(EntryMerge.merge(ENTRIES, ours, List.of(new Change("drain/s-1", null)), "n#3")).contains(new Store.Entry("drain/s-1", null, 10, "n#3"));
-        assertThat(EntryMerge.merge(ENTRIES, ours, List.of(new Change("drain/s-1", "by hand")), "n#3")).as("no news").contains(ours.get(0));
-    }
+  @Test
+  void anotherProcessesUpdateIsSeenOnceAndNotOnesOwn() throws Exception {
+    var one = new StateFile(path());
+    var two = new StateFile(path());
+    assertThat(one.readIfChanged()).isNull();
+    two.update(present -> ENTRIES);
+    assertThat(two.readIfChanged()).isNull();
+    assertThat(one.readIfChanged()).isEqualTo(ENTRIES);
+    assertThat(one.readIfChanged()).isNull();
+    one.update(
+        present ->
+            EntryMerge.merge(present, List.of(), List.of(new Change("drain/s-1", null)), "n#1"));
+    assertThat(two.readIfChanged()).contains(new Store.Entry("drain/s-1", null, 6, "n#1"));
+  }
+
+  @Test
+  void aChangeIsNewerThanAllThatEitherSideHolds() {
+    var ours = List.of(new Store.Entry("drain/s-1", "by hand", 9, "n#1"));
+    assertThat(EntryMerge.merge(ENTRIES, ours, List.of(new Change("drain/s-1", null)), "n#3"))
+        .contains(new Store.Entry("drain/s-1", null, 10, "n#3"));
+    assertThat(EntryMerge.merge(ENTRIES, ours, List.of(new Change("drain/s-1", "by hand")), "n#3"))
+        .as("no news")
+        .contains(ours.get(0));
+  }
 }
