A pause of the process is noticed before the news that follows it

Cause: with news before work, the first thing that ran after a SIGSTOP could be news, whose end counted as the loop's last work: the timers that had been due during the stop then ran unheld, and no pause was counted. Change: the executor tells the loop of each task before news runs, with how late it is, and a pause is noticed there, once.

--- a/src/main/java/crankspar/net/Loop.java
+++ b/src/main/java/crankspar/net/Loop.java
@@ -46,10 +46,15 @@
     private final ArrayDeque<Runnable> held = new ArrayDeque<>();
     private DoubleConsumer paused = ms -> { };
     private boolean holding;
+    /** On the loop: when the last task of any kind ended. */
+    private double lastFinished = Double.NEGATIVE_INFINITY;
     private volatile Thread thread;
 
     public Loop(String name) throws IOException {
-        executor = new NewsFirstExecutor(task -> thread = new Thread(task, name));
+        executor = new NewsFirstExecutor(task -> thread = new Thread(task, name), new NewsFirstExecutor.Observer() {
+            @Override public void starting(double late) { noticePause(late); }
+            @Override public void finished() { lastFinished = now(); }
+        });
         group = AsynchronousChannelGroup.withCachedThreadPool(executor, 0);
         newsGroup = AsynchronousChannelGroup.withCachedThreadPool(executor.forNews(), 0);
     }
@@ -85,6 +90,21 @@
         }
     }
 
+    /**
+     * Notices that the process stood still before any news runs: what is new since then ends the silence by which it shows, and the
+     * timers that were due during it would run unheld. A loop that is busy has just finished something.
+     */
+    private void noticePause(double late) {
+        double now = now();
+        double due = Math.max(now - late, lastFinished);
+        if (now - due > Pause.STILL) {
+            double still = pause.began(due, now);
+            if (still > 0) {
+                hold(still);
+            }
+        }
+    }
+
     private void due(double due, Runnable what, Kind kind) {
         double began = now();
         double still = pause.began(due, began);
--- a/src/main/java/crankspar/net/NewsFirstExecutor.java
+++ b/src/main/java/crankspar/net/NewsFirstExecutor.java
@@ -4,6 +4,7 @@
 import java.util.Queue;
 import java.util.concurrent.AbstractExecutorService;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Delayed;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadFactory;
@@ -22,10 +23,20 @@
    */
   private static final int AT_ONCE = 64;
 
+  /** Hears of each task on its thread, before any news runs and after the task. */
+  interface Observer {
+    /** A task begins that was due so long ago (ms). */
+    void starting(double late);
+
+    void finished();
+  }
+
   private final Queue<Runnable> news = new ConcurrentLinkedQueue<>();
+  private final Observer observer;
 
-  NewsFirstExecutor(ThreadFactory threads) {
+  NewsFirstExecutor(ThreadFactory threads, Observer observer) {
     super(1, threads);
+    this.observer = observer;
     setRemoveOnCancelPolicy(true);
     setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
   }
@@ -39,6 +50,9 @@
   @Override
   protected void beforeExecute(Thread thread, Runnable task) {
     super.beforeExecute(thread, task);
+    if (task instanceof Delayed timed) {
+      observer.starting(-timed.getDelay(TimeUnit.NANOSECONDS) / 1e6);
+    }
     for (int i = 0; i < AT_ONCE; i++) {
       Runnable next = news.poll();
       if (next == null) {
@@ -48,6 +62,12 @@
     }
   }
 
+  @Override
+  protected void afterExecute(Runnable task, Throwable failure) {
+    super.afterExecute(task, failure);
+    observer.finished();
+  }
+
   /**
    * The same thread, for a channel group whose completions are news. Its life is this executor's.
    */
--- a/src/main/java/crankspar/net/Pause.java
+++ b/src/main/java/crankspar/net/Pause.java
@@ -21,7 +21,13 @@
     private double lastEnded = Double.NEGATIVE_INFINITY, noticed = Double.NEGATIVE_INFINITY, heard = Double.NEGATIVE_INFINITY;
 
     /** A task that was due at {@code due} begins; how long nothing ran since then (ms), or nought where that is no pause. */
-    double began(double due, double now) { return noticed(now - Math.max(due, lastEnded), now); }
+    double began(double due, double now) {
+        double still = noticed(now - Math.max(due, lastEnded), now);
+        if (still > 0) {
+            lastEnded = now;                  // it is noticed once
+        }
+        return still;
+    }
 
     /** A task has ended; how long it took (ms), or nought where that is no pause. */
     double ended(double began, double now) {
