A failing test: a late process sends for clients that have left and tells too long deadlines

Reproduced with the built program as a process on loopback, before any change of it: 1,200 clients that leave after 50 to 250 ms at a start on one core shared with eight busy processes; 100 that rest and 200 that come during a SIGSTOP of 190 ms and of 1,300 ms, half of them gone again before it ends. Ruled out by this: the databases, the network and the module, which a stop of the process does not touch.

--- a/src/main/java/crankspar/lab/rig/PlatformProcess.java
+++ b/src/main/java/crankspar/lab/rig/PlatformProcess.java
@@ -26,6 +26,7 @@
     private final boolean operated;
     private final Map<String, String> environment = new HashMap<>();
     private Path jar;
+    private List<String> prefix = List.of();
     private Process process;
     private Thread hook;
 
@@ -48,6 +49,9 @@
     /** The next starts have these variables, too. */
     public void environment(Map<String, String> variables) { environment.putAll(variables); }
 
+    /** The next starts may use this core only. */
+    public void onCore(int core) { prefix = List.of("taskset", "-c", Integer.toString(core)); }
+
     /** The next start is of another version. */
     public void jar(Path jar) { this.jar = jar; }
 
@@ -73,7 +77,8 @@
     /** Starts it and waits for nothing. */
     public void begin() throws IOException {
         Path tmp = Files.createDirectories(folder.resolve("tmp"));
-        var command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        var command = new ArrayList<>(prefix);
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(PoolerProcess.JVM);
         command.add(HEAP);
         command.addAll(List.of("-cp", jar == null ? System.getProperty("java.class.path") : jar.toString(), "crankspar.Main", "serve"));
--- /dev/null
+++ b/src/test/java/crankspar/lab/rig/LateProcessTest.java
@@ -0,0 +1,138 @@
+package crankspar.lab.rig;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import crankspar.TestSettings;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A real process that is late, because it was stopped or starts on a starved core: nothing is sent
+ * for a client that has left, and no database is told more time than its client still waits.
+ */
+class LateProcessTest {
+  private static final double WAITS_MS = 2000;
+  private static final double ANSWER_MS = 5;
+  private static final long PATIENCE_MS = 30_000;
+
+  /** All that a late process still does after its clients have left comes within this. */
+  private static final long AFTERMATH_MS = 2500;
+
+  private static final int DATABASES = 4;
+  private static final int BUSY = 8;
+  private static final int CROWD = 1200;
+  private static final int WARM = 300;
+  private static final int RESTING = 100;
+
+  private final AttemptHistory history = new AttemptHistory();
+  private final List<RecordingDatabase> databases = new ArrayList<>();
+  private PlatformProcess process;
+  private LeavingClients clients;
+
+  private static int freePort() throws IOException {
+    try (var s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
+    }
+  }
+
+  @BeforeEach
+  void prepare() throws Exception {
+    for (int i = 0; i < DATABASES; i++) {
+      databases.add(new RecordingDatabase(history, i == 0, ANSWER_MS));
+    }
+    var address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+    String configuration =
+        """
+        {"name":"n3","listen":"127.0.0.1:%d","discovery":"127.0.0.1:1","known":{"revision":7,
+        "complete":true,"members":[%s]},"settings":%s}"""
+            .formatted(address.getPort(), members(), TestSettings.JSON);
+    process = new PlatformProcess("late", address, configuration, null, null);
+    clients = new LeavingClients(history, address, WAITS_MS, 40);
+  }
+
+  private String members() {
+    return databases.stream()
+        .map(
+            d ->
+                """
+                {"id":"s-%d","host_port":"127.0.0.1:%d","locality":"burnaby","flavor":"m","cell":2,
+                "phase":"up","size":1.0,"up_since_ms":0,"role":"%s"}"""
+                    .formatted(d.port(), d.port(), d == databases.get(0) ? "primary" : "replica"))
+        .collect(Collectors.joining(","));
+  }
+
+  @AfterEach
+  void end() throws Exception {
+    clients.close();
+    process.close();
+    databases.forEach(RecordingDatabase::close);
+  }
+
+  private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).as(what).isLessThan(until);
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+  }
+
+  private void serves() throws InterruptedException {
+    int before = clients.answered();
+    clients.arrive(1, 0, PATIENCE_MS, PATIENCE_MS);
+    await("it serves", () -> clients.answered() > before);
+  }
+
+  @Test
+  void aStartOnAStarvedCoreSendsNothingForClientsThatHaveLeft() throws Exception {
+    int core = BusyCore.last();
+    try (var busy = new BusyCore(core, BUSY)) {
+      process.onCore(core);
+      process.start();
+      clients.arrive(CROWD, 1500, 50, 250);
+      TimeUnit.MILLISECONDS.sleep(1500 + AFTERMATH_MS);
+    }
+    serves();
+    assertThat(history.leftUnanswered()).as("clients that left").isGreaterThan(CROWD / 10);
+    assertThat(history.broken()).isEmpty();
+  }
+
+  /** Clients that rest ask and leave while the process stands still, and more come to its door. */
+  private void standsStill(long ms) throws Exception {
+    process.start();
+    clients.arrive(WARM, 1000, PATIENCE_MS, PATIENCE_MS);
+    await("it is warm", () -> clients.answered() == WARM);
+    clients.rest(RESTING);
+    await("all are welcomed", () -> clients.welcomed() == WARM + RESTING);
+    process.signal("STOP");
+    double until = AttemptHistory.now() + ms;
+    clients.askAll(10, 40);
+    clients.arrive(RESTING, 20, 10, 40);
+    clients.arrive(RESTING, 20, 600, 900);
+    TimeUnit.MILLISECONDS.sleep((long) (until - AttemptHistory.now()));
+    process.signal("CONT");
+    TimeUnit.MILLISECONDS.sleep(AFTERMATH_MS);
+    serves();
+    assertThat(history.leftUnanswered()).as("clients that left").isGreaterThan(RESTING);
+    assertThat(history.broken()).isEmpty();
+  }
+
+  @Test
+  void aShortStopSendsNothingForClientsThatLeftMeanwhile() throws Exception {
+    standsStill(190);
+  }
+
+  @Test
+  void aLongStopSendsNothingForClientsThatLeftMeanwhile() throws Exception {
+    standsStill(1300);
+  }
+}
