--- a/src/main/java/crankspar/cli/AuditCommand.java
+++ b/src/main/java/crankspar/cli/AuditCommand.java
@@ -20,10 +20,10 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine;
 
 /** {@code crankspar audit}: asks all poolers, or reads ledgers of the dead, and compares. */
 @Command(name = "audit", description = "Which pooler acted on which version of what. Exit 1 where a rule's bound was passed, 3 where a pooler could not be asked.",
--- a/src/main/java/crankspar/cli/Commands.java
+++ b/src/main/java/crankspar/cli/Commands.java
@@ -1,11 +1,11 @@
 package crankspar.cli;
 
-import crankspar.policy.Balance;
 import crankspar.BenchLink;
 import crankspar.config.Config;
 import crankspar.config.Operator;
 import crankspar.daemon.Daemon;
 import crankspar.gossip.GossipReceiver;
+import crankspar.policy.Balance;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -14,10 +14,10 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.stream.Stream;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine;
 
 /** The command line. */
 @Command(name = "crankspar", description = "A pooler for shards of a primary and its replicas.",
--- a/src/main/java/crankspar/config/Config.java
+++ b/src/main/java/crankspar/config/Config.java
@@ -1,8 +1,8 @@
 package crankspar.config;
 
-import crankspar.json.Json;
 import crankspar.Router;
 import crankspar.discovery.MemberList;
+import crankspar.json.Json;
 import crankspar.net.Addresses;
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/src/main/java/crankspar/config/PoolingReader.java
+++ b/src/main/java/crankspar/config/PoolingReader.java
@@ -1,13 +1,13 @@
 package crankspar.config;
 
-import crankspar.Router;
 import crankspar.Router.Freshness;
+import crankspar.Router;
 import crankspar.discovery.MemberList;
 import crankspar.pooling.Pins;
 import crankspar.pooling.Setup;
 import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
 import java.util.EnumSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
--- a/src/main/java/crankspar/config/Section.java
+++ b/src/main/java/crankspar/config/Section.java
@@ -1,8 +1,8 @@
 package crankspar.config;
 
+import com.typesafe.config.ConfigException;
 import com.typesafe.config.ConfigList;
 import com.typesafe.config.ConfigMemorySize;
-import com.typesafe.config.ConfigException;
 import com.typesafe.config.ConfigObject;
 import com.typesafe.config.ConfigOrigin;
 import com.typesafe.config.ConfigValue;
--- a/src/main/java/crankspar/core/Attempt.java
+++ b/src/main/java/crankspar/core/Attempt.java
@@ -1,5 +1,7 @@
 package crankspar.core;
 
+import crankspar.Router.Freshness;
+
 /** One sending of a request to one member, from the module's word to its end. */
 final class Attempt<Q, A> implements Ports.Hearer<A> {
     private final Pooler<Q, A> core;
@@ -20,6 +22,8 @@
         number = owed.sent++;
     }
 
+    @Override public boolean wanted() { return core.wanted(this); }
+
     /** Told by the wire or, where an answer overtakes that, known from how it ended. */
     @Override public void written() {
         if (!written) {
@@ -28,9 +32,25 @@
         }
     }
 
-    @Override public boolean began(A answer) { return core.began(this, answer); }
+    @Override public boolean began(A answer) { return began(answer, owed.freshness() == Freshness.WRITE ? null : AttemptEnd.Note.NONE); }
+
+    @Override public boolean held(A answer, AttemptEnd.Note note) { return began(answer, core.plausible(note)); }
 
-    @Override public boolean held(A answer, AttemptEnd.Note note) { return core.held(this, answer, note); }
+    /**
+     * From its first bytes on an answer belongs to its client: no time-out, no other attempt, no other answer.
+     * A read's member has done its work by then, and slow readers must not make it look silent; a write's
+     * outcome waits for the note behind its answer.
+     */
+    private boolean began(A answer, AttemptEnd.Note tell) {
+        if (ended || owed.over || owed.begun != null) {
+            return false;
+        }
+        written();
+        owed.begun = this;
+        owed.reply.began(answer);
+        core.begun(this, tell);
+        return true;
+    }
 
     @Override public void ended(AttemptEnd<A> end) { core.ended(this, end); }
 }
--- a/src/main/java/crankspar/core/AttemptEnd.java
+++ b/src/main/java/crankspar/core/AttemptEnd.java
@@ -1,6 +1,7 @@
 package crankspar.core;
 
 import crankspar.Router.Role;
+import crankspar.Router.Status;
 
 /**
  * How an attempt ended, as a value: each kind is one row of the protocol's table of outcomes.
@@ -13,15 +14,44 @@
         public static final Note NONE = new Note(Role.UNKNOWN, Double.NaN);
     }
 
-    record Served<A>(A answer, Note note) implements AttemptEnd<A> { }
+    /** What the module hears of it. */
+    Status status();
+    default Note note() { return Note.NONE; }
+    /** Whether its last byte has been handed to the system. */
+    default boolean written() { return true; }
+    /** Whether it may have run without a whole answer that says so. */
+    default boolean uncertain() { return false; }
+
+    record Served<A>(A answer, Note note) implements AttemptEnd<A> {
+        @Override public Status status() { return Status.OK; }
+    }
+
     /** Turned away for its role or for how far it lags; nothing ran. */
-    record Missed<A>(Note note) implements AttemptEnd<A> { }
+    record Missed<A>(Note note) implements AttemptEnd<A> {
+        @Override public Status status() { return Status.MISS; }
+    }
+
     /** Turned away unseen. */
-    record TurnedAway<A>(Note note) implements AttemptEnd<A> { }
+    record TurnedAway<A>(Note note) implements AttemptEnd<A> {
+        @Override public Status status() { return Status.FULL; }
+    }
+
     /** Answered with an error; it may have run. */
-    record Erred<A>(Note note, String why) implements AttemptEnd<A> { }
+    record Erred<A>(Note note, String why) implements AttemptEnd<A> {
+        @Override public Status status() { return Status.ERROR; }
+        @Override public boolean uncertain() { return true; }
+    }
+
     /** Never written, and its member is not to blame: the time was up before a connection was. */
-    record Unsent<A>(String why) implements AttemptEnd<A> { }
+    record Unsent<A>(String why) implements AttemptEnd<A> {
+        @Override public Status status() { return Status.MOOT; }
+        @Override public boolean written() { return false; }
+    }
+
     /** The connection failed or ended first. */
-    record Broken<A>(Reach reach, String why) implements AttemptEnd<A> { }
+    record Broken<A>(Reach reach, String why) implements AttemptEnd<A> {
+        @Override public Status status() { return reach.mayHaveRun() ? Status.RESET : Status.CONNECT_FAILED; }
+        @Override public boolean written() { return reach.mayHaveRun(); }
+        @Override public boolean uncertain() { return reach.mayHaveRun(); }
+    }
 }
--- a/src/main/java/crankspar/core/PendingRequest.java
+++ b/src/main/java/crankspar/core/PendingRequest.java
@@ -42,6 +42,11 @@
 
     Freshness freshness() { return kind.freshness(); }
 
+    /** Its state in words, for the log. */
+    String told(double now) {
+        return ", class " + kind.name() + ", " + Math.round(now - taken) + " ms since it was taken, " + Math.round(deadline - now) + " ms left, " + sent + " attempts";
+    }
+
     /**
      * How long the next attempt's connection may take to come up (ms). Guards against a keyed repeat that was asked for within
      * its window and written after it, when nobody discards it any more.
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -1,30 +1,31 @@
 package crankspar.core;
 
-import crankspar.Router;
 import crankspar.Router.Freshness;
 import crankspar.Router.ListKind;
 import crankspar.Router.Member;
 import crankspar.Router.Outcome;
 import crankspar.Router.Role;
 import crankspar.Router.Status;
+import crankspar.Router;
 import crankspar.core.Ports.Ask;
 import crankspar.core.Ports.Audit;
 import crankspar.core.Ports.Backends;
 import crankspar.core.Ports.Call;
 import crankspar.core.Ports.Discovery;
 import crankspar.core.Ports.Hearer;
-import crankspar.core.Ports.Reply;
-import crankspar.core.Ports.Sessions;
-import crankspar.core.Ports.Time;
 import crankspar.core.Ports.Peers;
 import crankspar.core.Ports.Probed;
 import crankspar.core.Ports.Probes;
+import crankspar.core.Ports.Reply;
+import crankspar.core.Ports.Sessions;
+import crankspar.core.Ports.Time;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiFunction;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 
 /**
@@ -56,7 +57,8 @@
     private final Prober<A> prober;
     private Audit audit;
     private Sessions sessions;
-    private Function<Q, String> naming;
+    private Function<Q, String> naming = query -> null;
+    private RequestLog log = RequestLog.NONE;
     private Peers peers = message -> { };
     private double lastAnswer = Double.POSITIVE_INFINITY;
 
@@ -97,15 +99,11 @@
         double now = now();
         double ttl = Math.max(0, Math.min(asked.ttl(), lastAnswer - now));
         var ask = new Ask<>(asked.requestClass(), ttl, asked.session(), asked.mark(), asked.group(), asked.query());
-        String name = audit == null ? null : naming.apply(ask.query());
+        String name = naming.apply(ask.query());
         var o = new PendingRequest<>(ask, settings.classes().get(ask.requestClass()), reply, now, name == null ? id : name);
         owed.put(id, o);
         owing++;
-        double mark = ask.mark();
-        if (sessions != null && o.freshness() == Freshness.SESSION) {
-            double need = sessions.need(ask.session());
-            mark = Double.isNaN(need) || mark > need ? mark : need;
-        }
+        double mark = sessions != null && o.freshness() == Freshness.SESSION ? sessions.atLeast(ask.session(), ask.mark()) : ask.mark();
         // A mark told in the same millisecond may lie ahead of this clock: it is a mark all the same.
         double age = Double.isNaN(mark) ? -1 : Math.max(0.001, now - mark);
         event(() -> module.onRequest(now, new Router.Request(id, ask.requestClass(), ask.ttl(), ask.session(),
@@ -113,6 +111,7 @@
         time.after(ask.ttl() + settings.rules().answerSlack() * LAST, () -> {
             if (!o.over && o.begun == null) {
                 counters.add("overdue");
+                log("failed", o, () -> "deadline");
                 event(() -> module.onGone(now(), id));
                 answer(id, o, new FinalAnswer.Failed<>(o.mayHaveRun || !o.out.isEmpty(), "deadline"));
             }
@@ -125,6 +124,7 @@
         PendingRequest<Q, A> o = owed.get(id);
         if (o != null && !o.over) {
             counters.add("gone");
+            log("closed", o, () -> "its client has left");
             event(() -> module.onGone(now(), id));
             conclude(id, o);
             List.copyOf(o.out).forEach(this::callOff);
@@ -183,6 +183,19 @@
 
     public double now() { return time.now(); } // the clock that all deadlines are on
 
+    /** The last check, right before an attempt is written: its client is there, and time is left. */
+    boolean wanted(Attempt<Q, A> a) {
+        PendingRequest<Q, A> o = a.owed;
+        if (!a.ended && !o.over && !o.reply.present()) {
+            if (o.reply.kept()) {
+                left(a.request);
+            } else {
+                gone(a.request);
+            }
+        }
+        return !a.ended && o.open(now());
+    }
+
     /** An attempt's last byte has left. */
     void written(Attempt<Q, A> a) {
         figures.written();
@@ -191,12 +204,6 @@
         }
     }
 
-    boolean began(Attempt<Q, A> a, A answer) {
-        return began(a, answer, a.owed.freshness() == Freshness.WRITE ? null : AttemptEnd.Note.NONE);
-    }
-
-    boolean held(Attempt<Q, A> a, A answer, AttemptEnd.Note note) { return began(a, answer, notes.plausible(note)); }
-
     // ---- What the module wants.
     @Override public void send(String request, String member, double timeout) {
         PendingRequest<Q, A> o = owed.get(request);
@@ -210,6 +217,9 @@
             return;
         }
         double within = o.within(now());
+        if (a.number > 0) {
+            log("retried", o, () -> "attempt " + (a.number + 1) + " at " + member);
+        }
         o.began(a);
         counters.add("sent");
         a.call = backends.send(member, o.ask.query(), left, within, a);
@@ -228,64 +238,46 @@
         });
     }
 
-    /**
-     * From its first bytes on an answer belongs to its client: no time-out, no other attempt, no other answer.
-     * A read's member has done its work by then, and slow readers must not make it look silent; a write's
-     * outcome waits for the note behind its answer.
-     */
-    private boolean began(Attempt<Q, A> a, A answer, AttemptEnd.Note tell) {
-        PendingRequest<Q, A> o = a.owed;
-        if (a.ended || o.over || o.begun != null) {
-            return false;
-        }
-        a.written();
-        o.begun = a;
+    /** An attempt's answer has begun; {@code tell} is what the module hears of it now, null where its end is awaited. */
+    void begun(Attempt<Q, A> a, AttemptEnd.Note tell) {
         counters.add("begun");
-        o.reply.began(answer);
         if (tell != null) {
             a.told = true;
             event(() -> module.onOutcome(now(), new Outcome(a.request, a.number, a.member, Status.OK, now() - a.sent,
                     true, tell.role(), tell.position())));
         }
-        return true;
     }
 
+    AttemptEnd.Note plausible(AttemptEnd.Note note) { return notes.plausible(note); }
+
     void ended(Attempt<Q, A> a, AttemptEnd<A> end) {
         if (a.ended) {
             return;
         }
-        if (!(end instanceof AttemptEnd.Unsent) && (!(end instanceof AttemptEnd.Broken<A> b) || b.reach().mayHaveRun())) {
+        if (end.written()) {
             a.written();
         }
         if (a.owed.begun == a && !a.owed.over && !(end instanceof AttemptEnd.Served)) {
             counters.add("begun_broken");
             answer(a.request, a.owed, new FinalAnswer.Failed<>(true, "the answer broke off"));
         }
+        AttemptEnd.Note note = notes.plausible(end.note());
         if (end instanceof AttemptEnd.Served<A> s) {
-            AttemptEnd.Note note = notes.plausible(s.note());
             if (sessions != null && a.owed.freshness() == Freshness.WRITE) {
                 sessions.wrote(a.owed.ask.session(), note.position());
             }
             if (!a.owed.over && (a.owed.begun == null || a.owed.begun == a)) {
                 answer(a.request, a.owed, new FinalAnswer.Served<>(s.answer(), note));
             }
-            end(a, Status.OK, note);
-        } else if (end instanceof AttemptEnd.Missed<A> m) {
-            end(a, Status.MISS, notes.plausible(m.note()));
-        } else if (end instanceof AttemptEnd.TurnedAway<A> t) {
-            end(a, Status.FULL, notes.plausible(t.note()));
-        } else if (end instanceof AttemptEnd.Erred<A> e) {
-            a.owed.mayHaveRun = true;
-            end(a, Status.ERROR, notes.plausible(e.note()));
-        } else if (end instanceof AttemptEnd.Unsent) {
-            end(a, Status.MOOT, AttemptEnd.Note.NONE);
-        } else if (end instanceof AttemptEnd.Broken<A> b) {
-            a.owed.mayHaveRun |= b.reach().mayHaveRun();
-            LOG.fine(() -> "attempt at " + a.member + " broke, " + b.reach() + ": " + b.why());
-            end(a, b.reach().mayHaveRun() ? Status.RESET : Status.CONNECT_FAILED, AttemptEnd.Note.NONE);
+        } else {
+            log("attempt " + (a.number + 1) + " ended", a.owed, () -> a.member + " " + end);
         }
+        a.owed.mayHaveRun |= end.uncertain();
+        end(a, end.status(), note);
     }
 
+    private void log(String event, PendingRequest<Q, A> o, Supplier<String> details) { log.write(event, o.name, () -> details.get() + o.told(now())); }
+
     private void end(Attempt<Q, A> a, Status status, AttemptEnd.Note note) {
         a.ended = true;
         if (audit != null && note.role() != Role.UNKNOWN) {
@@ -309,6 +301,7 @@
     @Override public void refuse(String request, double retryIn) {
         PendingRequest<Q, A> o = owed.get(request);
         if (o != null && !o.over && o.begun == null) {
+            log("refused", o, () -> "by routing, to be tried again in " + Math.round(retryIn) + " ms");
             answer(request, o, new FinalAnswer.Refused<>(retryIn));
         }
     }
@@ -316,6 +309,7 @@
     @Override public void fail(String request) {
         PendingRequest<Q, A> o = owed.get(request);
         if (o != null && !o.over && o.begun == null) {
+            log("failed", o, () -> "given up by routing");
             answer(request, o, new FinalAnswer.Failed<>(o.mayHaveRun || !o.out.isEmpty(), "given up"));
         }
     }
@@ -324,8 +318,7 @@
         conclude(id, o);
         figures.answered(o.ask.requestClass(), answer);
         if (audit != null) {
-            audit.answered(o.name, answer instanceof FinalAnswer.Served<A> ? Audit.Answer.SERVED
-                    : answer instanceof FinalAnswer.Refused<A> ? Audit.Answer.REFUSED : Audit.Answer.FAILED, o.ask.requestClass(), now());
+            audit.answered(o.name, Audit.Answer.of(answer), o.ask.requestClass(), now());
         }
         counters.add("answered_" + answer.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT));
         o.reply.answer(answer);
@@ -377,11 +370,17 @@
     /** From now on sessions' marks are shared with other processes of this pooler. */
     public void sessions(Sessions sessions) { this.sessions = sessions; }
 
-    /** From now on what is sent and answered is kept there; {@code naming} gives a query's own name, or null where it has none. */
-    public void audit(Audit audit, Function<Q, String> naming) {
-        this.audit = audit;
-        this.naming = naming;
-    }
+    /** From now on what is sent and answered is kept there. */
+    public void audit(Audit audit) { this.audit = audit; }
+
+    /** Gives a query's own name, by which logs and the audit know it, or null where it has none. */
+    public void naming(Function<Q, String> naming) { this.naming = naming; }
+
+    /** A front closes a client's connection with this request owed, or null where none is. */
+    public void closing(String request, String why) { log.write("connection closed", request, () -> why); }
+
+    /** From now on refusals, retries and closes are told there. */
+    public void log(RequestLog log) { this.log = log; }
 
     /** From now on the module's messages go this way. */
     public void peers(Peers peers) { this.peers = peers; }
--- a/src/main/java/crankspar/core/Ports.java
+++ b/src/main/java/crankspar/core/Ports.java
@@ -19,6 +19,11 @@
 
     /** What an attempt tells of itself, each thing once at most. */
     interface Hearer<A> {
+        /**
+         * Whether somebody still waits for it; asked right before it is written, and a no means that it is not. Guards against
+         * an attempt for a client that left while a connection came up, or while this process was late.
+         */
+        default boolean wanted() { return true; }
         /** Its last byte has left. */
         default void written() { }
         /**
@@ -37,6 +42,13 @@
 
     /** Where a request's one final answer goes. */
     interface Reply<A> {
+        /**
+         * Whether its client is still there, by what its connection holds at this moment. Asked right before an attempt begins;
+         * a client that has left may be told of as gone within this call.
+         */
+        default boolean present() { return true; }
+        /** Whether the answer is kept for who asks again: what is out when its client has left is awaited then. */
+        default boolean kept() { return false; }
         /** The answer has begun, and the rest comes as the server gives it; the final answer tells how it ended. */
         default void began(A answer) { throw new UnsupportedOperationException("answers are taken whole here"); }
         void answer(FinalAnswer<A> answer);
@@ -54,7 +66,7 @@
 
     /** Who probes for several, so that not each has to. */
     interface Probes {
-        /** Whether this member's probes are taken care of: its results come by {@link #probed}. */
+        /** Whether this member's probes are taken care of: its results come by {@link Pooler#probed}. */
         boolean takes(Pooler<?, ?> core, String member);
     }
 
@@ -74,11 +86,23 @@
         void wrote(String session, double commit);
         /** The position (Unix ms) that a read of this session must see, or NaN. */
         double need(String session);
+        /** The later of this mark (or NaN) and what the session needs. */
+        default double atLeast(String session, double mark) {
+            double need = need(session);
+            return Double.isNaN(need) || mark > need ? mark : need;
+        }
     }
 
     /** Who keeps what was sent under which stand; see the package {@code audit}. Off the path of a request where there is none. */
     interface Audit {
-        enum Answer { SERVED, REFUSED, FAILED }
+        enum Answer {
+            SERVED, REFUSED, FAILED;
+
+            static Answer of(FinalAnswer<?> answer) {
+                return answer instanceof FinalAnswer.Served ? SERVED : answer instanceof FinalAnswer.Refused ? REFUSED : FAILED;
+            }
+        }
+
         /** An attempt's last byte has left; it counts under the present stand. */
         void sent(String request, String member, int requestClass, double now);
         void answered(String request, Answer how, int requestClass, double now);
@@ -86,7 +110,7 @@
         void role(String member, Role role, double position);
     }
 
-    /** The list of members: ends of a watch come back through {@link #watchLost}. */
+    /** The list of members: ends of a watch come back through {@link Pooler#watchLost}. */
     interface Discovery {
         void watch(boolean on);
     }
--- a/src/main/java/crankspar/daemon/Assembly.java
+++ b/src/main/java/crankspar/daemon/Assembly.java
@@ -6,13 +6,14 @@
 import crankspar.core.Counters;
 import crankspar.core.Pooler;
 import crankspar.core.Ports;
+import crankspar.core.RequestLog;
 import crankspar.discovery.Watch;
 import crankspar.duties.SharedProbes;
 import crankspar.duties.SharedWatch;
-import crankspar.handover.SessionRing;
 import crankspar.gossip.GossipReceiver;
+import crankspar.handover.SessionRing;
 import crankspar.mgmt.Calls;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import crankspar.net.Pool;
 import crankspar.pg.PgAnswer;
 import crankspar.pg.PgFront;
@@ -46,7 +47,8 @@
     /** Changes of the store that nobody waits for are written to its snapshot together, this long (ms) after the first. */
     private static final double SNAPSHOT_DELAY = 500;
 
-    final Loop loop;
+    final EventLoop loop;
+    final RequestLog requestLog;
     final Counters counters = new Counters();
     final Store store;
     final Commits commits;
@@ -76,8 +78,9 @@
         Router.Settings restSettings = operator != null && operator.settings() != null ? operator.settings() : config != null ? config.settings() : null;
         plan(config, operator, restSettings);
         sharesWatch = operator != null && operator.membership() != null && operator.membership().watch();
-        loop = new Loop("loop");
-        loop.onPause(ms -> {
+        loop = new EventLoop("loop");
+        requestLog = new RequestLog(loop);
+        loop.onStall(ms -> {
             counters.add("pauses");
             if (auditing != null) {
                 auditing.paused(ms);
@@ -178,6 +181,7 @@
                 Router.Settings s = config.settings();
                 var pool = new Pool<Statement, PgAnswer>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(), s.limits().dialTimeout(), s.limits().connIdle(), servers);
                 platformCore = new Pooler<>(s, loop, pool, discovery, counters, GossipReceiver.before(Balance::new));
+                platformCore.naming(statement -> statement.names().get("id"));
                 if (shared != null && s.sessionMarks() == Router.SessionMarks.REMEMBERED) {
                     shareSessions(beside(shared, ".sessions"));
                 }
--- a/src/main/java/crankspar/daemon/Auditing.java
+++ b/src/main/java/crankspar/daemon/Auditing.java
@@ -13,7 +13,7 @@
 import crankspar.core.Pooler;
 import crankspar.discovery.Watch;
 import crankspar.membership.Datagrams;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import crankspar.store.Store;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -29,12 +29,12 @@
 
 /** Puts the audit between the parts that it hears and those that carry out what it decides. The first front is audited. */
 final class Auditing implements AutoCloseable {
-    private final Loop loop;
+    private final EventLoop loop;
     private final Auditor auditor;
     private final Datagrams own;
 
     /** What of the daemon it needs: the first front with its list and its watch (or null), and all fronts to shut. */
-    record Parts(Loop loop, Counters counters, Store store, Peering peering, List<Front> fronts, List<Directory> directories, Watch watch,
+    record Parts(EventLoop loop, Counters counters, Store store, Peering peering, List<Front> fronts, List<Directory> directories, Watch watch,
                  BooleanSupplier leaving) { }
 
     Auditing(Parts parts, Operator.Audit setup, Config config, String name, Router.Settings settings) throws Config.Bad, IOException, InterruptedException {
@@ -105,7 +105,10 @@
     }
 
     /** From now on what this core sends is kept; {@code naming} gives a query's own name. */
-    <Q> void attach(Pooler<Q, ?> core, Function<Q, String> naming) { core.audit(auditor, naming); }
+    <Q> void attach(Pooler<Q, ?> core, Function<Q, String> naming) { 
+        core.naming(naming);
+        core.audit(auditor);
+    }
 
     /** Files have been read anew. */
     void reloaded(Config config, Watch watch) {
--- a/src/main/java/crankspar/daemon/DrainPropagation.java
+++ b/src/main/java/crankspar/daemon/DrainPropagation.java
@@ -2,9 +2,9 @@
 
 import crankspar.Router.Health;
 import crankspar.Router.Member;
-import crankspar.gossip.GossipMessage;
 import crankspar.gossip.DrainNotices;
-import crankspar.net.Loop;
+import crankspar.gossip.GossipMessage;
+import crankspar.net.EventLoop;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.Map;
@@ -15,13 +15,13 @@
 final class DrainPropagation {
     private static final Logger LOG = Logger.getLogger(DrainPropagation.class.getName());
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Peering peering;
     private final Directory directory;
     private final DrainNotices notices;
     private int looks;
 
-    private DrainPropagation(Loop loop, Peering peering, Directory directory, int me) {
+    private DrainPropagation(EventLoop loop, Peering peering, Directory directory, int me) {
         this.loop = loop;
         this.peering = peering;
         this.directory = directory;
@@ -29,7 +29,7 @@
     }
 
     /** Where lists are asked for, as a pushed list's agent is each pooler's own; null elsewhere. */
-    static DrainPropagation attach(Loop loop, Peering peering, Served front) {
+    static DrainPropagation attach(EventLoop loop, Peering peering, Served front) {
         int me = front.settings().me();
         if (front.watch() == null || !front.settings().askDiscovery() || front.settings().siblings() < 2 || me >= GossipMessage.POOLERS_MOST) {
             return null;
--- a/src/main/java/crankspar/daemon/Fronts.java
+++ b/src/main/java/crankspar/daemon/Fronts.java
@@ -56,6 +56,7 @@
         }, () -> members[0].watchLost());
         Made made = plan.making().make(watch == null ? on -> { } : parts.watching(watch));
         parts.loop.runAndWait(() -> {
+            made.core().log(parts.requestLog);
             members[0] = new Directory(parts.loop, settings.rules().rampTime(), parts.store, plan.name(), made.pool(), made.core());
             follow(watch, settings, members[0]);
             members[0].start(plan.known());
--- a/src/main/java/crankspar/daemon/GracefulShutdown.java
+++ b/src/main/java/crankspar/daemon/GracefulShutdown.java
@@ -48,7 +48,8 @@
      * Ends in order: still open, then nothing new, then the last answers. Guards against a gap: poolers are restarted in
      * turn, and one that closed 0.6 s after its signal was gone for 2 s before the one before it was back.
      */
-    void stop(double since) throws InterruptedException {
+    void stop(double noticed) throws InterruptedException {
+        double since = Math.max(noticed, parts.loop.now() - parts.loop.earliestOfNow()); // it came while the process stood still
         if (parts.peering.shared() != null) {
             parts.loop.run(parts.peering.shared()::leave);
         }
@@ -61,7 +62,7 @@
             alone(answered, Math.max(KILL_AFTER - SPARE - since, answered - LAST_REQUEST));
         }
         parts.settle();
-        parts.loop.runAndWait(() -> System.err.println("counters " + parts.counters));
+        parts.loop.runAndWait(() -> System.err.println("counters " + parts.counters + " loop_lag_most_ms=" + Math.round(parts.loop.mostLag())));
     }
 
     private void alone(double answered, double open) throws InterruptedException {
--- a/src/main/java/crankspar/daemon/OperatorCalls.java
+++ b/src/main/java/crankspar/daemon/OperatorCalls.java
@@ -74,6 +74,8 @@
             parts.pooling.figures().forEach((name, n) -> all.add(Figure.gauge(name, n)));
         }
         all.add(Figure.gauge("memory_peak_kib", ProcessMemory.peak()));
+        all.add(Figure.gauge("loop_lag_ms", Math.round(parts.loop.recentLag())));
+        all.add(Figure.gauge("loop_lag_most_ms", Math.round(parts.loop.mostLag())));
         return all;
     }
 
--- a/src/main/java/crankspar/daemon/Peering.java
+++ b/src/main/java/crankspar/daemon/Peering.java
@@ -8,7 +8,7 @@
 import crankspar.duties.SharedProbes;
 import crankspar.duties.SharedWatch;
 import crankspar.membership.Datagrams;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -25,7 +25,7 @@
     /** How often the peers' port is tried again while a predecessor has it (ms). */
     private static final double PORT_RETRY = 200;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Counters counters;
     private volatile SharedProbes shared;
     private volatile Datagrams peers;
@@ -33,7 +33,7 @@
     private final Map<Byte, Consumer<byte[]>> takers = new ConcurrentHashMap<>();
     private volatile Consumer<byte[]> toAll = message -> { };
 
-    Peering(Loop loop, Counters counters) {
+    Peering(EventLoop loop, Counters counters) {
         this.loop = loop;
         this.counters = counters;
     }
--- a/src/main/java/crankspar/daemon/Warmup.java
+++ b/src/main/java/crankspar/daemon/Warmup.java
@@ -1,23 +1,24 @@
 package crankspar.daemon;
 
-import crankspar.policy.Balance;
-import crankspar.Router;
 import crankspar.Router.Freshness;
 import crankspar.Router.Health;
 import crankspar.Router.Member;
+import crankspar.Router;
 import crankspar.core.AttemptEnd;
 import crankspar.core.Counters;
 import crankspar.core.Pooler;
 import crankspar.core.Ports;
 import crankspar.core.Reach;
 import crankspar.gossip.GossipReceiver;
-import crankspar.net.Carrier;
-import crankspar.net.Machine;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.ServerConnectionHandler;
 import crankspar.pg.PgAnswer;
 import crankspar.pg.PgEncoder;
 import crankspar.pg.PgFront;
 import crankspar.pg.PgMessage;
 import crankspar.pg.Statement;
+import crankspar.policy.Balance;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -56,7 +57,7 @@
     private long order;
 
     /** Sinks what a machine writes, and says that it has left. */
-    private final class Sink implements Machine.Out {
+    private static final class Sink implements Connection {
         private final Consumer<byte[]> to;
 
         Sink(Consumer<byte[]> to) { this.to = to; }
@@ -83,11 +84,12 @@
         var pooler = new Pooler<Statement, PgAnswer>(settings, this, this, this, counters, GossipReceiver.before(Balance::new));
         pooler.peers(pooler::heard);
         if (audit != null) {
-            pooler.audit(audit, statement -> statement.names().get("id"));
+            pooler.naming(statement -> statement.names().get("id"));
+            pooler.audit(audit);
         }
         var front = new PgFront(null, settings, counters, pooler, Integer.MAX_VALUE);
         pooler.start(members);
-        Machine client = null;
+        ConnectionHandler client = null;
         for (int i = 0; i < requests && (System.nanoTime() - began) / 1e6 < most; i++) {
             if (i % 50 == 0) {
                 client = front.session();
@@ -135,8 +137,8 @@
     @Override public Ports.Call send(String member, Statement query, double left, double within,
                                       Ports.Hearer<PgAnswer> hearer) {
         boolean load = query.equals(PgFront.probe());
-        Carrier<Statement, PgAnswer> carrier = PgFront.dial(counters);
-        carrier.keeper(new Carrier.Keeper() {
+        ServerConnectionHandler<Statement, PgAnswer> carrier = PgFront.dial(counters);
+        carrier.keeper(new ServerConnectionHandler.Keeper() {
             @Override public void ready() { }
             @Override public void gone(String why) { }
         });
--- a/src/main/java/crankspar/discovery/Watch.java
+++ b/src/main/java/crankspar/discovery/Watch.java
@@ -1,14 +1,15 @@
 package crankspar.discovery;
 
 import crankspar.Router;
-import crankspar.json.Json;
 import crankspar.core.Counters;
 import crankspar.core.Ports;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
 import crankspar.http.HttpText;
-import crankspar.net.Loop;
-import crankspar.net.Machine;
+import crankspar.json.Json;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -31,7 +32,7 @@
         public static Terms of(Router.Settings settings) { return new Terms(!settings.askDiscovery(), settings.rules().drainGrace()); }
     }
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Counters counters;
     private final Consumer<MemberList> lists;
     private final Runnable lost;
@@ -42,7 +43,7 @@
     private final List<Runnable> word = new ArrayList<>();
     private int looks;
 
-    public Watch(Loop loop, InetSocketAddress address, long revision, Counters counters, Terms terms,
+    public Watch(EventLoop loop, InetSocketAddress address, long revision, Counters counters, Terms terms,
                  Consumer<MemberList> lists, Runnable lost) {
         this.loop = loop;
         this.address = address;
@@ -113,12 +114,12 @@
         }
     }
 
-    private final class Session implements Machine, HttpParser.Handler, Objects.Hearer {
+    private final class Session implements ConnectionHandler, HttpParser.Handler, Objects.Hearer {
         private final HttpParser parser = new HttpParser(false, Long.MAX_VALUE, this);
         private final Objects objects = new Objects(this);
         private final InetSocketAddress at = address;
         private final int call;
-        private Machine.Out stream;
+        private Connection stream;
         private boolean over;
 
         Session(int call) { this.call = call; }
@@ -137,7 +138,7 @@
             }
         }
 
-        @Override public void opened(Out out) {
+        @Override public void opened(Connection out) {
             step(new DiscoveryClient.Event.Up(call));
             out.write(HttpText.request("GET", "/api/targets?stream=1&index=" + revision,
                     Map.of("Host", at.getHostString() + ":" + at.getPort()), new byte[0]));
--- a/src/main/java/crankspar/duties/Node.java
+++ b/src/main/java/crankspar/duties/Node.java
@@ -1,8 +1,8 @@
 package crankspar.duties;
 
-import crankspar.membership.Packet;
 import crankspar.membership.Packet.Kind;
 import crankspar.membership.Packet.Share;
+import crankspar.membership.Packet;
 import crankspar.membership.Seal;
 import crankspar.membership.Swim;
 import java.util.ArrayList;
--- a/src/main/java/crankspar/duties/SharedProbes.java
+++ b/src/main/java/crankspar/duties/SharedProbes.java
@@ -8,7 +8,7 @@
 import crankspar.membership.News.State;
 import crankspar.membership.Seal;
 import crankspar.membership.Swim;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -51,7 +51,7 @@
     private static final double TICK = 10;
     private static final double LOOK = 100;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Counters counters;
     private final Setup setup;
     private final List<Client> clients;
@@ -61,7 +61,7 @@
     private double lastLook = Double.NEGATIVE_INFINITY;
     private boolean closed;
 
-    public SharedProbes(Loop loop, Counters counters, Setup setup, List<Client> clients, SharedWatch watch) throws IOException {
+    public SharedProbes(EventLoop loop, Counters counters, Setup setup, List<Client> clients, SharedWatch watch) throws IOException {
         this.loop = loop;
         this.counters = counters;
         this.setup = setup;
--- a/src/main/java/crankspar/gossip/GossipService.java
+++ b/src/main/java/crankspar/gossip/GossipService.java
@@ -1,10 +1,10 @@
 package crankspar.gossip;
 
-import crankspar.Router;
 import crankspar.Router.Health;
 import crankspar.Router.ListKind;
 import crankspar.Router.Member;
 import crankspar.Router.Role;
+import crankspar.Router;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
--- a/src/main/java/crankspar/http/HttpParser.java
+++ b/src/main/java/crankspar/http/HttpParser.java
@@ -4,8 +4,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Locale;
+import java.util.Map;
 
 /** HTTP/1.1 messages out of bytes, however they were cut: heads, then bodies as they come, chunked or not. */
 public final class HttpParser {
--- a/src/main/java/crankspar/lab/DutiesBench.java
+++ b/src/main/java/crankspar/lab/DutiesBench.java
@@ -1,6 +1,6 @@
 package crankspar.lab;
 
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
@@ -20,7 +20,7 @@
 
     private final Promises promises = new Promises();
     private final String fault;
-    private final Loop loop = new Loop("stand-ins");
+    private final EventLoop loop = new EventLoop("stand-ins");
     private final List<PgServer> databases = new ArrayList<>();
     private final List<Relay> relays = new ArrayList<>();
     private final List<Integer> ports = new ArrayList<>();
@@ -158,7 +158,7 @@
                 promises.keep(f.longestGap() <= 500, "with " + n + " instances a database went unprobed for " + Promises.round(f.longestGap()) + " ms");
                 promises.keep(steady <= alone.age95() + 60, "with " + n + " instances positions are " + Promises.round(steady) + " ms old, each alone "
                         + Promises.round(alone.age95()));
-            } catch (DutiesModel.Broken e) {
+            } catch (Timeline.Broken e) {
                 promises.keep(false, e.getMessage());
             }
         }
--- a/src/main/java/crankspar/lab/Fleet.java
+++ b/src/main/java/crankspar/lab/Fleet.java
@@ -3,7 +3,7 @@
 import crankspar.config.Config;
 import crankspar.config.OperatorFile;
 import crankspar.config.Section;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -30,7 +30,7 @@
     private static final double DAY = 86_400_000;
     private static final List<String> ZONES = List.of("east", "west", "south");
 
-    private final Loop loop = new Loop("fleet");
+    private final EventLoop loop = new EventLoop("fleet");
     private final Recording recording = new Recording();
     private final Setup setup;
     private final Map<String, PgServer> servers = new LinkedHashMap<>();
--- a/src/main/java/crankspar/lab/LabCommand.java
+++ b/src/main/java/crankspar/lab/LabCommand.java
@@ -2,9 +2,9 @@
 
 import crankspar.net.Addresses;
 import java.io.IOException;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import picocli.CommandLine;
 
 /** The commands under {@code lab}: stand-ins and experiments, never part of what serves. */
 @Command(name = "lab", description = "Stand-ins and experiments of our own.", synopsisSubcommandLabel = "COMMAND",
--- a/src/main/java/crankspar/lab/Performance.java
+++ b/src/main/java/crankspar/lab/Performance.java
@@ -2,8 +2,8 @@
 
 import crankspar.lab.load.Generator;
 import crankspar.lab.load.Plan;
-import crankspar.lab.load.Recorder;
 import crankspar.lab.load.Recorder.Outcome;
+import crankspar.lab.load.Recorder;
 import crankspar.lab.load.Workload;
 import crankspar.lab.load.WorkloadReader;
 import java.awt.image.BufferedImage;
--- a/src/main/java/crankspar/lab/PgBackend.java
+++ b/src/main/java/crankspar/lab/PgBackend.java
@@ -1,6 +1,7 @@
 package crankspar.lab;
 
-import crankspar.net.Machine;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
 import crankspar.pooling.Frame;
 import crankspar.pooling.FrameDecoder;
 import java.nio.ByteBuffer;
@@ -14,7 +15,7 @@
 import java.util.Random;
 
 /** One connection of the stand-in: the protocol's state, a session's settings, statements, portals and transaction. */
-final class PgBackend implements Machine {
+final class PgBackend implements ConnectionHandler {
     /** An error to be told, with its SQLSTATE. */
     static final class Failed extends Exception {
         final String code;
@@ -53,7 +54,7 @@
     private final List<Recording.Executed> inTransaction = new ArrayList<>();
     private final Map<String, String> told = new HashMap<>();
     private final List<Frame> out = new ArrayList<>();
-    private Out wire;
+    private Connection wire;
     private String user = "";
     private boolean started, simple, busy, skipping, failed, block, blockReads, stalled, closed;
     private String copying;
@@ -69,7 +70,7 @@
         this.connection = connection;
     }
 
-    @Override public void opened(Out out) { wire = out; }
+    @Override public void opened(Connection out) { wire = out; }
 
     @Override public void received(ByteBuffer in) {
         if (stalled) {
@@ -81,7 +82,7 @@
             for (Frame f = decoder.next(); f != null && !closed; f = decoder.next()) {
                 waiting.add(f);
             }
-            int most = decoder.held() > 4 && started ? server.fault.bytes(connection, head()) : 0;
+            int most = decoder.held() > 4 && started ? server.fault.bytes(connection, decoder.headType()) : 0;
             if (most > 0 && decoder.held() >= most) {
                 server.fault.cut();
                 cut("cut in a message");
@@ -95,8 +96,6 @@
         }
     }
 
-    private char head() { return decoder.headType(); }
-
     private void goOn() throws Frame.Malformed {
         while (!busy && !closed && !stalled && !waiting.isEmpty()) {
             Frame f = waiting.poll();
--- a/src/main/java/crankspar/lab/PgClient.java
+++ b/src/main/java/crankspar/lab/PgClient.java
@@ -1,7 +1,8 @@
 package crankspar.lab;
 
-import crankspar.net.Loop;
-import crankspar.net.Machine;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.EventLoop;
 import crankspar.pooling.Frame;
 import crankspar.pooling.FrameDecoder;
 import java.net.InetSocketAddress;
@@ -14,7 +15,7 @@
  * A client of the load's, by the thousand on one loop: it plays a script of steps, each sent whole and answered up to
  * ReadyForQuery, and tells how the script ended. It never sends anything twice.
  */
-public final class PgClient implements Machine {
+public final class PgClient implements ConnectionHandler {
     /**
      * How a script ended.
      *
@@ -27,10 +28,9 @@
         public boolean good() { return code == null; }
     }
 
-    private final Loop loop;
     private final FrameDecoder decoder = new FrameDecoder(false);
     private final byte[] startup;
-    private Out out;
+    private Connection out;
     private boolean ready, closed;
     private Consumer<PgClient> whenReady;
     private List<byte[]> script;
@@ -38,8 +38,7 @@
     private int step;
     private String code, tag, value;
 
-    private PgClient(Loop loop, String user, String database, Consumer<PgClient> whenReady) {
-        this.loop = loop;
+    private PgClient(String user, String database, Consumer<PgClient> whenReady) {
         this.whenReady = whenReady;
         var parameters = new LinkedHashMap<String, String>();
         parameters.put("user", user);
@@ -48,8 +47,8 @@
     }
 
     /** Connects; {@code whenReady} hears of it once it is welcomed, or closed before. */
-    public static PgClient connect(Loop loop, InetSocketAddress at, String user, String database, Consumer<PgClient> whenReady) {
-        var client = new PgClient(loop, user, database, whenReady);
+    public static PgClient connect(EventLoop loop, InetSocketAddress at, String user, String database, Consumer<PgClient> whenReady) {
+        var client = new PgClient(user, database, whenReady);
         loop.connect(at, client);
         return client;
     }
@@ -86,9 +85,8 @@
         over("CLOSED");
     }
 
-    @Override public int firstRead() { return 512; }
 
-    @Override public void opened(Out out) {
+    @Override public void opened(Connection out) {
         this.out = out;
         out.write(startup);
     }
--- a/src/main/java/crankspar/lab/PgServer.java
+++ b/src/main/java/crankspar/lab/PgServer.java
@@ -1,6 +1,7 @@
 package crankspar.lab;
 
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
+import crankspar.net.Listener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -13,14 +14,14 @@
  * connections away. It keeps no tables: a write has no effect but its record.
  */
 public final class PgServer implements AutoCloseable {
-    final Loop loop;
+    final EventLoop loop;
     final String name;
     final Recording recording;
     final Map<Integer, PgBackend> backends = new LinkedHashMap<>();
     /** Names that COPY and notifications reach: channel to the connections that listen. */
     final Map<String, java.util.Set<PgBackend>> channels = new HashMap<>();
     private final boolean ownLoop;
-    private Loop.Listener listener;
+    private Listener listener;
     private int nextConnection;
     private long nextTransaction;
 
@@ -39,11 +40,11 @@
     int running;
     final java.util.ArrayDeque<Runnable> queue = new java.util.ArrayDeque<>();
 
-    public PgServer(String name) throws IOException { this(new Loop("pg-" + name), name, new Recording(), true); }
+    public PgServer(String name) throws IOException { this(new EventLoop("pg-" + name), name, new Recording(), true); }
 
-    public PgServer(Loop loop, String name, Recording recording) { this(loop, name, recording, false); }
+    public PgServer(EventLoop loop, String name, Recording recording) { this(loop, name, recording, false); }
 
-    private PgServer(Loop loop, String name, Recording recording, boolean ownLoop) {
+    private PgServer(EventLoop loop, String name, Recording recording, boolean ownLoop) {
         this.loop = loop;
         this.name = name;
         this.recording = recording;
--- a/src/main/java/crankspar/lab/PoolingBench.java
+++ b/src/main/java/crankspar/lab/PoolingBench.java
@@ -1,6 +1,6 @@
 package crankspar.lab;
 
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import crankspar.pooling.Frame;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -27,7 +27,7 @@
     private static final String CLAIM = "INSERT INTO claims VALUES ($1)";
 
     private final Promises promises = new Promises();
-    private final Loop load = new Loop("load");
+    private final EventLoop load = new EventLoop("load");
     private final PgServer server = new PgServer("primary");
     private final String fault;
 
--- a/src/main/java/crankspar/lab/Relay.java
+++ b/src/main/java/crankspar/lab/Relay.java
@@ -1,6 +1,6 @@
 package crankspar.lab;
 
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -10,14 +10,12 @@
 /** A relay for datagrams that loses a share of them and delays the others, each by its own time. */
 final class Relay implements AutoCloseable {
     private final DatagramChannel channel;
-    private final Loop loop;
     private final SplittableRandom random;
     private volatile InetSocketAddress to;
     private volatile double loss;
 
     /** Passes on to {@code to} what comes to its own address; delays are ms. */
-    Relay(Loop loop, InetSocketAddress to, double loss, double least, double most, long seed) throws IOException {
-        this.loop = loop;
+    Relay(EventLoop loop, InetSocketAddress to, double loss, double least, double most, long seed) throws IOException {
         this.to = to;
         this.loss = loss;
         random = new SplittableRandom(seed);
--- a/src/main/java/crankspar/lab/RoutingModel.java
+++ b/src/main/java/crankspar/lab/RoutingModel.java
@@ -1,14 +1,14 @@
 package crankspar.lab;
 
-import crankspar.policy.Balance;
-import crankspar.Router;
 import crankspar.Router.Freshness;
 import crankspar.Router.Health;
 import crankspar.Router.ListKind;
 import crankspar.Router.Member;
 import crankspar.Router.Role;
 import crankspar.Router.Status;
+import crankspar.Router;
 import crankspar.gossip.GossipReceiver;
+import crankspar.policy.Balance;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.BitSet;
--- a/src/main/java/crankspar/lab/agreement/KeyHistory.java
+++ b/src/main/java/crankspar/lab/agreement/KeyHistory.java
@@ -1,8 +1,8 @@
 package crankspar.lab.agreement;
 
-import crankspar.lab.history.Linearizability;
 import crankspar.lab.history.Linearizability.Call;
 import crankspar.lab.history.Linearizability.Verdict;
+import crankspar.lab.history.Linearizability;
 import crankspar.store.agreed.Result;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/crankspar/lab/load/Generator.java
+++ b/src/main/java/crankspar/lab/load/Generator.java
@@ -1,7 +1,7 @@
 package crankspar.lab.load;
 
 import crankspar.lab.load.Recorder.Outcome;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -27,7 +27,7 @@
 
     /** Opens connections of one protocol on a loop; {@code ready} hears of each once it may be used, or is gone. */
     interface Dialect {
-        void connect(Loop loop, java.util.function.Consumer<Client> ready);
+        void connect(EventLoop loop, java.util.function.Consumer<Client> ready);
     }
 
     private static final double LOOK = 5;
@@ -52,7 +52,7 @@
     private static final int SILENT_MOST = 20;
 
     private final class Worker {
-        final Loop loop;
+        final EventLoop loop;
         final int number;
         final Iterator<Asked> plan;
         final Recorder recorder;
@@ -70,7 +70,7 @@
             this.number = number;
             this.plan = plan;
             this.most = most;
-            loop = new Loop("load-" + number);
+            loop = new EventLoop("load-" + number);
             recorder = new Recorder(workload.kinds().stream().map(Workload.Kind::name).toList(), workload.lateMost());
             workload.kinds().forEach(k -> byKind.add(new ArrayDeque<>()));
         }
--- a/src/main/java/crankspar/lab/load/PgDialect.java
+++ b/src/main/java/crankspar/lab/load/PgDialect.java
@@ -2,7 +2,7 @@
 
 import crankspar.lab.PgClient;
 import crankspar.lab.load.Recorder.Outcome;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import crankspar.pooling.Frame;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -33,7 +33,7 @@
         this.database = database;
     }
 
-    @Override public void connect(Loop loop, Consumer<Generator.Client> ready) {
+    @Override public void connect(EventLoop loop, Consumer<Generator.Client> ready) {
         PgClient.connect(loop, target, user, database, c -> {
             var client = new One(c);
             if (workload.front() != Workload.Front.PREPARED || c.gone()) {
--- a/src/main/java/crankspar/lab/load/RestDialect.java
+++ b/src/main/java/crankspar/lab/load/RestDialect.java
@@ -1,12 +1,13 @@
 package crankspar.lab.load;
 
-import crankspar.json.Json;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
 import crankspar.http.HttpText;
+import crankspar.json.Json;
 import crankspar.lab.load.Recorder.Outcome;
-import crankspar.net.Loop;
-import crankspar.net.Machine;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.EventLoop;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -35,13 +36,13 @@
         this.target = target;
     }
 
-    @Override public void connect(Loop loop, Consumer<Generator.Client> ready) { loop.connect(target, new One(ready)); }
+    @Override public void connect(EventLoop loop, Consumer<Generator.Client> ready) { loop.connect(target, new One(ready)); }
 
-    private final class One implements Machine, HttpParser.Handler, Generator.Client {
+    private final class One implements ConnectionHandler, HttpParser.Handler, Generator.Client {
         private final HttpParser parser = new HttpParser(false, BODY_MOST, this);
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private Consumer<Generator.Client> ready;
-        private Out out;
+        private Connection out;
         private boolean closed;
         private HttpHead.Response head;
         private BiConsumer<Outcome, String> told;
@@ -88,7 +89,7 @@
             over(Outcome.FAILED, null);
         }
 
-        @Override public void opened(Out out) {
+        @Override public void opened(Connection out) {
             this.out = out;
             Consumer<Generator.Client> tell = ready;
             ready = null;
--- a/src/main/java/crankspar/lab/rig/DatagramNet.java
+++ b/src/main/java/crankspar/lab/rig/DatagramNet.java
@@ -1,6 +1,6 @@
 package crankspar.lab.rig;
 
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -32,7 +32,7 @@
     /** Where {@code of} sends to reach {@code other}. */
     private record End(int of, int other) { }
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Selector selector = Selector.open();
     private final DatagramChannel[][] ends;
     private final InetSocketAddress[] poolers;
@@ -40,7 +40,7 @@
     private final SplittableRandom random;
 
     /** {@code poolers} are their own addresses ({@code peer_listen}); all faults are drawn from the seed, on the loop. */
-    public DatagramNet(Loop loop, long seed, InetSocketAddress... poolers) throws IOException {
+    public DatagramNet(EventLoop loop, long seed, InetSocketAddress... poolers) throws IOException {
         this.loop = loop;
         this.poolers = poolers.clone();
         random = new SplittableRandom(seed);
--- a/src/main/java/crankspar/lab/rig/DiscoveryStandIn.java
+++ b/src/main/java/crankspar/lab/rig/DiscoveryStandIn.java
@@ -6,8 +6,9 @@
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
 import crankspar.http.HttpText;
-import crankspar.net.Loop;
-import crankspar.net.Machine;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -36,7 +37,7 @@
 
     private record Change(long revision, Member member) { }
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Sockets.Door listener;
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
@@ -54,7 +55,7 @@
     private Predicate<String> reaches = caller -> true;
     private long asked, failed;
 
-    public DiscoveryStandIn(Loop loop, Sockets sockets, InetSocketAddress at) throws IOException {
+    public DiscoveryStandIn(EventLoop loop, Sockets sockets, InetSocketAddress at) throws IOException {
         this.loop = loop;
         listener = sockets.listen(at, () -> down ? null : new Caller());
         beat();
@@ -240,13 +241,13 @@
     }
 
     /** One connection. */
-    private final class Caller implements Machine, HttpParser.Handler {
+    private final class Caller implements ConnectionHandler, HttpParser.Handler {
         private final HttpParser parser = new HttpParser(true, 0, this);
-        private Out out;
+        private Connection out;
         private String name = "";
         private boolean over;
 
-        @Override public void opened(Out out) { this.out = out; }
+        @Override public void opened(Connection out) { this.out = out; }
 
         @Override public void received(ByteBuffer in) {
             try {
--- a/src/main/java/crankspar/lab/rig/Link.java
+++ b/src/main/java/crankspar/lab/rig/Link.java
@@ -1,7 +1,8 @@
 package crankspar.lab.rig;
 
-import crankspar.net.Loop;
-import crankspar.net.Machine;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -33,7 +34,7 @@
     /** What may wait on its way in one direction of a connection (bytes): then its sender is read no further. */
     private static final int WAITING_MOST = 1 << 20;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final InetSocketAddress to;
     private final Sockets sockets;
     private final Sockets.Door listener;
@@ -41,7 +42,7 @@
     private final Set<Pair> pairs = new HashSet<>();
     private boolean refuses;
 
-    public Link(Loop loop, Sockets sockets, InetSocketAddress at, InetSocketAddress to) throws IOException {
+    public Link(EventLoop loop, Sockets sockets, InetSocketAddress at, InetSocketAddress to) throws IOException {
         this.loop = loop;
         this.to = to;
         this.sockets = sockets;
@@ -100,11 +101,11 @@
     }
 
     /** One end: what it sends goes into its flow and comes out at the other end. */
-    private final class Side implements Machine {
+    private final class Side implements ConnectionHandler {
         final Pair pair;
         final Way way;
         final Flow flow;
-        Machine.Out out;
+        Connection out;
 
         Side(Pair pair, Way way) {
             this.pair = pair;
@@ -114,7 +115,7 @@
 
         Side other() { return pair.sender(way == Way.THERE ? Way.BACK : Way.THERE); }
 
-        @Override public void opened(Out out) {
+        @Override public void opened(Connection out) {
             this.out = out;
             if (way == Way.THERE) {
                 sockets.connect(to, pair.far);
@@ -158,7 +159,7 @@
 
         /** The first that waits leaves when its time has come; a stall holds ends back too. */
         void move() {
-            Machine.Out to = from.other().out;
+            Connection to = from.other().out;
             Travel how = travel.get(from.way);
             if (moving || to == null || how.stalled()) {
                 return;
--- a/src/main/java/crankspar/lab/rig/Rig.java
+++ b/src/main/java/crankspar/lab/rig/Rig.java
@@ -5,7 +5,7 @@
 import crankspar.lab.LabSettings;
 import crankspar.lab.PgServer;
 import crankspar.lab.Recording;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -52,7 +52,7 @@
     /** How long anything here may take that depends on how busy the machine is (ms). */
     public static final double WAIT = 15_000;
 
-    private final Loop loop = new Loop("rig");
+    private final EventLoop loop = new EventLoop("rig");
     private final Sockets sockets = new Sockets(loop);
     private final Recording recording = new Recording();
     private final DiscoveryStandIn discovery;
@@ -237,7 +237,7 @@
     /** Clients reach a pooler by this. */
     public Link fromClients(int pooler) { return fromClients.get(pooler); }
     public double now() { return loop.now(); }
-    public Loop loop() { return loop; }
+    public EventLoop loop() { return loop; }
 
     /** Ends what it started; logs and ledgers stay where they are, and their folders are told. */
     public List<Path> keep() throws IOException {
--- a/src/main/java/crankspar/lab/rig/Sockets.java
+++ b/src/main/java/crankspar/lab/rig/Sockets.java
@@ -1,7 +1,8 @@
 package crankspar.lab.rig;
 
-import crankspar.net.Loop;
-import crankspar.net.Machine;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -22,10 +23,10 @@
 public final class Sockets implements AutoCloseable {
     private static final int READ = 64 * 1024;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Selector selector;
 
-    public Sockets(Loop loop) throws IOException {
+    public Sockets(EventLoop loop) throws IOException {
         this.loop = loop;
         selector = Selector.open();
         var thread = new Thread(this::await, "rig-sockets");
@@ -57,10 +58,10 @@
     /** A listening socket; {@link #close} ends it, not what it has accepted. */
     public final class Door implements Ready, AutoCloseable {
         private final ServerSocketChannel server = ServerSocketChannel.open();
-        private final Supplier<Machine> machines;
+        private final Supplier<ConnectionHandler> machines;
         private final SelectionKey key;
 
-        private Door(InetSocketAddress at, Supplier<Machine> machines) throws IOException {
+        private Door(InetSocketAddress at, Supplier<ConnectionHandler> machines) throws IOException {
             this.machines = machines;
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             server.bind(at, 512).configureBlocking(false);
@@ -79,8 +80,8 @@
         @Override public void ready(int what) {
             try {
                 for (SocketChannel c = server.accept(); c != null; c = server.accept()) {
-                    Machine m = machines.get();
-                    var line = new Line(c, m == null ? Machine.DEAF : m);
+                    ConnectionHandler m = machines.get();
+                    var line = new Line(c, m == null ? ConnectionHandler.DEAF : m);
                     if (m == null) {
                         line.reset();
                     } else {
@@ -111,10 +112,10 @@
         }
     }
 
-    public Door listen(InetSocketAddress at, Supplier<Machine> machines) throws IOException { return new Door(at, machines); }
+    public Door listen(InetSocketAddress at, Supplier<ConnectionHandler> machines) throws IOException { return new Door(at, machines); }
 
     /** On the loop; a failure is told as its end. */
-    public void connect(InetSocketAddress to, Machine machine) {
+    public void connect(InetSocketAddress to, ConnectionHandler machine) {
         try {
             SocketChannel c = SocketChannel.open();
             new Line(c, machine).connect(to);
@@ -124,15 +125,15 @@
     }
 
     /** One connection. */
-    private final class Line implements Machine.Out, Ready {
+    private final class Line implements Connection, Ready {
         private final SocketChannel channel;
-        private final Machine machine;
+        private final ConnectionHandler machine;
         private final SelectionKey key;
         private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
         private final ByteBuffer in = ByteBuffer.allocate(READ);
         private boolean open = true, up, finishing, finished, held, eof;
 
-        Line(SocketChannel channel, Machine machine) throws IOException {
+        Line(SocketChannel channel, ConnectionHandler machine) throws IOException {
             this.channel = channel;
             this.machine = machine;
             channel.configureBlocking(false);
--- a/src/main/java/crankspar/mgmt/Call.java
+++ b/src/main/java/crankspar/mgmt/Call.java
@@ -2,23 +2,24 @@
 
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
-import crankspar.net.Machine;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
 import java.nio.ByteBuffer;
 
 /** One caller's connection: one call, one answer, and the end. */
-final class Call implements Machine, HttpParser.Handler {
+final class Call implements ConnectionHandler, HttpParser.Handler {
     private static final int BODY_MOST = 4096;
 
     private final Calls calls;
     private final HttpParser parser = new HttpParser(true, BODY_MOST, this);
     private HttpHead.Request head;
-    private Out out;
+    private Connection out;
     private boolean whole;
     private boolean over;
 
     Call(Calls calls) { this.calls = calls; }
 
-    @Override public void opened(Out out) { this.out = out; }
+    @Override public void opened(Connection out) { this.out = out; }
 
     @Override public void received(ByteBuffer in) {
         try {
--- a/src/main/java/crankspar/mgmt/Calls.java
+++ b/src/main/java/crankspar/mgmt/Calls.java
@@ -3,8 +3,8 @@
 import crankspar.core.Counters;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpText;
-import crankspar.net.Loop;
-import crankspar.net.Machine;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URLDecoder;
@@ -27,12 +27,12 @@
     /** A caller waits 1 s, so that a call which is not whole after this long (ms) is nobody's. */
     private static final double HALF_MOST = 2000;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Counters counters;
     private final Operations operations;
     private final LinkedHashSet<Call> open = new LinkedHashSet<>();
 
-    public Calls(Loop loop, Counters counters, Operations operations) {
+    public Calls(EventLoop loop, Counters counters, Operations operations) {
         this.loop = loop;
         this.counters = counters;
         this.operations = operations;
@@ -42,7 +42,7 @@
         return loop.listenUrgent(address, this::admit).address();
     }
 
-    private Machine admit() {
+    private ConnectionHandler admit() {
         if (open.size() >= MOST) {
             counters.add("calls_closed_for_room");
             open.iterator().next().drop();
--- a/src/main/java/crankspar/net/Visitor.java
+++ b/src/main/java/crankspar/net/ClientConnectionHandler.java
@@ -1,7 +1,7 @@
 package crankspar.net;
 
 /** A client's machine, as the keeper of all clients' connections sees it. */
-public interface Visitor extends Machine {
+public interface ClientConnectionHandler extends ConnectionHandler {
     /** What a connection is doing; the earlier ones are the first to go when there is no room. */
     enum Standing {
         /** Ended from this side, and still read for a moment. */
@@ -25,6 +25,8 @@
     long progress();
     /** Whether an answer has been written that its client has not taken whole: a close would lose it. */
     boolean unsent();
+    /** Takes in what has come by now, before it is judged by what it has sent. */
+    void readNow();
     /** Tells the client why it is ended, in the words of its protocol, and ends it. */
     void turnAway(String why);
     /** Ends it gently if it is between two requests: what crosses this its client sends once more elsewhere. */
--- a/src/main/java/crankspar/net/Clients.java
+++ b/src/main/java/crankspar/net/Clients.java
@@ -1,7 +1,7 @@
 package crankspar.net;
 
 import crankspar.core.Counters;
-import crankspar.net.Visitor.Standing;
+import crankspar.net.ClientConnectionHandler.Standing;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -14,7 +14,7 @@
  * the bound the one that needs its place least makes room. Those that say nothing, or stop in the middle of
  * a message, are ended in time.
  */
-public final class Clients<S extends Visitor> {
+public final class Clients<S extends ClientConnectionHandler> {
     private static final double SWEEP = 100;
     /** From connecting to a greeting (ms): guards against hundreds that connect and say nothing. */
     private static final double SILENT_MOST = 1000;
@@ -26,13 +26,6 @@
      */
     private static final double HALF_MOST = 2400;
 
-    /**
-     * An idle connection is closed so long (ms) after it was chosen, if it is idle still: what had come on it by then is read
-     * first. Guards against lost requests: after the process had stood still, newcomers were let in before what waited on the
-     * old connections was read, and 133 requests that the machine had taken were dropped with them.
-     */
-    private static final double READ_FIRST = 5;
-
     /** An answer that its client does not take keeps its connection from making room for so long (ms). */
     private static final double UNSENT_MOST = 5000;
 
@@ -42,14 +35,14 @@
     /** The share of the places up to which idle connections are kept. */
     private static final double KEPT = 0.4;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Counters counters;
     private final int most;
     private final int kept;
     private final Supplier<S> maker;
     private final Map<S, Place> places = new LinkedHashMap<>();
     private InetSocketAddress address;
-    private Loop.Listener listener;
+    private Listener listener;
     /** A bind that fails after a drain is tried again after this long (ms). */
     private static final double REOPEN = 50;
     private boolean stopping, draining;
@@ -60,12 +53,11 @@
         Standing standing = Standing.NEW;
         long progress;
         double since;
-        boolean chosen;                       // to be closed, if nothing has come on it
 
         Place(double now) { opened = since = now; }
     }
 
-    public Clients(Loop loop, Counters counters, int most, Supplier<S> maker) {
+    public Clients(EventLoop loop, Counters counters, int most, Supplier<S> maker) {
         this.loop = loop;
         this.counters = counters;
         this.most = most;
@@ -84,7 +76,7 @@
     private double now() { return loop == null ? 0 : loop.now(); }
 
     /** A machine for a client's connection, or null when all places are taken by requests. */
-    public Machine admit() {
+    public ConnectionHandler admit() {
         if (places.size() >= most && !makeRoom()) {
             counters.add("client_connections_refused");
             return null;
@@ -108,8 +100,8 @@
         for (Map.Entry<S, Place> e : places.entrySet()) {
             Standing standing = e.getKey().standing();
             Place place = e.getValue();
-            here += standing == Standing.LEAVING || place.chosen ? 0 : 1;
-            if (standing == Standing.IDLE && !place.chosen && (longest == null || since(place, standing) < since)) {
+            here += standing == Standing.LEAVING ? 0 : 1;
+            if (standing == Standing.IDLE && (longest == null || since(place, standing) < since)) {
                 longest = e.getKey();
                 since = since(place, standing);
             }
@@ -119,25 +111,12 @@
         }
     }
 
+    /** What had come on it is read first: no request is lost with it. */
     private void close(S session) {
-        Place place = places.get(session);
-        place.chosen = true;
-        closeIfStill(session, place, session.progress());
-    }
-
-    private void closeIfStill(S session, Place place, long before) {
-        double due = now() + READ_FIRST;
-        loop.after(READ_FIRST, () -> {
-            if (now() > due + READ_FIRST) {   // the loop was held up: this stands before what has come meanwhile
-                closeIfStill(session, place, before);
-                return;
-            }
-            place.chosen = false;
-            if (session.progress() == before && session.standing() == Standing.IDLE) {
-                counters.add("client_connections_idle_trimmed");
-                session.closeIfIdle();
-            }
-        });
+        session.closeIfIdle();
+        if (session.standing() == Standing.LEAVING) {
+            counters.add("client_connections_idle_trimmed");
+        }
     }
 
     private double since(Place place, Standing standing) { return standing == place.standing ? place.since : now(); }
@@ -147,6 +126,23 @@
      * four in five of a day's connections unserved.
      */
     private boolean makeRoom() {
+        for (int i = places.size(); i > 0; i--) {
+            S least = least();
+            if (least == null) {
+                return false;
+            }
+            Standing before = least.standing();
+            least.readNow();
+            if (least.standing() == before) {
+                makeRoom(least, before);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whoever needs its place least, by what it is doing and then by how long; null where all are needed. */
+    private S least() {
         S least = null;
         Standing lowest = Standing.HALF;
         double oldest = 0;
@@ -162,43 +158,68 @@
                 oldest = since;
             }
         }
-        if (least == null) {
-            return false;
-        }
-        counters.add("client_connections_" + lowest.name().toLowerCase(java.util.Locale.ROOT) + "_closed_for_room");
+        return least;
+    }
+
+    private void makeRoom(S least, Standing standing) {
+        counters.add("client_connections_" + standing.name().toLowerCase(java.util.Locale.ROOT) + "_closed_for_room");
         // A close over unread bytes is a reset, which may overtake the last answer: what rests ends gently while there is room for that.
         // One that is leaving has had its end, and one that has asked for nothing has nothing to lose.
-        if (lowest == Standing.IDLE && places.size() < most * (1 + BEYOND)) {
+        if (standing == Standing.IDLE && places.size() < most * (1 + BEYOND)) {
             least.closeIfIdle();
         } else {
             least.drop();
         }
-        return true;
     }
 
     private void sweep() {
-        double now = now();
         trim();
         for (Map.Entry<S, Place> e : new ArrayList<>(places.entrySet())) {
-            S session = e.getKey();
-            Place place = e.getValue();
-            if (session.standing() != place.standing || session.progress() != place.progress) {
-                place.standing = session.standing();
-                place.progress = session.progress();
-                place.since = now;
+            note(e.getKey(), e.getValue());
+            if (overdue(e.getKey(), e.getValue())) {
+                e.getKey().readNow();         // this process may be late, not its client
+                note(e.getKey(), e.getValue());
+                end(e.getKey(), e.getValue());
             }
-            if (place.standing == Standing.NEW && now - place.opened > (session.begun() ? HALF_MOST : SILENT_MOST)) {
+        }
+        loop.after(SWEEP, this::sweep);
+    }
+
+    private void note(S session, Place place) {
+        if (session.standing() != place.standing || session.progress() != place.progress) {
+            place.standing = session.standing();
+            place.progress = session.progress();
+            place.since = now();
+        }
+    }
+
+    private boolean overdue(S session, Place place) {
+        return switch (place.standing) {
+            case NEW -> now() - place.opened > (session.begun() ? HALF_MOST : SILENT_MOST);
+            case HALF -> now() - place.since > HALF_MOST;
+            case STARTED -> now() - place.opened > UNASKED_MOST;
+            default -> false;
+        };
+    }
+
+    private void end(S session, Place place) {
+        if (!overdue(session, place)) {
+            return;
+        }
+        switch (place.standing) {
+            case NEW -> {
                 counters.add("client_connections_silent");
                 session.turnAway("nothing whole came in time");
-            } else if (place.standing == Standing.HALF && now - place.since > HALF_MOST) {
+            }
+            case HALF -> {
                 counters.add("client_connections_half");
                 session.turnAway("the rest of a message did not come in time");
-            } else if (place.standing == Standing.STARTED && now - place.opened > UNASKED_MOST) {
+            }
+            default -> {
                 counters.add("client_connections_unasked");
                 session.closeIfIdle();
             }
         }
-        loop.after(SWEEP, this::sweep);
     }
 
     /** Its connection is closed, and its place free. */
@@ -213,7 +234,7 @@
     public void drain() {
         draining = true;
         listener.close();
-        new ArrayList<>(places.keySet()).forEach(Visitor::closeIfIdle);
+        new ArrayList<>(places.keySet()).forEach(ClientConnectionHandler::closeIfIdle);
     }
 
     /** Whether no connection is open any more: all that was written has left, and each peer has had its end. */
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -26,10 +26,11 @@
     private static final double FORGET = 60_000;
     /** A long answer may stand still for this long (ms): clients spend seconds reading. */
     private static final double STALL = 15_000;
+    private static final String UNWANTED = "nobody waits for it any more, or its database takes nothing new";
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Counters counters;
-    private final Supplier<Carrier<Q, A>> dialect;
+    private final Supplier<ServerConnectionHandler<Q, A>> dialect;
     private final Q probe;
     private final double dialTimeout;
     private final double idle;
@@ -46,11 +47,11 @@
     }
 
     /** One connection with what it carries. */
-    private final class Link implements Carrier.Keeper, Ports.Call, Ports.Hearer<A> {
+    private final class Link implements ServerConnectionHandler.Keeper, Ports.Call, Ports.Hearer<A> {
         final Member member;
         final InetSocketAddress address;
-        final Carrier<Q, A> carrier = dialect.get();
-        Stream stream;
+        final ServerConnectionHandler<Q, A> handler = dialect.get();
+        SocketConnection stream;
         boolean up, settling, closed;
         double idleSince;
         double latest = Double.POSITIVE_INFINITY;
@@ -66,8 +67,8 @@
             open++;
             member.dialled.add(this);
             counters.add("server_connections_opened");
-            carrier.keeper(this);
-            stream = loop.connect(address, carrier);
+            handler.keeper(this);
+            stream = loop.connect(address, handler);
             loop.after(dialTimeout, () -> {
                 if (!up) {
                     lose("no connection in time");
@@ -97,6 +98,15 @@
             }
         }
 
+        /**
+         * The last check before a write: nothing that waits in the sockets speaks against it, and somebody waits for it still.
+         * It may end this very attempt.
+         */
+        private boolean mayWrite() {
+            loop.refresh();
+            return hearer != null && hearer.wanted() && !closed && hearer != null && member.goneAt > loop.now();
+        }
+
         /** Its member takes nothing new: what waits for this connection goes elsewhere, and the connection is of no use. */
         void callBack() {
             if (!up && !closed) {
@@ -105,13 +115,23 @@
             }
         }
 
-        void carry(Q query, double left, Ports.Hearer<A> told) {
+        /** Writes the request, now or once the connection is up; it is waited for until {@code deadline} (ms). */
+        void carry(Q query, double deadline, Ports.Hearer<A> told) {
             hearer = told;
+            first = () -> handler.carry(query, deadline - loop.now(), this);
             if (up) {
-                carrier.carry(query, left, this);
-            } else {
-                double dialled = loop.now();
-                first = () -> carrier.carry(query, left - (loop.now() - dialled), this);
+                writeFirst();
+            }
+        }
+
+        private void writeFirst() {
+            Runnable write = first;
+            first = null;
+            if (mayWrite()) {
+                write.run();
+            } else if (!closed) {
+                rest();
+                unsent("unsent_unwanted", UNWANTED);
             }
         }
 
@@ -145,7 +165,7 @@
         @Override public void ended(AttemptEnd<A> how) {
             Ports.Hearer<A> told = hearer;
             hearer = null;
-            if (!closed && carrier.reusable()) {
+            if (!closed && handler.reusable()) {
                 settle();
             }
             if (told != null) {
@@ -155,7 +175,7 @@
 
         private void settle() {
             settling = true;
-            carrier.settle();
+            handler.settle();
             loop.after(dialTimeout, () -> {
                 if (settling) {               // a server that hangs: its connection is of no use
                     lose("not settled in time");
@@ -176,8 +196,7 @@
                 settling = false;
                 rest();
             } else if (first != null) {
-                first.run();
-                first = null;
+                writeFirst();
             } else {
                 rest();
             }
@@ -197,7 +216,7 @@
         /** Ends the connection; what it carried gets its outcome by how far it had come. */
         private void lose(String why) {
             if (!closed) {
-                Reach reach = up ? carrier.reach() : Reach.NOT_CONNECTED;
+                Reach reach = up ? handler.reach() : Reach.NOT_CONNECTED;
                 drop();
                 ended(new AttemptEnd.Broken<>(reach, why));
             }
@@ -213,7 +232,7 @@
         }
 
         @Override public Reach abandon() {
-            Reach reach = up ? carrier.reach() : Reach.NOT_CONNECTED;
+            Reach reach = up ? handler.reach() : Reach.NOT_CONNECTED;
             hearer = null;
             if (!closed) {
                 drop();
@@ -222,7 +241,7 @@
         }
     }
 
-    public Pool(Loop loop, Counters counters, Supplier<Carrier<Q, A>> dialect, Q probe, double dialTimeout,
+    public Pool(EventLoop loop, Counters counters, Supplier<ServerConnectionHandler<Q, A>> dialect, Q probe, double dialTimeout,
                 double connIdle, int most) {
         this.loop = loop;
         this.counters = counters;
@@ -260,22 +279,42 @@
 
     @Override public Ports.Call send(String member, Q query, double left, double within,
                                       Ports.Hearer<A> hearer) {
+        double deadline = loop.now() + left;
         Member m = members.get(member);
         if (m == null) {
             return refuse(hearer, "no address is known");
         }
+        Link link = idle(m);
+        if (link != null) {
+            link.carry(query, deadline, hearer);
+            return link;
+        }
+        loop.refresh();
+        if (!hearer.wanted() || m.goneAt <= loop.now()) {
+            counters.add("unsent_unwanted");
+            hearer.ended(new AttemptEnd.Unsent<>(UNWANTED));
+            return () -> Reach.NOT_CONNECTED;
+        }
+        if (open >= most && !closeOldest()) {
+            return refuse(hearer, "no socket is left");
+        }
+        link = new Link(m);
+        link.carry(query, deadline, hearer);
+        link.dial(within);
+        return link;
+    }
+
+    /** A connection that rests and has not ended, by what its socket holds now; null where there is none. */
+    private Link idle(Member m) {
         Link link = m.idle.poll();
-        if (link == null) {
-            if (open >= most && !closeOldest()) {
-                return refuse(hearer, "no socket is left");
+        while (link != null) {
+            link.stream.readNow();
+            if (!link.closed) {
+                return link;
             }
-            link = new Link(m);
-            link.carry(query, left, hearer);
-            link.dial(within);
-        } else {
-            link.carry(query, left, hearer);
+            link = m.idle.poll();
         }
-        return link;
+        return null;
     }
 
     private Ports.Call refuse(Ports.Hearer<A> hearer, String why) {
--- a/src/main/java/crankspar/net/Carrier.java
+++ b/src/main/java/crankspar/net/ServerConnectionHandler.java
@@ -7,7 +7,7 @@
  * A machine for one connection to a server, which carries one request at a time. Its end is told exactly
  * once; a connection that breaks while it carries nothing just ends.
  */
-public interface Carrier<Q, A> extends Machine {
+public interface ServerConnectionHandler<Q, A> extends ConnectionHandler {
     /** What the pool wants to hear: that a request may be carried, and that the connection is gone. */
     interface Keeper {
         /** It is welcomed or, after a request, settled. */
--- /dev/null
+++ b/src/main/java/crankspar/net/SocketConnection.java
@@ -0,0 +1,359 @@
+package crankspar.net;
+
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * One TCP connection on the loop's selector: reads into its handler until the socket is empty or a
+ * budget is spent, and writes what that yields at once, as far as the system takes it.
+ */
+public final class SocketConnection implements Connection, Pollable {
+  private static final Logger LOG = Logger.getLogger(SocketConnection.class.getName());
+
+  /** More than this queued for a peer that does not read ends its connection (bytes). */
+  private static final int QUEUE_MOST = 2304 * 1024;
+
+  /** How long a finished connection is still read, so that no reset overtakes the last answer. */
+  private static final double LINGER_MS = 300;
+
+  /** ... and how much of it at most: one that goes on sending is not worth the time. */
+  private static final int LINGER_BYTES = 2048 * 1024;
+
+  /** How long a peer may take to read what was written before its connection is finished. */
+  private static final double FINISH_MOST_MS = 5000;
+
+  /** Bytes that one poll reads from one connection. */
+  private static final int READ_BUDGET = 64 * 1024;
+
+  /** Bytes that are handed to the system at once: the runtime copies as much off its heap. */
+  private static final int WRITE_MOST = 64 * 1024;
+
+  private record Chunk(ByteBuffer bytes, Runnable written) {}
+
+  private final EventLoop loop;
+  private final ConnectionHandler handler;
+  private final ReadinessPhase phase;
+  private final ArrivalTime arrival;
+  private final ArrayDeque<Chunk> queue = new ArrayDeque<>(2);
+  private SocketChannel channel;
+  private SelectionKey key;
+  private int interest;
+  private int queued;
+  private int lingered;
+  private boolean open = true;
+  private boolean up;
+  private boolean reading;
+  private boolean paused;
+  private boolean flushing;
+  private boolean finishing;
+  private boolean finished;
+  private long received;
+
+  SocketConnection(
+      EventLoop loop, ConnectionHandler handler, ReadinessPhase phase, double emptyAt) {
+    this.loop = loop;
+    this.handler = handler;
+    this.phase = handler.urgent() ? ReadinessPhase.NEWS : phase;
+    arrival = new ArrivalTime(emptyAt);
+  }
+
+  @Override
+  public ReadinessPhase phase() {
+    return phase;
+  }
+
+  // ---- Coming up.
+  /** The channel is being connected, or is already. */
+  void connecting(SocketChannel channel, boolean connected) throws IOException {
+    this.channel = channel;
+    register(connected ? 0 : SelectionKey.OP_CONNECT);
+    if (connected) {
+      loop.run(this::begin);
+    }
+  }
+
+  /** The channel was accepted: whatever it has brought is read at once. */
+  void accepted(SocketChannel channel) throws IOException {
+    this.channel = channel;
+    register(0);
+    begin();
+    readNow();
+  }
+
+  private void register(int ops) throws IOException {
+    interest = ops;
+    key = loop.register(channel, ops, this);
+  }
+
+  private void begin() {
+    if (open) {
+      up = true;
+      updateInterest();
+      guard(() -> handler.opened(this));
+    }
+  }
+
+  @Override
+  public void ready() {
+    if (!open) {
+      return;
+    }
+    if (!up) {
+      finishConnect();
+      return;
+    }
+    if (key.isValid() && key.isWritable()) {
+      flush();
+    }
+    if (open && key.isValid() && key.isReadable()) {
+      readNow();
+    }
+  }
+
+  @Override
+  public void passedOver() {
+    arrival.leftUnread(loop.previousPoll());
+  }
+
+  private void finishConnect() {
+    try {
+      if (channel.finishConnect()) {
+        arrival.foundEmpty(loop.now());
+        begin();
+      }
+    } catch (IOException e) {
+      end("connect: " + e.getMessage());
+    }
+  }
+
+  /** An exception ends this connection only; its handler still hears of it. */
+  private void guard(Runnable call) {
+    try {
+      call.run();
+    } catch (RuntimeException e) {
+      LOG.log(Level.WARNING, "a connection's handler failed", e);
+      end("internal error: " + e);
+    }
+  }
+
+  // ---- Reading.
+  @Override
+  public void readNow() {
+    if (reading || !up) {
+      return;
+    }
+    reading = true;
+    ByteBuffer in = loop.readBuffers().borrow();
+    try {
+      int budget = READ_BUDGET;
+      while (open && !paused && budget > 0) {
+        int count = readOnce(in);
+        if (count <= 0) {
+          return;
+        }
+        budget -= count;
+      }
+      arrival.leftUnread(loop.previousPoll());
+    } finally {
+      reading = false;
+      loop.readBuffers().release(in);
+    }
+  }
+
+  /** Reads once and hands it on; how many bytes, nought or less where the socket has no more. */
+  private int readOnce(ByteBuffer in) {
+    double began = loop.now();
+    int count;
+    try {
+      count = channel.read(in.clear());
+    } catch (IOException e) {
+      end("read: " + e.getMessage());
+      return -1;
+    }
+    if (count == 0) {
+      arrival.foundEmpty(began);
+    } else if (count < 0) {
+      peerFinished();
+    } else {
+      received += count;
+      take(in.flip());
+    }
+    return count;
+  }
+
+  private void peerFinished() {
+    if (!finishing) {
+      guard(handler::finished);
+    }
+    end("closed by the peer");
+  }
+
+  private void take(ByteBuffer in) {
+    if (!finishing) {
+      guard(() -> handler.received(in));
+      return;
+    }
+    lingered += in.remaining();
+    if (lingered > LINGER_BYTES) {
+      end("finished");
+    }
+  }
+
+  @Override
+  public double earliestArrival() {
+    return arrival.earliest(loop.previousPoll());
+  }
+
+  @Override
+  public void reading(boolean on) {
+    paused = !on;
+    arrival.leftUnread(loop.previousPoll());
+    updateInterest();
+  }
+
+  /** Bytes that the peer has sent so far. */
+  long received() {
+    return received;
+  }
+
+  private void updateInterest() {
+    int ops = (paused ? 0 : SelectionKey.OP_READ) | (queue.isEmpty() ? 0 : SelectionKey.OP_WRITE);
+    if (ops != interest && open && up && key.isValid()) {
+      interest = ops;
+      key.interestOps(ops);
+    }
+  }
+
+  // ---- Writing.
+  @Override
+  public void write(byte[] bytes, int length, Runnable written) {
+    if (!open || finishing) {
+      return;
+    }
+    queued += length;
+    if (queued > QUEUE_MOST) {
+      loop.run(() -> end("the peer does not read"));
+      return;
+    }
+    queue.add(new Chunk(ByteBuffer.wrap(bytes, 0, length), written));
+    flush();
+  }
+
+  private void flush() {
+    if (!open || !up || flushing) {
+      return;
+    }
+    flushing = true;
+    try {
+      while (open && !queue.isEmpty() && writeFirst()) {
+        // until nothing is left or the system takes no more
+      }
+    } catch (IOException e) {
+      queue.clear();
+      loop.run(() -> end("write: " + e.getMessage())); // never within a call of the handler's
+    } finally {
+      flushing = false;
+    }
+    if (open && queue.isEmpty() && finishing && !finished) {
+      shutDownOutput();
+    }
+    updateInterest();
+  }
+
+  /** Whether the system has taken all that it was offered. */
+  private boolean writeFirst() throws IOException {
+    Chunk chunk = queue.peek();
+    ByteBuffer bytes = chunk.bytes();
+    int end = bytes.limit();
+    bytes.limit(Math.min(end, bytes.position() + WRITE_MOST));
+    int offered = bytes.remaining();
+    int count = channel.write(bytes);
+    bytes.limit(end);
+    queued -= count;
+    if (!bytes.hasRemaining()) {
+      queue.poll();
+      if (chunk.written() != null) {
+        guard(chunk.written());
+      }
+    }
+    return count == offered;
+  }
+
+  @Override
+  public boolean unsent() {
+    return !queue.isEmpty();
+  }
+
+  // ---- Ending.
+  @Override
+  public void finish() {
+    finishing = true;
+    paused = false;
+    flush();
+    if (open && !finished) {
+      loop.after(
+          FINISH_MOST_MS,
+          () -> {
+            if (!finished) { // guards against a peer that neither reads nor goes
+              end("the peer does not read");
+            }
+          });
+    }
+  }
+
+  private void shutDownOutput() {
+    finished = true;
+    try {
+      channel.shutdownOutput();
+    } catch (IOException e) {
+      loop.run(() -> end("finish: " + e.getMessage()));
+      return;
+    }
+    loop.after(LINGER_MS, () -> end("finished"));
+  }
+
+  @Override
+  public void reset() {
+    try {
+      channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+    } catch (IOException e) {
+      LOG.fine("reset: " + e);
+    }
+    close();
+  }
+
+  @Override
+  public void close() {
+    if (!open) {
+      return;
+    }
+    open = false;
+    queue.clear();
+    if (channel != null) {
+      try {
+        channel.close();
+      } catch (IOException e) {
+        LOG.fine("close: " + e);
+      }
+    }
+    handler.closed();
+  }
+
+  void end(String why) {
+    if (!open) {
+      return;
+    }
+    close();
+    try {
+      handler.ended(why);
+    } catch (RuntimeException e) {
+      LOG.log(Level.WARNING, "a connection's handler failed at its end", e);
+    }
+  }
+}
--- a/src/main/java/crankspar/net/Passage.java
+++ b/src/main/java/crankspar/net/StreamedValue.java
@@ -5,19 +5,19 @@
  * for the client the server is not read, so that any number of them together stays within what the places for
  * clients allow. Guards against values that together are more than the heap.
  */
-public final class Passage {
+public final class StreamedValue {
     /** What may wait for the client: with one more read at most. */
     private static final int MOST = 64 * 1024;
 
-    private final Machine.Out source;
-    private Machine.Out sink;
+    private final Connection source;
+    private Connection sink;
     private int waiting;
     private boolean held;
 
-    public Passage(Machine.Out source) { this.source = source; }
+    public StreamedValue(Connection source) { this.source = source; }
 
     /** Whoever the answer belongs to; said before the first part comes. */
-    public void to(Machine.Out sink) { this.sink = sink; }
+    public void to(Connection sink) { this.sink = sink; }
 
     public void pass(byte[] part) {
         waiting += part.length;
--- a/src/main/java/crankspar/pg/ClientSession.java
+++ b/src/main/java/crankspar/pg/ClientSession.java
@@ -2,7 +2,8 @@
 
 import crankspar.core.Counters;
 import crankspar.core.FinalAnswer;
-import crankspar.net.Visitor;
+import crankspar.net.ClientConnectionHandler;
+import crankspar.net.Connection;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 
@@ -10,16 +11,18 @@
  * A client's connection: it takes one query at a time, in order, and answers each. What the answer is comes
  * from the {@link Desk}; this machine only knows how it is said.
  */
-final class ClientSession implements Visitor {
+final class ClientSession implements ClientConnectionHandler {
     /** Where queries go. */
     interface Desk {
         /**
-         * Takes a statement that came whole at {@code since} (ms); its id names it until its answer comes. An error is for this
-         * client.
+         * Takes a statement that came whole at {@code since} (ms) at the earliest; its id names it until its answer comes. An error
+         * is for this client.
          */
         void take(Statement statement, double since, ClientSession session) throws Statement.Malformed;
         /** The time (ms) by the loop's clock. */
         double now();
+        /** Runs work behind whatever the sockets hold now: ends and cancels come before it. */
+        void later(Runnable work);
         void gone(String id);
         /** Its client wants it no longer, and waits for the answer that says so. */
         void cancel(String id);
@@ -34,6 +37,8 @@
         /** Whether who asks is told to go elsewhere. */
         boolean leaving();
         Counters counters();
+        /** A connection is closed from this side with this request owed (null where none is), for this reason. */
+        void closing(String id, String why);
     }
 
     /** Queries that one client may have waiting; more than that is no client of ours. */
@@ -42,14 +47,16 @@
 
     private final PgDecoder decoder = new PgDecoder(true);
     private final Desk desk;
-    /** A message and when its last byte came (ms). */
+    /** A message and the earliest time at which its last byte may have come (ms). */
     private record Waiting(PgMessage message, double since) { }
 
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private int waitingChars;
     private int held;
-    private Out out;
-    private boolean welcomed, asked, skipping, busy, begun, reads, cancelled, taking, over;
+    private Connection out;
+    private boolean welcomed, asked, skipping, busy, begun, reads, cancelled, taking, scheduled, over;
+    /** A cancel has come for the statement that is next. */
+    private boolean cancelNext;
     /** Said once the long answer at hand is out. */
     private Runnable parting;
     private long messages;
@@ -58,8 +65,9 @@
 
     ClientSession(Desk desk) { this.desk = desk; }
 
-    @Override public void opened(Out out) { this.out = out; }
+    @Override public void opened(Connection out) { this.out = out; }
 
+    /** Only decodes: what has come is taken once all that the sockets hold is known. Cancels and Terminate count at once. */
     @Override public void received(ByteBuffer in) {
         if (parting != null) {
             in.position(in.limit());
@@ -73,12 +81,18 @@
                     terminated();
                     return;
                 }
+                if (m instanceof PgMessage.CancelRequest c) {
+                    desk.cancel(c.process(), c.secret());
+                    leave();                  // a cancel gets no answer
+                    out.finish();
+                    return;
+                }
                 waitingChars += m instanceof PgMessage.Query q ? q.sql().length() : 0;
-                if (waiting.size() >= WAITING_MOST || waitingChars > WAITING_CHARS_MOST) {
+                if (waiting.size() > WAITING_MOST || waitingChars > WAITING_CHARS_MOST) {
                     fatal("54000", "too many statements at once");
                     return;
                 }
-                waiting.add(new Waiting(m, desk.now()));
+                waiting.add(new Waiting(m, Math.min(desk.now(), out.earliestArrival())));
             }
         } catch (PgDecoder.Malformed e) {
             fatal("08P01", e.getMessage());
@@ -88,7 +102,14 @@
             fatal("53200", "no room for a long statement now");
             return;
         }
-        goOn();
+        schedule();
+    }
+
+    private void schedule() {
+        if (!scheduled) {
+            scheduled = true;
+            desk.later(this::goOn);
+        }
     }
 
     private boolean hold(int bytes) {
@@ -98,7 +119,8 @@
     }
 
     private void goOn() {
-        if (taking) {
+        scheduled = false;
+        if (taking || over) {
             return;
         }
         taking = true;
@@ -133,10 +155,7 @@
         } else if (m instanceof PgMessage.Other o && welcomed) {
             unknown(o.type());
         } else {
-            if (m instanceof PgMessage.CancelRequest c) {
-                desk.cancel(c.process(), c.secret());
-            }
-            leave();                          // a cancel gets no answer; nothing else comes before a startup
+            leave();                          // nothing else comes before a startup
             out.finish();
         }
     }
@@ -156,9 +175,17 @@
         if (busy && !begun) {
             cancelled = true;
             desk.cancel(id);
+        } else if (!busy) {
+            cancelNext = waiting.stream().anyMatch(w -> w.message() instanceof PgMessage.Query);
         }
     }
 
+    /** Whether its client is still there, by what its connection holds now. */
+    boolean present() {
+        out.readNow();
+        return !over;
+    }
+
     /** The extended protocol is not spoken here: one error, and silence until the client syncs. */
     private void unknown(char type) {
         desk.counters().add("client_unknown_messages");
@@ -171,6 +198,12 @@
 
     private void query(String sql, double since) {
         asked = true;
+        if (cancelNext) {
+            cancelNext = false;
+            out.write(new PgEncoder().add(PgMessage.Report.error("ERROR", "57014", "canceled by its client"))
+                    .add(new PgMessage.ReadyForQuery()).bytes());
+            return;
+        }
         String bare = sql.strip();
         String word = bare.split("[\\s;]", 2)[0].toUpperCase(java.util.Locale.ROOT);
         if (desk.leaving() && bare.isEmpty()) {
@@ -233,7 +266,7 @@
         if (parting != null) {
             parting.run();
         } else {
-            goOn();
+            schedule();
         }
     }
 
@@ -257,6 +290,7 @@
             return;
         }
         desk.counters().add("client_malformed");
+        desk.closing(id, code + " " + message + ", " + waiting.size() + " messages waited");
         var e = new PgEncoder();
         if (busy) {
             e.add(PgMessage.Report.error("ERROR", "08007", "given up: " + message)).add(new PgMessage.ReadyForQuery());
@@ -267,6 +301,7 @@
                         .add(new PgMessage.ReadyForQuery());
             }
         }
+        waiting.clear();
         out.write(e.add(PgMessage.Report.error("FATAL", code, message)).bytes());
         out.finish();
         leave();
@@ -286,6 +321,12 @@
 
     @Override public long progress() { return messages; }
 
+    @Override public void readNow() {
+        if (out != null) {
+            out.readNow();
+        }
+    }
+
     /** Its number in a cancel; 0 before its welcome. */
     void process(int process) { this.process = process; }
 
@@ -301,15 +342,18 @@
 
     /** Guards against ending half a command: its client would not know that it was not read. */
     @Override public void closeIfIdle() {
+        readNow();
         Standing standing = standing();
         if (out != null && (standing == Standing.IDLE || standing == Standing.STARTED
                 || standing == Standing.NEW && decoder.empty())) {
+            desk.closing(null, "idle, and this pooler ends, drains or makes room");
             out.finish();
             leave();
         }
     }
 
     @Override public void drop() {
+        desk.closing(id, "room is made for another client");
         leave();
         if (out != null) {
             out.close();
@@ -323,6 +367,11 @@
     private void leave() {
         if (!over) {
             over = true;
+            waiting.forEach(w -> {
+                if (w.message() instanceof PgMessage.Query) {
+                    desk.counters().add("left_untaken");
+                }
+            });
             waiting.clear();
             hold(0);
             if (busy) {
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -1,16 +1,16 @@
 package crankspar.pg;
 
-import crankspar.Router;
 import crankspar.Router.Freshness;
+import crankspar.Router;
 import crankspar.core.Counters;
 import crankspar.core.FinalAnswer;
 import crankspar.core.Front;
 import crankspar.core.Pooler;
 import crankspar.core.Ports;
-import crankspar.net.Carrier;
 import crankspar.net.Clients;
-import crankspar.net.Loop;
-import crankspar.net.Machine;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.EventLoop;
+import crankspar.net.ServerConnectionHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
@@ -25,6 +25,8 @@
     /** A welcomed session, and what a cancel has to bring to name it. */
     private record Key(int secret, ClientSession session) { }
 
+    /** Null in a rehearsal. */
+    private final EventLoop loop;
     private final Router.Settings settings;
     private final Counters counters;
     private final Pooler<Statement, PgAnswer> pooler;
@@ -38,8 +40,9 @@
     private int processes;
     private boolean leaving;
 
-    public PgFront(Loop loop, Router.Settings settings, Counters counters, Pooler<Statement, PgAnswer> pooler,
+    public PgFront(EventLoop loop, Router.Settings settings, Counters counters, Pooler<Statement, PgAnswer> pooler,
                    int most) {
+        this.loop = loop;
         this.settings = settings;
         this.counters = counters;
         this.pooler = pooler;
@@ -48,13 +51,13 @@
     }
 
     /** The server's side of this wire, for a pool. */
-    public static Carrier<Statement, PgAnswer> dial(Counters counters) { return new ServerSession(counters); }
+    public static ServerConnectionHandler<Statement, PgAnswer> dial(Counters counters) { return new ServerSession(counters); }
     public static Statement probe() { return Statement.probe(); }
 
     public InetSocketAddress listen(InetSocketAddress address) throws IOException { return clients.listen(address); }
 
     /** A machine for a client's connection, or null when there are too many. */
-    public Machine session() { return clients.admit(); }
+    public ConnectionHandler session() { return clients.admit(); }
 
     /**
      * Guards against what no client of ours sends: an id that is open already would let one client end or
@@ -83,6 +86,8 @@
             throw new Statement.Malformed("a request with this id is open");
         }
         String taken = pooler.take(ask, new Ports.Reply<>() {
+            @Override public boolean present() { return session.present(); }
+
             @Override public void began(PgAnswer answer) { session.began(answer); }
 
             @Override public void answer(FinalAnswer<PgAnswer> answer) {
@@ -95,6 +100,14 @@
 
     @Override public double now() { return pooler.now(); }
 
+    @Override public void later(Runnable work) {
+        if (loop == null) {
+            work.run();
+        } else {
+            loop.run(work);
+        }
+    }
+
     @Override public boolean hold(int more) {
         held += more;
         return more <= 0 || held <= HELD_MOST;
@@ -124,6 +137,7 @@
 
     @Override public boolean draining() { return clients.draining(); }
     @Override public Counters counters() { return counters; }
+    @Override public void closing(String id, String why) { pooler.closing(id, why); }
     @Override public void closed(ClientSession session) {
         keys.remove(session.process());
         clients.closed(session);
--- a/src/main/java/crankspar/pg/ServerSession.java
+++ b/src/main/java/crankspar/pg/ServerSession.java
@@ -1,13 +1,14 @@
 package crankspar.pg;
 
 import crankspar.Router.Role;
-import crankspar.core.AttemptEnd;
 import crankspar.core.AttemptEnd.Note;
+import crankspar.core.AttemptEnd;
 import crankspar.core.Counters;
 import crankspar.core.Ports;
 import crankspar.core.Reach;
-import crankspar.net.Carrier;
-import crankspar.net.Passage;
+import crankspar.net.Connection;
+import crankspar.net.ServerConnectionHandler;
+import crankspar.net.StreamedValue;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
@@ -20,7 +21,7 @@
  * ReadyForQuery, with notes between them. Guards against spoilt answers: anything else may have run, is
  * served to nobody, its notes count for nothing, and its connection is of no more use.
  */
-final class ServerSession implements Carrier<Statement, PgAnswer> {
+final class ServerSession implements ServerConnectionHandler<Statement, PgAnswer> {
     private enum Phase { DIALLED, WELCOMING, IDLE, SETTLING, SETTLED, ASKED, COLUMNS, LONG, ROW, COMPLETE, ERROR }
 
     private static final byte[] STARTUP;
@@ -38,14 +39,14 @@
     private final PgDecoder decoder = new PgDecoder(false);
     private final Counters counters;
     private Keeper keeper;
-    private Out out;
+    private Connection out;
     private Phase phase = Phase.DIALLED;
     private Reach reach = Reach.NOT_CONNECTED;
     private Statement statement;
     private Ports.Hearer<PgAnswer> hearer;
     private PgMessage.RowDescription columns;
     private PgMessage.DataRow row;
-    private Passage passage;
+    private StreamedValue passage;
     private int left;
     private PgMessage.CommandComplete complete;
     private PgMessage.Report error;
@@ -56,12 +57,11 @@
 
     @Override public void keeper(Keeper keeper) { this.keeper = keeper; }
 
-    /** Guards against a write that was sent twice: what the system holds may leave, whether or not it has said so by now. */
-    @Override public Reach reach() { return reach == Reach.PARTLY_WRITTEN && out.underway() ? Reach.WHOLLY_WRITTEN : reach; }
+    @Override public Reach reach() { return reach; }
 
     @Override public boolean reusable() { return phase == Phase.IDLE && decoder.empty(); }
 
-    @Override public void opened(Out out) {
+    @Override public void opened(Connection out) {
         this.out = out;
         out.write(STARTUP);
     }
@@ -163,7 +163,7 @@
         phase = Phase.LONG;
         row = null;
         left = d.size();
-        passage = new Passage(out);
+        passage = new StreamedValue(out);
         if (!hearer.began(PgAnswer.begun(columns, d.size(), passage))) {
             throw new PgDecoder.Malformed("a long answer that nobody waits for");
         }
--- a/src/main/java/crankspar/policy/Balance.java
+++ b/src/main/java/crankspar/policy/Balance.java
@@ -99,7 +99,7 @@
     }
 
     /** Sends what can be sent, in order of rank and aim. */
-    void pump(Group g) {
+    @Override void pump(Group g) {
         if (g == null || g.line.isEmpty()) {
             return;
         }
@@ -371,7 +371,7 @@
     }
 
     /** Sends work elsewhere, beside the first copy or in its place; the primary's only to a new one. */
-    void rescue(Attempt a, boolean newPrimary) {
+    @Override void rescue(Attempt a, boolean newPrimary) {
         Work w = a.work;
         if (w.done || a.given || w.primaryOnly() != newPrimary || w.out.size() > 1 || !repeatable(w)) {
             return;
--- a/src/main/java/crankspar/policy/Reads.java
+++ b/src/main/java/crankspar/policy/Reads.java
@@ -42,7 +42,7 @@
         return w.kind.freshness() == Freshness.BOUNDED ? Math.max(now - w.kind.bound(), w.need) : w.need;
     }
 
-    double needAtStart(Request r, RequestClass kind) {
+    @Override double needAtStart(Request r, RequestClass kind) {
         if (kind.freshness() == Freshness.FRESH) {
             return now;
         }
--- /dev/null
+++ b/src/main/java/crankspar/pooling/BatchStatements.java
@@ -0,0 +1,70 @@
+package crankspar.pooling;
+
+import crankspar.pooling.Sql.Kind;
+import crankspar.pooling.Sql.Statement;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The statements of the batch that opens a transaction, as far as routing has to know them.
+ *
+ * @param text the first SQL text of the batch; empty where there is none
+ */
+record BatchStatements(String text, List<Statement> statements) {
+  private static final Statement FUNCTION_CALL = new Statement(Kind.WRITE, "", null, null, false);
+
+  private record Part(String sql, List<Statement> statements) {
+    static final Part NONE = new Part("", List.of());
+
+    static Part of(Prepared prepared) {
+      return prepared == null ? NONE : new Part(prepared.sql(), prepared.statements());
+    }
+  }
+
+  /** What {@code session} has prepared before is known to it by name. */
+  static BatchStatements of(List<Frame> frames, SessionState session) throws Frame.Malformed {
+    var statements = new ArrayList<Statement>(2);
+    String text = "";
+    var fresh = new HashMap<String, Prepared>(2);
+    for (Frame frame : frames) {
+      Part part = part(frame, fresh, session);
+      text = text.isEmpty() ? part.sql() : text;
+      statements.addAll(part.statements());
+    }
+    return new BatchStatements(text, statements);
+  }
+
+  private static Part part(Frame frame, Map<String, Prepared> fresh, SessionState session)
+      throws Frame.Malformed {
+    Frame.Reader r = frame.read();
+    switch (frame.type()) {
+      case 'Q' -> {
+        String sql = r.text();
+        return new Part(sql, Sql.split(sql));
+      }
+      case 'P' -> {
+        String name = r.text();
+        Prepared prepared = Prepared.of(r.text(), r.rest());
+        fresh.put(name, prepared);
+        return Part.of(prepared);
+      }
+      case 'B' -> {
+        r.text(); // the portal
+        String name = r.text();
+        return fresh.containsKey(name) ? Part.NONE : Part.of(session.prepared(name));
+      }
+      case 'F' -> {
+        return new Part("", List.of(FUNCTION_CALL));
+      }
+      default -> {
+        return Part.NONE;
+      }
+    }
+  }
+
+  boolean onlyBegins() {
+    return statements.size() == 1 && statements.get(0).kind() == Kind.BEGIN;
+  }
+}
--- a/src/main/java/crankspar/pooling/Client.java
+++ b/src/main/java/crankspar/pooling/Client.java
@@ -2,9 +2,8 @@
 
 import crankspar.core.FinalAnswer;
 import crankspar.core.Ports;
-import crankspar.net.Machine;
-import crankspar.pooling.Sql.Kind;
-import crankspar.pooling.Sql.Statement;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -18,7 +17,7 @@
  * A client's connection. It collects what opens a transaction, asks for it as one request, and passes on what follows
  * while it has a server's connection. Each command gets one answer, in order, or the connection ends cleanly.
  */
-final class Client implements Machine, Ports.Reply<Answer> {
+final class Client implements ConnectionHandler, Ports.Reply<Answer> {
     /** Where a client can be, by the names of SHOW clients. */
     enum State {
         /** Its start is not whole, or no server has told yet what it is to be welcomed with. */
@@ -56,6 +55,8 @@
         List<Frame> console(String sql);
         void count(String name);
         double now();
+        /** Runs work behind whatever the sockets hold now: ends and cancels come before it. */
+        void later(Runnable work);
     }
 
     /** The name under which the front itself answers. */
@@ -70,9 +71,9 @@
     private final int process;
     private final int secret;
     private final double connectedAt;
-    private Out out;
+    private Connection out;
     private State state = State.LOGIN;
-    private double since;
+    private double since, arrived, askedAt;
     private int encryptionAsks;
     private Server.Key key;
     private String databaseName;
@@ -111,6 +112,8 @@
     Opening opening() { return opening; }
     Server lease() { return lease; }
     long transactions() { return transactions; }
+    /** The earliest time at which its opening may have come, or at which it came to its turn (ms). */
+    double askedAt() { return askedAt; }
 
     /** Its database as set up now; one that is no longer set up has no places. */
     Setup.Database database() { return desk.database(databaseName); }
@@ -120,10 +123,7 @@
         since = desk.now();
     }
 
-    @Override public void opened(Out out) { this.out = out; }
-
-    /** Idle clients by the thousand keep little: the buffer grows with what they send. */
-    @Override public int firstRead() { return 512; }
+    @Override public void opened(Connection out) { this.out = out; }
 
     // ---- From the client.
     @Override public void received(ByteBuffer in) {
@@ -131,6 +131,7 @@
             in.position(in.limit());
             return;
         }
+        arrived = held.isEmpty() ? Math.min(desk.now(), out.earliestArrival()) : arrived;
         decoder.feed(in);
         try {
             for (Frame f = decoder.next(); f != null && state != State.LEAVING; f = decoder.next()) {
@@ -146,7 +147,11 @@
             fatal("08P01", e.getMessage());
             return;
         }
-        pump();
+        if (state != State.LEAVING) {
+            account();
+            gate();
+            desk.later(this::goOn);
+        }
     }
 
     private void start(Frame f) throws Frame.Malformed {
@@ -241,7 +246,7 @@
         PMap<String, String> told = reported;
         for (Map.Entry<String, String> e : reported.entrySet()) {
             String value = own.getOrDefault(e.getKey().toLowerCase(java.util.Locale.ROOT), e.getValue());
-            if (!Server.NOTES.contains(e.getKey())) {
+            if (!ServerNotes.NAMES.contains(e.getKey())) {
                 frames.add(Frame.parameter(e.getKey(), value));
                 told = value.equals(e.getValue()) ? told : told.plus(e.getKey(), value);
             }
@@ -330,8 +335,17 @@
         }
     }
 
-    /** Its server is ready for what comes next. */
-    void goOn() { pump(); }
+    /** Its server is ready for what comes next, or something has come. */
+    void goOn() {
+        if (present()) {
+            pump();
+        }
+    }
+
+    @Override public boolean present() {
+        out.readNow();
+        return state != State.LEAVING;
+    }
 
     private void on(Frame f) throws Frame.Malformed {
         if (f.type() == 'X') {
@@ -404,45 +418,15 @@
     }
 
     private void open(List<Frame> frames, boolean whole) throws Frame.Malformed {
-        var statements = new ArrayList<Statement>(2);
-        String text = "";
-        var fresh = new HashMap<String, Prepared>(2);
-        for (Frame f : frames) {
-            Frame.Reader r = f.read();
-            List<Statement> more = List.of();
-            String sql = "";
-            if (f.type() == 'Q') {
-                sql = r.text();
-                more = Sql.split(sql);
-            } else if (f.type() == 'P') {
-                String name = r.text();
-                Prepared p = Prepared.of(r.text(), r.rest());
-                fresh.put(name, p);
-                sql = p.sql();
-                more = p.statements();
-            } else if (f.type() == 'B') {
-                r.text();
-                String name = r.text();
-                Prepared p = fresh.containsKey(name) ? null : session.prepared(name);
-                if (p != null) {
-                    sql = p.sql();
-                    more = p.statements();
-                }
-            } else if (f.type() == 'F') {
-                more = List.of(new Statement(Kind.WRITE, "", null, null, false));
-            }
-            text = text.isEmpty() ? sql : text;
-            statements.addAll(more);
-        }
+        var batch = BatchStatements.of(frames, session);
         Setup.Database database = database();
         if (database == null) {
             reject("3D000", "database \"" + databaseName + "\" is no longer set up here", whole);
             return;
         }
         try {
-            Route.Way way = desk.route().way(database.as(user), text, statements, session);
-            boolean onlyBegin = statements.size() == 1 && statements.get(0).kind() == Kind.BEGIN;
-            ask(new Opening(this, frames, whole, way, onlyBegin, database.mode(user)));
+            Route.Way way = desk.route().way(database.as(user), batch.text(), batch.statements(), session);
+            ask(new Opening(this, frames, whole, way, batch.onlyBegins(), database.mode(user)));
         } catch (Route.Refused e) {
             reject(e.code, e.getMessage(), whole);
         }
@@ -450,6 +434,7 @@
 
     private void ask(Opening opening) {
         this.opening = opening;
+        askedAt = Math.max(arrived, since);
         if (state != State.LOGIN) {
             to(State.WAITING);
         }
--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -381,7 +381,7 @@
         Frame.Reader r = f.read();
         String name = r.text();
         String value = r.text();
-        if (Server.NOTES.contains(name)) {
+        if (ServerNotes.NAMES.contains(name)) {
             return;                           // they change with every answer: kept, each lease would compare all anew
         }
         server.report(name, value);
--- a/src/main/java/crankspar/pooling/PoolingFront.java
+++ b/src/main/java/crankspar/pooling/PoolingFront.java
@@ -6,8 +6,10 @@
 import crankspar.core.Pooler;
 import crankspar.core.Ports;
 import crankspar.net.Addressed;
-import crankspar.net.Loop;
-import crankspar.net.Machine;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.EventLoop;
+import crankspar.net.Listener;
 import crankspar.net.Pool;
 import crankspar.pg.PgFront;
 import java.io.IOException;
@@ -32,7 +34,7 @@
     private static final double SWEEP = 50;
     private static final double REOPEN = 50;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Counters counters;
     private final Route route;
     private final Pooler<Opening, Answer> pooler;
@@ -45,13 +47,13 @@
     private final Map<Long, Client> tickets = new HashMap<>();
     private Setup setup;
     private InetSocketAddress address;
-    private Loop.Listener listener;
+    private Listener listener;
     private int nextProcess;
     private long nextTicket;
     private long held;
     private boolean draining, stopping;
 
-    private PoolingFront(Loop loop, Router.Settings settings, Counters counters, Pooler<Opening, Answer> pooler,
+    private PoolingFront(EventLoop loop, Router.Settings settings, Counters counters, Pooler<Opening, Answer> pooler,
                          Servers servers, Setup setup) {
         this.loop = loop;
         this.counters = counters;
@@ -67,7 +69,7 @@
     public record Parts(PoolingFront front, Pooler<?, ?> core, Addressed connections) { }
 
     /** Session marks are kept here, by client, and carried with each request; {@code servers} bounds connections to servers. */
-    public static Parts build(Loop loop, Router.Settings settings, Counters counters, Ports.Discovery discovery,
+    public static Parts build(EventLoop loop, Router.Settings settings, Counters counters, Ports.Discovery discovery,
                               BiFunction<Router.Settings, Router.Actions, Router> maker, Setup setup, int servers) {
         var carried = new Router.Settings(settings.seed(), settings.zone(), settings.zones(), settings.me(), settings.siblings(),
                 settings.round(), settings.askDiscovery(), settings.classes(), settings.behind(), settings.patience(),
@@ -104,11 +106,11 @@
     }
 
     /** A machine for a client's connection; beyond the bound one that only says so. */
-    private Machine admit() {
+    private ConnectionHandler admit() {
         if (clients.size() >= setup.limits().clients()) {
             counters.add("pooling_clients_refused");
-            return new Machine() {
-                @Override public void opened(Out out) {
+            return new ConnectionHandler() {
+                @Override public void opened(Connection out) {
                     out.write(Frame.error("FATAL", "53300", "more than " + setup.limits().clients() + " clients", null).wire());
                     out.finish();
                 }
@@ -134,6 +136,7 @@
     @Override public boolean draining() { return draining; }
     @Override public void count(String name) { counters.add(name); }
     @Override public double now() { return loop.now(); }
+    @Override public void later(Runnable work) { loop.run(work); }
     @Override public List<Frame> console(String sql) { return console.answer(sql); }
 
     @Override public boolean hold(int more) {
@@ -144,7 +147,7 @@
     @Override public void ask(Client client, Opening opening) {
         client.ticket = ++nextTicket;
         tickets.put(client.ticket, client);
-        double deadline = loop.now() + opening.way.ttl();
+        double deadline = client.askedAt() + opening.way.ttl();
         effects(places.get(client.databaseName()).ask(loop.now(), client.user(), client.ticket, deadline));
     }
 
@@ -159,17 +162,17 @@
                 client.ticket = 0;
                 counters.add("pooling_waits_over");
                 client.refused(r.why());
-            } else if (e instanceof Places.Effect.Granted g) {
-                take(client, g.waited());
+            } else if (e instanceof Places.Effect.Granted) {
+                take(client);
             }
         }
     }
 
-    private void take(Client client, double waited) {
+    private void take(Client client) {
         Opening opening = client.opening();
         Route.Way way = opening.way;
         client.placed();
-        var ask = new Ports.Ask<>(way.requestClass(), Math.max(0, way.ttl() - waited), "client-" + client.process(), way.mark(),
+        var ask = new Ports.Ask<>(way.requestClass(), Math.max(0, way.ttl() - (loop.now() - client.askedAt())), "client-" + client.process(), way.mark(),
                 way.group(), opening);
         long mine = client.ticket;
         String id = pooler.take(ask, client);
--- a/src/main/java/crankspar/pooling/Route.java
+++ b/src/main/java/crankspar/pooling/Route.java
@@ -1,7 +1,7 @@
 package crankspar.pooling;
 
-import crankspar.Router;
 import crankspar.Router.Freshness;
+import crankspar.Router;
 import crankspar.pooling.Sql.Kind;
 import crankspar.pooling.Sql.Statement;
 import java.util.HashMap;
--- a/src/main/java/crankspar/pooling/Server.java
+++ b/src/main/java/crankspar/pooling/Server.java
@@ -1,12 +1,13 @@
 package crankspar.pooling;
 
 import crankspar.Router.Role;
-import crankspar.core.AttemptEnd;
 import crankspar.core.AttemptEnd.Note;
+import crankspar.core.AttemptEnd;
 import crankspar.core.Ports;
 import crankspar.core.Reach;
-import crankspar.net.Machine;
-import crankspar.net.Stream;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.SocketConnection;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -18,7 +19,7 @@
  * leaves behind is rolled back and cleaned, or the connection is closed, before anybody else has it. Its end is told
  * exactly once.
  */
-final class Server implements Machine, Ports.Call, Keeping.Idle {
+final class Server implements ConnectionHandler, Ports.Call, Keeping.Idle {
     /** Where a connection can be, by the names of SHOW servers. */
     enum State {
         /** Dialled, and not welcomed yet. */
@@ -46,11 +47,8 @@
         void count(String name, long n);
     }
 
-    /** Parameters that say how a server stands: for the module, not for clients. */
-    static final Set<String> NOTES = Set.of("role", "applied_ms", "load", "in_hot_standby");
     /** An answer up to this is held until it is whole; of a longer one the client gets what has come. */
     private static final int HELD_MOST = 64 * 1024;
-    private static final java.util.regex.Pattern PLAIN = java.util.regex.Pattern.compile("[0-9]{1,16}(\\.[0-9]{0,6})?");
     private static final Set<String> MISSED = Set.of("25006", "72000");
     private static final Set<String> TURNED_AWAY = Set.of("53300", "57P03");
     private static final Sql.Statement DISCARD = Sql.split("DISCARD ALL").get(0);
@@ -67,8 +65,8 @@
     private final ServerState there = new ServerState();
     private final FrameDecoder decoder = new FrameDecoder(false);
     private final Flow fromClient;
-    private Stream stream;
-    private Out out;
+    private SocketConnection stream;
+    private Connection out;
     private State state = State.LOGIN;
     private Opening opening;
     private Ports.Hearer<Answer> hearer;
@@ -81,8 +79,7 @@
     private int cancelling, cleaning;
     private int process, secret;
     private double since, within, quietSince;
-    private Role role = Role.UNKNOWN;
-    private double position = Double.NaN;
+    private final ServerNotes notes = new ServerNotes();
 
     Server(Keeper keeper, Key key, String member, double luck) {
         this.keeper = keeper;
@@ -125,7 +122,7 @@
         since = keeper.now();
     }
 
-    @Override public void opened(Out out) {
+    @Override public void opened(Connection out) {
         this.out = out;
         var parameters = new LinkedHashMap<String, String>();
         parameters.put("user", key.user());
@@ -168,8 +165,14 @@
             finish(new AttemptEnd.Served<>(new Answer(List.of(), this), note()));
             return;
         }
-        if (keeper.now() > within) {          // a bounded read's data has aged meanwhile: it is not sent from here
-            finish(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, "the connection was ready too late"));
+        Opening mine = opening;
+        boolean wanted = hearer.wanted();     // the last check before a write; it may end this very attempt
+        if (opening != mine || state != State.ACTIVE) {
+            return;
+        }
+        if (!wanted || keeper.now() > within) { // a bounded read's data has aged meanwhile: it is not sent from here
+            finish(wanted ? new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, "the connection was ready too late")
+                    : new AttemptEnd.Unsent<>("nobody waits for it any more"));
             return;
         }
         tellParameters();
@@ -186,7 +189,7 @@
             return;
         }
         there.reported().forEach((name, value) -> {
-            if (!NOTES.contains(name) && !value.equals(client.told().get(name))) {
+            if (!ServerNotes.NAMES.contains(name) && !value.equals(client.told().get(name))) {
                 hold(Frame.parameter(name, value));
             }
         });
@@ -304,13 +307,8 @@
         Frame.Reader r = f.read();
         String name = r.text();
         String value = r.text();
-        switch (name) {
-            case "role" -> role = value.equals("primary") ? Role.PRIMARY : value.equals("replica") ? Role.REPLICA : Role.UNKNOWN;
-            case "in_hot_standby" -> role = value.equals("on") ? Role.REPLICA : Role.PRIMARY;
-            case "applied_ms" -> position = PLAIN.matcher(value).matches() ? Double.parseDouble(value) : Double.NaN;
-            default -> { }
-        }
-        if (state != State.ACTIVE && !NOTES.contains(name)) {
+        notes.read(name, value);
+        if (state != State.ACTIVE && !ServerNotes.NAMES.contains(name)) {
             there.report(name, value);
         }
     }
@@ -381,7 +379,7 @@
         boolean over = exchange.status() == 'I';
         SessionState client = opening.client.session();
         if (over && progress.writes()) {
-            client.committedAt(Double.isNaN(position) ? keeper.now() : position);
+            client.committedAt(Double.isNaN(notes.position()) ? keeper.now() : notes.position());
         }
         if (!kept && over && again()) {
             return;
@@ -430,7 +428,7 @@
     /** Where the server turned the batch away untouched, the module hears that, and not the client. */
     private AttemptEnd<Answer> insteadOfAnswer() {
         String error = exchange.error();
-        if (opening.onlyBegin && opening.way.write() && role == Role.REPLICA && exchange.status() == 'T') {
+        if (opening.onlyBegin && opening.way.write() && notes.role() == Role.REPLICA && exchange.status() == 'T') {
             return new AttemptEnd.Missed<>(note());
         }
         if (error == null || exchange.executed() || exchange.status() != 'I') {
@@ -444,7 +442,7 @@
         return null;
     }
 
-    private Note note() { return new Note(role, position); }
+    private Note note() { return new Note(notes.role(), notes.position()); }
 
     /** The transaction is over, and the connection may go to another client. */
     private void finish(AttemptEnd<Answer> how) {
@@ -607,7 +605,7 @@
     }
 
     /** Its driver, from the moment it is dialled. */
-    void stream(Stream stream) { this.stream = stream; }
+    void stream(SocketConnection stream) { this.stream = stream; }
 
     @Override public void ended(String why) { lose(why); }
 }
--- a/src/main/java/crankspar/pooling/Servers.java
+++ b/src/main/java/crankspar/pooling/Servers.java
@@ -5,10 +5,11 @@
 import crankspar.core.Ports;
 import crankspar.core.Reach;
 import crankspar.net.Addressed;
-import crankspar.net.Loop;
-import crankspar.net.Machine;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.EventLoop;
 import crankspar.net.Pool;
-import crankspar.net.Stream;
+import crankspar.net.SocketConnection;
 import crankspar.pg.PgAnswer;
 import crankspar.pg.Statement;
 import java.net.InetSocketAddress;
@@ -40,7 +41,7 @@
         final Set<Server> connections = new LinkedHashSet<>();
     }
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Counters counters;
     private final Pool<Statement, PgAnswer> probes;
     private final double dialTimeout;
@@ -53,7 +54,7 @@
     private Setup setup;
     private int all;
 
-    Servers(Loop loop, Counters counters, Pool<Statement, PgAnswer> probes, Setup setup, double dialTimeout, int most,
+    Servers(EventLoop loop, Counters counters, Pool<Statement, PgAnswer> probes, Setup setup, double dialTimeout, int most,
             RandomGenerator chance) {
         this.loop = loop;
         this.counters = counters;
@@ -223,8 +224,8 @@
         counters.add("pooling_cancels", 1);
         server.cancelSent();
         boolean[] over = new boolean[2];
-        Stream stream = loop.connect(m.address, new Machine() {
-            @Override public void opened(Out out) {
+        SocketConnection stream = loop.connect(m.address, new ConnectionHandler() {
+            @Override public void opened(Connection out) {
                 over[1] = true;
                 byte[] bytes = Frame.cancel(server.process(), server.secret());
                 out.write(bytes, bytes.length, null);
--- a/src/main/java/crankspar/rest/Problem.java
+++ b/src/main/java/crankspar/rest/Problem.java
@@ -1,8 +1,8 @@
 package crankspar.rest;
 
 import com.fasterxml.jackson.core.JsonGenerator;
-import crankspar.json.Json;
 import crankspar.http.HttpText;
+import crankspar.json.Json;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/src/main/java/crankspar/rest/RestFront.java
+++ b/src/main/java/crankspar/rest/RestFront.java
@@ -1,9 +1,8 @@
 package crankspar.rest;
 
 import com.fasterxml.jackson.core.JsonGenerator;
-import crankspar.Router;
 import crankspar.Router.Freshness;
-import crankspar.json.Json;
+import crankspar.Router;
 import crankspar.core.Counters;
 import crankspar.core.FinalAnswer;
 import crankspar.core.Front;
@@ -11,9 +10,10 @@
 import crankspar.core.Ports;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpText;
-import crankspar.net.Carrier;
+import crankspar.json.Json;
 import crankspar.net.Clients;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
+import crankspar.net.ServerConnectionHandler;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -54,7 +54,7 @@
     private static final double KEEP = 3_600_000;
     private static final int CLAIM_BYTES = 8 << 20;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Router.Settings settings;
     private final Counters counters;
     private final Pooler<RestQuery, RestAnswer> pooler;
@@ -65,7 +65,7 @@
     private final Claims claims = new Claims(CLAIM_BYTES, KEEP);
     private final Clients<RestSession> clients;
 
-    private RestFront(Loop loop, Router.Settings settings, Counters counters, Pooler<RestQuery, RestAnswer> pooler,
+    private RestFront(EventLoop loop, Router.Settings settings, Counters counters, Pooler<RestQuery, RestAnswer> pooler,
                       int most) {
         this.loop = loop;
         this.settings = settings;
@@ -73,14 +73,14 @@
         this.pooler = pooler;
         clients = new Clients<>(loop, counters, most, () -> new RestSession(this));
         settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
-        resources.put("/v1/status", (head, query, body, told) -> told.accept(status(head, query, body)));
+        resources.put("/v1/status", (head, query, body, told) -> told.accept(status()));
     }
 
     /** A front with its core: the caller feeds both with members. */
     public record Parts(RestFront front, Pooler<?, ?> pooler, crankspar.net.Pool<?, ?> pool) { }
 
     /** Builds the front over its own connections to servers that speak REST. */
-    public static Parts build(Loop loop, Router.Settings settings, Counters counters, Ports.Discovery discovery,
+    public static Parts build(EventLoop loop, Router.Settings settings, Counters counters, Ports.Discovery discovery,
                               java.util.function.BiFunction<Router.Settings, Router.Actions, Router> maker,
                               int clients, int servers) {
         var pool = new crankspar.net.Pool<RestQuery, RestAnswer>(loop, counters,
@@ -90,7 +90,7 @@
         return new Parts(new RestFront(loop, settings, counters, pooler, clients), pooler, pool);
     }
 
-    private static Carrier<RestQuery, RestAnswer> dial(Counters counters, Loop loop) {
+    private static ServerConnectionHandler<RestQuery, RestAnswer> dial(Counters counters, EventLoop loop) {
         return new RestServerSession(counters, loop);
     }
 
@@ -132,7 +132,7 @@
             if (ttl < 1) {
                 throw new Bad(400, "bad-header", "Request-Deadline-Ms is out of range", "at least 1");
             }
-            ttl = Math.min(ttl, c.giveUp());
+            ttl = Math.max(0, Math.min(ttl, c.giveUp()) - (now() - call.since()));
             if (write) {
                 claim(call, session, kind, Integer.parseInt(parts[3]), ttl);
             } else {
@@ -166,11 +166,11 @@
                 positioned ? mark : Double.NaN, null, null);
         boolean[] answered = new boolean[1];
         double shown = mark;
-        String id = pooler.take(new Ports.Ask<>(kind, ttl, key, q.mark(), group, q), answer -> {
+        String id = pooler.take(new Ports.Ask<>(kind, ttl, key, q.mark(), group, q), reply(session, false, answer -> {
             answered[0] = true;
             reads.remove(session);
             session.answer(said(answer, q, shown));
-        });
+        }));
         if (!answered[0]) {
             reads.put(session, id);
         }
@@ -214,7 +214,7 @@
             var q = new RestQuery(c.name(), Freshness.WRITE, group, null, 0, "", Double.POSITIVE_INFINITY, Double.NaN,
                     key, call.body());
             boolean[] answered = new boolean[1];
-            String id = pooler.take(new Ports.Ask<>(kind, ttl, call.head().header("session"), Double.NaN, group, q), answer -> {
+            String id = pooler.take(new Ports.Ask<>(kind, ttl, call.head().header("session"), Double.NaN, group, q), reply(session, true, answer -> {
                 answered[0] = true;
                 writes.remove(session);
                 byte[] response = said(answer, q, Double.NaN);
@@ -226,13 +226,23 @@
                     claims.release(scoped);
                 }
                 session.answer(response);
-            });
+            }));
             if (!answered[0]) {
                 writes.put(session, id);
             }
         }
     }
 
+    private static Ports.Reply<RestAnswer> reply(RestSession session, boolean kept, Consumer<FinalAnswer<RestAnswer>> told) {
+        return new Ports.Reply<>() {
+            @Override public boolean present() { return session.present(); }
+
+            @Override public boolean kept() { return kept; }
+
+            @Override public void answer(FinalAnswer<RestAnswer> answer) { told.accept(answer); }
+        };
+    }
+
     /** A read whose client has left is given up. A claim that is out is not: its answer is recorded for the key's repeat; it is sent no further. */
     @Override public void left(RestSession session) {
         String read = reads.remove(session);
@@ -304,7 +314,7 @@
                 .response(Map.of("Retry-After", Long.toString(Math.max(1, (long) Math.ceil(retryIn / 1000)))));
     }
 
-    private byte[] status(HttpHead.Request head, Map<String, String> query, byte[] body) {
+    private byte[] status() {
         var out = new ByteArrayOutputStream();
         try (JsonGenerator g = Json.FACTORY.createGenerator(out)) {
             g.writeStartObject();
@@ -349,6 +359,8 @@
     @Override public void closed(RestSession session) { clients.closed(session); }
     @Override public boolean draining() { return clients.draining(); }
     @Override public Counters counters() { return counters; }
+    @Override public double now() { return loop.now(); }
+    @Override public void later(Runnable work) { loop.run(work); }
 
     @Override public void stopping() { clients.stopping(); }
 
--- a/src/main/java/crankspar/rest/RestServerSession.java
+++ b/src/main/java/crankspar/rest/RestServerSession.java
@@ -3,16 +3,17 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import crankspar.Router.Role;
-import crankspar.json.Json;
-import crankspar.core.AttemptEnd;
 import crankspar.core.AttemptEnd.Note;
+import crankspar.core.AttemptEnd;
 import crankspar.core.Counters;
 import crankspar.core.Ports;
 import crankspar.core.Reach;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
 import crankspar.http.HttpText;
-import crankspar.net.Carrier;
+import crankspar.json.Json;
+import crankspar.net.Connection;
+import crankspar.net.ServerConnectionHandler;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URLEncoder;
@@ -21,7 +22,7 @@
 import java.util.LinkedHashMap;
 
 /** The pooler's side of a connection to a server that speaks REST: one request at a time, HTTP/1.1. */
-final class RestServerSession implements Carrier<RestQuery, RestAnswer>, HttpParser.Handler {
+final class RestServerSession implements ServerConnectionHandler<RestQuery, RestAnswer>, HttpParser.Handler {
     static final int BODY_MOST = 1088 * 1024;
     /** HTTP/1.1 has nothing to ask a server behind an answer: it is listened to for this long (ms) instead. */
     private static final double SETTLE = 20;
@@ -31,7 +32,7 @@
     private final Ports.Time clock;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Keeper keeper;
-    private Out out;
+    private Connection out;
     private Reach reach = Reach.NOT_CONNECTED;
     private RestQuery query;
     private double least;
@@ -47,12 +48,11 @@
 
     @Override public void keeper(Keeper keeper) { this.keeper = keeper; }
 
-    /** Guards against a write that was sent twice: what the system holds may leave, whether or not it has said so by now. */
-    @Override public Reach reach() { return reach == Reach.PARTLY_WRITTEN && out.underway() ? Reach.WHOLLY_WRITTEN : reach; }
+    @Override public Reach reach() { return reach; }
 
     @Override public boolean reusable() { return reach == Reach.ANSWERED && keepAlive; }
 
-    @Override public void opened(Out out) {
+    @Override public void opened(Connection out) {
         this.out = out;
         keeper.ready();
     }
--- a/src/main/java/crankspar/rest/RestSession.java
+++ b/src/main/java/crankspar/rest/RestSession.java
@@ -3,20 +3,25 @@
 import crankspar.core.Counters;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
-import crankspar.net.Visitor;
+import crankspar.net.ClientConnectionHandler;
+import crankspar.net.Connection;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Map;
 
 /** A REST client's connection: requests are taken one at a time and answered in their order. */
-final class RestSession implements Visitor, HttpParser.Handler {
-    /** One whole request. */
-    record Call(HttpHead.Request head, byte[] body) { }
+final class RestSession implements ClientConnectionHandler, HttpParser.Handler {
+    /** One whole request, and the earliest time (ms) at which its last byte may have come. */
+    record Call(HttpHead.Request head, byte[] body, double since) { }
 
     interface Desk {
         /** Takes a call; what comes of it is told to the session's {@link #answer}. */
         void take(Call call, RestSession session);
+        /** The time (ms) by the loop's clock. */
+        double now();
+        /** Runs work behind whatever the sockets hold now: ends come before it. */
+        void later(Runnable work);
         /** The client of the call at hand has left. */
         void left(RestSession session);
         void closed(RestSession session);
@@ -32,14 +37,14 @@
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpHead.Request head;
-    private Out out;
+    private Connection out;
     private Call now;
-    private boolean over, last, taking;
+    private boolean over, last, taking, scheduled;
     private long calls;
 
     RestSession(Desk desk) { this.desk = desk; }
 
-    @Override public void opened(Out out) { this.out = out; }
+    @Override public void opened(Connection out) { this.out = out; }
 
     @Override public void received(ByteBuffer in) {
         try {
@@ -50,7 +55,14 @@
             refuse(Problem.of(400, "malformed", "The request is malformed", e.getMessage()));
             return;
         }
-        goOn();
+        schedule();
+    }
+
+    private void schedule() {
+        if (!scheduled) {
+            scheduled = true;
+            desk.later(this::goOn);
+        }
     }
 
     @Override public void head(HttpHead head) {
@@ -82,11 +94,12 @@
             return;
         }
         calls++;
-        waiting.add(new Call(head, body.toByteArray()));
+        waiting.add(new Call(head, body.toByteArray(), Math.min(desk.now(), out.earliestArrival())));
     }
 
     private void goOn() {
-        if (taking) {
+        scheduled = false;
+        if (taking || over) {
             return;
         }
         taking = true;
@@ -109,7 +122,7 @@
             if (last) {
                 finish();
             } else {
-                goOn();
+                schedule();
             }
         }
     }
@@ -143,7 +156,20 @@
         refuse(Problem.of(408, "timeout", "The request did not come whole", why));
     }
 
+    @Override public void readNow() {
+        if (out != null) {
+            out.readNow();
+        }
+    }
+
+    /** Whether its client is still there, by what its connection holds now. */
+    boolean present() {
+        readNow();
+        return !over;
+    }
+
     @Override public void closeIfIdle() {
+        readNow();
         if (standing() == Standing.IDLE || standing() == Standing.NEW) {
             finish();
         }
--- a/src/main/java/crankspar/store/LocalStateFile.java
+++ b/src/main/java/crankspar/store/LocalStateFile.java
@@ -1,7 +1,7 @@
 package crankspar.store;
 
 import crankspar.core.Counters;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -54,7 +54,7 @@
    */
   private record Proposal(List<Change> changes, boolean restores, Consumer<CommitResult> done) {}
 
-  private final Loop loop;
+  private final EventLoop loop;
   private final Store store;
   private final Counters counters;
   private final Terms terms;
@@ -80,7 +80,7 @@
    * Recovers what the file holds into the store; neither on the loop nor before it runs. Fails
    * where the file cannot be read.
    */
-  public static LocalStateFile open(Loop loop, Store store, Counters counters, Terms terms)
+  public static LocalStateFile open(EventLoop loop, Store store, Counters counters, Terms terms)
       throws IOException, InterruptedException {
     var file = new StateFile(terms.file());
     List<Store.Entry> recovered = recover(file, counters);
@@ -119,7 +119,7 @@
   }
 
   private LocalStateFile(
-      Loop loop,
+      EventLoop loop,
       Store store,
       Counters counters,
       Terms terms,
--- a/src/main/java/crankspar/store/Replication.java
+++ b/src/main/java/crankspar/store/Replication.java
@@ -4,9 +4,10 @@
 import crankspar.http.HttpHead;
 import crankspar.http.HttpParser;
 import crankspar.http.HttpText;
-import crankspar.net.Loop;
-import crankspar.net.Machine;
-import crankspar.net.Stream;
+import crankspar.net.Connection;
+import crankspar.net.ConnectionHandler;
+import crankspar.net.EventLoop;
+import crankspar.net.SocketConnection;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -21,12 +22,12 @@
     private static final int LIMIT = 100;
     private static final int BODY_MOST = 8 << 20;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Store store;
     private final Counters counters;
     private final double period;
 
-    public Replication(Loop loop, Store store, Counters counters, double period, List<InetSocketAddress> peers) {
+    public Replication(EventLoop loop, Store store, Counters counters, double period, List<InetSocketAddress> peers) {
         this.loop = loop;
         this.store = store;
         this.counters = counters;
@@ -49,12 +50,12 @@
         }
     }
 
-    private final class Exchange implements Machine, HttpParser.Handler {
+    private final class Exchange implements ConnectionHandler, HttpParser.Handler {
         private final Pull pull;
         private final String cursor;
         private final HttpParser parser = new HttpParser(false, BODY_MOST, this);
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private Stream stream;
+        private SocketConnection stream;
         private int status;
         private boolean over;
 
@@ -68,7 +69,7 @@
             loop.after(2 * period + 1000, () -> fail("no answer in time"));
         }
 
-        @Override public void opened(Out out) {
+        @Override public void opened(Connection out) {
             out.write(HttpText.request("GET", StoreResource.PATH + "?limit=" + LIMIT + "&cursor=" + cursor,
                     Map.of("Host", "peer", "Connection", "close"), new byte[0]));
         }
--- a/src/main/java/crankspar/store/StoreResource.java
+++ b/src/main/java/crankspar/store/StoreResource.java
@@ -1,9 +1,9 @@
 package crankspar.store;
 
-import crankspar.json.Json;
 import crankspar.core.Counters;
 import crankspar.http.HttpHead;
 import crankspar.http.HttpText;
+import crankspar.json.Json;
 import crankspar.rest.RestFront;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
--- a/src/test/java/crankspar/StructureTest.java
+++ b/src/test/java/crankspar/StructureTest.java
@@ -22,7 +22,7 @@
     private static final JavaClasses ALL = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("crankspar");
     /** Stepped with events and times: they know no wire, store, configuration, clock or chance. */
     private static final Set<String> DECIDE = Set.of("crankspar.discovery.DiscoveryClient", "crankspar.discovery.Objects", "crankspar.audit.Standing",
-            "crankspar.audit.Stands", "crankspar.membership.Swim", "crankspar.duties.Duties", "crankspar.gossip.GossipService", "crankspar.gossip.DrainNotices", "crankspar.net.Pause");
+            "crankspar.audit.Stands", "crankspar.membership.Swim", "crankspar.duties.Duties", "crankspar.gossip.GossipService", "crankspar.gossip.DrainNotices", "crankspar.net.StallDetector", "crankspar.net.ArrivalTime", "crankspar.net.LoopLag");
     /** Files over 400 lines, with how long each may be: the list only shrinks, as what is touched is split. */
     private static final Map<String, Integer> LONG = Map.ofEntries(Map.entry("pooling/HardCasesTest.java", 520), Map.entry("pg/PgFrontTest.java", 493),
             Map.entry("BalanceTest.java", 650), Map.entry("pooling/Sql.java", 402), Map.entry("pooling/Exchange.java", 536), Map.entry("pooling/Server.java", 613),
--- a/src/test/java/crankspar/core/PoolerTest.java
+++ b/src/test/java/crankspar/core/PoolerTest.java
@@ -2,13 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.Router;
 import crankspar.Router.ListKind;
 import crankspar.Router.Member;
 import crankspar.Router.Outcome;
 import crankspar.Router.ProbeResult;
 import crankspar.Router.Request;
 import crankspar.Router.Status;
+import crankspar.Router;
 import crankspar.TestSettings;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/crankspar/daemon/OperationsTest.java
+++ b/src/test/java/crankspar/daemon/OperationsTest.java
@@ -5,8 +5,8 @@
 
 import crankspar.TestSettings;
 import crankspar.config.Config;
-import crankspar.net.ScriptedPeer;
 import crankspar.net.ScriptedPeer.Wire;
+import crankspar.net.ScriptedPeer;
 import crankspar.pg.Pg;
 import crankspar.pg.PgMessage;
 import java.io.IOException;
--- a/src/test/java/crankspar/daemon/RestOperationsTest.java
+++ b/src/test/java/crankspar/daemon/RestOperationsTest.java
@@ -4,8 +4,8 @@
 
 import crankspar.TestSettings;
 import crankspar.config.Operator;
-import crankspar.net.ScriptedPeer;
 import crankspar.net.ScriptedPeer.Wire;
+import crankspar.net.ScriptedPeer;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/crankspar/daemon/SitesTest.java
+++ b/src/test/java/crankspar/daemon/SitesTest.java
@@ -3,8 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import crankspar.config.Config;
-import crankspar.net.ScriptedPeer;
 import crankspar.net.ScriptedPeer.Wire;
+import crankspar.net.ScriptedPeer;
 import crankspar.pg.Pg;
 import crankspar.pg.PgMessage;
 import java.io.IOException;
@@ -123,7 +123,7 @@
             Pattern.compile("\"([^\"]+)\"").matcher(one(tables, "net").values().get("zones")).results().forEach(z -> names.add(z.group(1)));
         }
         var word = Pattern.compile("(?<![A-Za-z])(" + String.join("|", names) + ")(?![A-Za-z])");
-        try (Stream<Path> files = Stream.concat(Files.walk(Path.of("src", "main")), Stream.of(Path.of("deploy", "balancer.toml")))) {
+        try (Stream<Path> main = Files.walk(Path.of("src", "main")); Stream<Path> files = Stream.concat(main, Stream.of(Path.of("deploy", "balancer.toml")))) {
             for (Path f : files.filter(Files::isRegularFile).toList()) {
                 assertThat(word.matcher(Files.readString(f)).results().map(m -> m.group()).toList()).as(f.toString()).isEmpty();
             }
--- a/src/test/java/crankspar/discovery/SixSecondsTest.java
+++ b/src/test/java/crankspar/discovery/SixSecondsTest.java
@@ -38,7 +38,7 @@
 
     private record Due(double at, long order, Runnable what) { }
 
-    private final class World implements Actions {
+    private static final class World implements Actions {
         final PriorityQueue<Due> timers = new PriorityQueue<>(java.util.Comparator.comparingDouble(Due::at).thenComparingLong(Due::order));
         final DiscoveryClient following = new DiscoveryClient(false, 250);
         final Set<Integer> open = new HashSet<>();
--- a/src/test/java/crankspar/discovery/WatchTest.java
+++ b/src/test/java/crankspar/discovery/WatchTest.java
@@ -4,7 +4,7 @@
 
 import crankspar.Router.Health;
 import crankspar.core.Counters;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import crankspar.net.ScriptedPeer;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -28,7 +28,7 @@
 
     private static String chunk(String text) { return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n"; }
 
-    private void watch(Loop loop, ScriptedPeer peer) throws Exception {
+    private void watch(EventLoop loop, ScriptedPeer peer) throws Exception {
         var watch = new Watch[1];
         watch[0] = new Watch(loop, peer.address(), 7, counters, new Watch.Terms(false, 250), told::add, () -> {
             told.add("lost");
@@ -40,7 +40,7 @@
     /** Guards against lists cut anywhere by chunks and packets, and against watching from the wrong place. */
     @Test void changesComeInPiecesAndTheNextWatchGoesOnFromThem() throws Exception {
         var self = new ScriptedPeer[1];
-        try (var loop = new Loop("test"); ScriptedPeer peer = self[0] = new ScriptedPeer(wire -> {
+        try (var loop = new EventLoop("test"); ScriptedPeer peer = self[0] = new ScriptedPeer(wire -> {
             self[0].saw(wire.http().lines().findFirst().orElse(""));
             wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             String all = chunk(FIRST.substring(0, 30)) + chunk(FIRST.substring(30) + "\n" + SECOND);
@@ -64,7 +64,7 @@
     @Test void anErrorAndAMalformedListEndTheWatchAndTheWholeListIsAskedFor() throws Exception {
         var calls = new java.util.concurrent.atomic.AtomicInteger();
         var self = new ScriptedPeer[1];
-        try (var loop = new Loop("test"); ScriptedPeer peer = self[0] = new ScriptedPeer(wire -> {
+        try (var loop = new EventLoop("test"); ScriptedPeer peer = self[0] = new ScriptedPeer(wire -> {
             self[0].saw(wire.http().lines().findFirst().orElse(""));
             switch (calls.incrementAndGet()) {
                 case 1 -> wire.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
@@ -84,7 +84,7 @@
 
     /** Guards against a cut link, which looks like a watch on which nothing changes. */
     @Test void aSilentWatchIsLostBeforeItsNewsCountAsTold() throws Exception {
-        try (var loop = new Loop("test"); ScriptedPeer peer = new ScriptedPeer(wire -> {
+        try (var loop = new EventLoop("test"); ScriptedPeer peer = new ScriptedPeer(wire -> {
             wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             wire.read(10_000);
         })) {
--- a/src/test/java/crankspar/duties/ModelTest.java
+++ b/src/test/java/crankspar/duties/ModelTest.java
@@ -2,9 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.lab.DutiesModel;
 import crankspar.lab.DutiesModel.Figures;
 import crankspar.lab.DutiesModel.World;
+import crankspar.lab.DutiesModel;
 import java.util.SplittableRandom;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
--- a/src/test/java/crankspar/duties/SharedProbesTest.java
+++ b/src/test/java/crankspar/duties/SharedProbesTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.policy.Balance;
 import crankspar.Router;
 import crankspar.TestSettings;
 import crankspar.core.AttemptEnd;
@@ -12,8 +11,9 @@
 import crankspar.core.Reach;
 import crankspar.discovery.Watch;
 import crankspar.membership.Swim;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import crankspar.net.ScriptedPeer;
+import crankspar.policy.Balance;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
@@ -34,13 +34,13 @@
 
     /** A core whose probes are answered here. */
     private static final class Instance implements AutoCloseable {
-        final Loop loop;
+        final EventLoop loop;
         final Counters counters = new Counters();
         final AtomicInteger probes = new AtomicInteger();
         final Map<String, Double> heard = new ConcurrentHashMap<>();
         final SharedProbes shared;
 
-        Instance(int me, List<InetSocketAddress> peers, List<byte[]> keys, SharedWatch watch, Loop loop) throws Exception {
+        Instance(int me, List<InetSocketAddress> peers, List<byte[]> keys, SharedWatch watch, EventLoop loop) throws Exception {
             this.loop = loop;
             Router.Settings settings = TestSettings.platform();
             var backends = new Ports.Backends<String, String>() {
@@ -101,7 +101,7 @@
         var all = new ArrayList<Instance>();
         try {
             for (int i = 0; i < 3; i++) {
-                all.add(new Instance(i, peers, List.of(KEY), null, new Loop("i" + i)));
+                all.add(new Instance(i, peers, List.of(KEY), null, new EventLoop("i" + i)));
             }
             until(() -> all.stream().allMatch(i -> i.shared.living().size() == 3 && i.heard.size() == 6));
             int[] before = all.stream().mapToInt(i -> i.probes.get()).toArray();
@@ -119,9 +119,9 @@
 
     @Test void aForgedOrReplayedDatagramIsDroppedAndCounted() throws Exception {
         List<InetSocketAddress> peers = peers(3);
-        try (var one = new Instance(0, peers, List.of(KEY), null, new Loop("one")); var tap = new DatagramSocket(peers.get(2));
+        try (var one = new Instance(0, peers, List.of(KEY), null, new EventLoop("one")); var tap = new DatagramSocket(peers.get(2));
                 var sender = new DatagramSocket()) {
-            try (var two = new Instance(1, peers, List.of("another key of some length".getBytes()), null, new Loop("two"))) {
+            try (var two = new Instance(1, peers, List.of("another key of some length".getBytes()), null, new EventLoop("two"))) {
                 until(() -> one.shared.counts().get("peers_dropped_seal") > 3);
                 assertThat(one.shared.living()).containsExactly(0);
                 assertThat(two.shared.living()).containsExactly(1);
@@ -160,7 +160,7 @@
             var all = new ArrayList<Instance>();
             try {
                 for (int i = 0; i < 2; i++) {
-                    var loop = new Loop("w" + i);
+                    var loop = new EventLoop("w" + i);
                     List<Long> mine = java.util.Collections.synchronizedList(new ArrayList<>());
                     lists.add(mine);
                     var watch = new SharedWatch(new Watch(loop, discovery.address(), 0, new Counters(), new Watch.Terms(false, 250), l -> mine.add(l.revision()), () -> { }));
--- a/src/test/java/crankspar/gossip/GossipServiceTest.java
+++ b/src/test/java/crankspar/gossip/GossipServiceTest.java
@@ -199,7 +199,7 @@
         assertThat(b.heard(NOW, Arrays.copyOf(good, good.length - 1))).isEmpty();
         assertThat(b.heard(NOW, new byte[0])).isEmpty();
         byte[] version = good.clone();
-        version[0] += 2;
+        version[0] = (byte) (version[0] + 2);
         assertThat(b.heard(NOW, version)).isEmpty();
         byte[] raised = good.clone();
         raised[7] ^= 1;
--- a/src/test/java/crankspar/lab/DrawnSettingsTest.java
+++ b/src/test/java/crankspar/lab/DrawnSettingsTest.java
@@ -2,11 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.Router;
 import crankspar.Router.DedupScope;
 import crankspar.Router.Freshness;
 import crankspar.Router.Repeat;
 import crankspar.Router.RequestClass;
+import crankspar.Router;
 import crankspar.lab.RoutingModel.Figures;
 import crankspar.lab.RoutingModel.World;
 import java.util.ArrayList;
--- a/src/test/java/crankspar/lab/FleetTest.java
+++ b/src/test/java/crankspar/lab/FleetTest.java
@@ -4,8 +4,8 @@
 
 import crankspar.lab.load.Asked;
 import crankspar.lab.load.Checker;
-import crankspar.lab.load.Workload;
 import crankspar.lab.load.Workload.Check;
+import crankspar.lab.load.Workload;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/crankspar/lab/Stand.java
+++ b/src/test/java/crankspar/lab/Stand.java
@@ -1,9 +1,9 @@
 package crankspar.lab;
 
 import crankspar.TestSettings;
-import crankspar.daemon.Daemon;
 import crankspar.config.Config;
 import crankspar.config.Operator;
+import crankspar.daemon.Daemon;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/src/test/java/crankspar/lab/rig/BusyCore.java
+++ b/src/test/java/crankspar/lab/rig/BusyCore.java
@@ -6,7 +6,7 @@
 
 /** Processes that keep one core busy; each ends by itself after a while, whatever becomes of us. */
 final class BusyCore implements AutoCloseable {
-  private static final int LIVES_SECONDS = 60;
+  private static final int LIVES_SECONDS = 180;
 
   private final List<Process> processes = new ArrayList<>();
 
--- a/src/test/java/crankspar/lab/rig/LateProcessTest.java
+++ b/src/test/java/crankspar/lab/rig/LateProcessTest.java
@@ -57,7 +57,7 @@
         "complete":true,"members":[%s]},"settings":%s}"""
             .formatted(address.getPort(), members(), TestSettings.JSON);
     process = new PlatformProcess("late", address, configuration, null, null);
-    clients = new LeavingClients(history, address, WAITS_MS, 40);
+    clients = new LeavingClients(history, address, "r", "season-report", 2, WAITS_MS, 40);
   }
 
   private String members() {
--- a/src/test/java/crankspar/lab/rig/LeavingClients.java
+++ b/src/test/java/crankspar/lab/rig/LeavingClients.java
@@ -26,6 +26,9 @@
 
   private final AttemptHistory history;
   private final InetSocketAddress pooler;
+  private final String name;
+  private final int group;
+  private final String requestClass;
   private final double waits;
   private final Random random;
   private final Set<Client> clients = new HashSet<>();
@@ -49,11 +52,24 @@
     boolean up;
   }
 
-  /** A request of theirs says that its client waits for so long, whenever that leaves. */
-  LeavingClients(AttemptHistory history, InetSocketAddress pooler, double waits, long seed)
+  /**
+   * A request of theirs is of this class and group and says that its client waits for so long,
+   * whenever that leaves; their ids begin with {@code name}.
+   */
+  LeavingClients(
+      AttemptHistory history,
+      InetSocketAddress pooler,
+      String name,
+      String requestClass,
+      int group,
+      double waits,
+      long seed)
       throws IOException {
     this.history = history;
     this.pooler = pooler;
+    this.name = name;
+    this.requestClass = requestClass;
+    this.group = group;
     this.waits = waits;
     random = new Random(seed);
     begin("leaving-clients");
@@ -137,10 +153,11 @@
   }
 
   private void ask(Client c, byte[] before) {
-    c.id = "r" + ++ids;
+    c.id = name + ++ids;
     var query =
         new PgMessage.Query(
-            "/* id=" + c.id + ",c=season-report,d=" + (int) waits + ",cluster=2 */ SELECT 1");
+            "/* id=%s,c=%s,d=%d,cluster=%d */ SELECT 1"
+                .formatted(c.id, requestClass, (int) waits, group));
     byte[] statement = new PgEncoder().add(query).bytes();
     ByteBuffer all =
         ByteBuffer.allocate(before.length + statement.length).put(before).put(statement);
--- a/src/test/java/crankspar/lab/rig/RecordingDatabase.java
+++ b/src/test/java/crankspar/lab/rig/RecordingDatabase.java
@@ -10,6 +10,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
 
@@ -90,7 +91,7 @@
     String value = probe ? "x0=" + position / 1000.0 + ",x1=" + (primary ? 1 : 0) : "v";
     return new PgEncoder()
         .add(PgEncoder.textColumns("val"))
-        .add(new PgMessage.DataRow(List.of(value.getBytes())))
+        .add(new PgMessage.DataRow(List.of(value.getBytes(StandardCharsets.US_ASCII))))
         .add(new PgMessage.CommandComplete("SELECT 1"))
         .add(new PgMessage.ParameterStatus("role", primary ? "primary" : "replica"))
         .add(new PgMessage.ParameterStatus("applied_ms", Long.toString(position)))
--- a/src/test/java/crankspar/net/AfterPauseTest.java
+++ b/src/test/java/crankspar/net/AfterPauseTest.java
@@ -20,9 +20,9 @@
         BlockingQueue<String> events = new LinkedBlockingQueue<>();
         var still = new CountDownLatch(1);
         var left = new CountDownLatch(1);
-        try (var loop = new Loop("test")) {
-            var listener = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> new Machine() {
-                @Override public void opened(Out out) { events.add("opened"); }
+        try (var loop = new EventLoop("test")) {
+            var listener = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> new ConnectionHandler() {
+                @Override public void opened(Connection out) { events.add("opened"); }
                 @Override public void received(ByteBuffer in) {
                     in.position(in.limit());
                     events.add("received");
@@ -36,7 +36,7 @@
                     still.countDown();
                     try {
                         left.await();
-                        TimeUnit.MILLISECONDS.sleep((long) Pause.STILL + 50); // the pause's own time
+                        TimeUnit.MILLISECONDS.sleep((long) StallDetector.THRESHOLD + 50); // the pause's own time
                     } catch (InterruptedException e) {
                         Thread.currentThread().interrupt();
                     }
--- a/src/test/java/crankspar/net/HandedOverTest.java
+++ b/src/test/java/crankspar/net/HandedOverTest.java
@@ -30,9 +30,9 @@
 class HandedOverTest {
     private final Counters counters = new Counters();
     private final CountDownLatch cue = new CountDownLatch(1);
-    private Loop loop;
+    private EventLoop loop;
 
-    @BeforeEach void begin() throws Exception { loop = new Loop("handed-over"); }
+    @BeforeEach void begin() throws Exception { loop = new EventLoop("handed-over"); }
 
     @AfterEach void end() {
         cue.countDown();
--- a/src/test/java/crankspar/net/NewsFirstTest.java
+++ b/src/test/java/crankspar/net/NewsFirstTest.java
@@ -16,12 +16,12 @@
   private static final int TASKS = 200;
   private static final double TASK_MS = 5;
 
-  private Loop loop;
+  private EventLoop loop;
   private final AtomicInteger done = new AtomicInteger();
 
   @BeforeEach
   void begin() throws Exception {
-    loop = new Loop("news-first-test");
+    loop = new EventLoop("news-first-test");
   }
 
   @AfterEach
@@ -61,12 +61,12 @@
               wire.send("drains");
               wire.ends();
             })) {
-      var out = new CompletableFuture<Machine.Out>();
+      var out = new CompletableFuture<Connection>();
       loop.connect(
           discovery.address(),
-          new Machine() {
+          new ConnectionHandler() {
             @Override
-            public void opened(Out opened) {
+            public void opened(Connection opened) {
               out.complete(opened);
               up.countDown();
             }
--- a/src/test/java/crankspar/net/PoolTest.java
+++ b/src/test/java/crankspar/net/PoolTest.java
@@ -15,14 +15,14 @@
 import org.junit.jupiter.api.Test;
 
 class PoolTest {
-    private Loop loop;
+    private EventLoop loop;
 
-    @BeforeEach void begin() throws Exception { loop = new Loop("pool-test"); }
+    @BeforeEach void begin() throws Exception { loop = new EventLoop("pool-test"); }
 
     @AfterEach void end() { loop.close(); }
 
     /** Welcomed once its connection is up, after it has held up the loop for so long. */
-    private final class Slow implements Carrier<String, String> {
+    private final class Slow implements ServerConnectionHandler<String, String> {
         private final double holds;
         private final AtomicInteger carried;
         private Keeper keeper;
@@ -40,7 +40,7 @@
         @Override public Reach reach() { return Reach.ANSWERED; }
         @Override public boolean reusable() { return false; }
         @Override public void settle() { }
-        @Override public void opened(Out out) {
+        @Override public void opened(Connection out) {
             for (double until = loop.now() + holds; loop.now() < until; ) {
                 Thread.onSpinWait();
             }
--- a/src/test/java/crankspar/net/RoomTest.java
+++ b/src/test/java/crankspar/net/RoomTest.java
@@ -26,12 +26,12 @@
     private final Counters counters = new Counters();
 
     /** Answers its first byte with very many, and rests. */
-    private final class Answering implements Visitor {
-        private Out out;
+    private static final class Answering implements ClientConnectionHandler {
+        private Connection out;
         private boolean asked, over;
         private Clients<Answering> clients;
 
-        @Override public void opened(Out out) { this.out = out; }
+        @Override public void opened(Connection out) { this.out = out; }
         @Override public void received(ByteBuffer in) {
             in.position(in.limit());
             if (!asked) {
@@ -52,6 +52,7 @@
         @Override public boolean begun() { return false; }
         @Override public long progress() { return asked ? 1 : 0; }
         @Override public boolean unsent() { return out != null && out.unsent(); }
+        @Override public void readNow() { out.readNow(); }
         @Override public void turnAway(String why) { drop(); }
         @Override public void closeIfIdle() {
             over = true;
@@ -65,7 +66,7 @@
 
     /** It looked idle, as its answer had been written; the rest of it went with the connection. */
     @Test void anAnswerThatItsClientIsSlowToTakeDoesNotGoWithTheRoomItMakes() throws Exception {
-        try (var loop = new Loop("room")) {
+        try (var loop = new EventLoop("room")) {
             var made = new Clients[1];
             @SuppressWarnings("unchecked") var clients = (Clients<Answering>) (made[0] = new Clients<Answering>(loop, counters, MOST, () -> {
                 var one = new Answering();
--- a/src/test/java/crankspar/pg/ClosingTest.java
+++ b/src/test/java/crankspar/pg/ClosingTest.java
@@ -5,7 +5,7 @@
 import crankspar.TestSettings;
 import crankspar.core.Counters;
 import crankspar.core.Pooler;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import crankspar.net.Pool;
 import crankspar.net.ScriptedPeer.Wire;
 import crankspar.policy.Balance;
@@ -22,14 +22,14 @@
     /** After a pause newcomers are let in before anything else is read: what waited on idle connections is answered all the same. */
     @Test void noRequestIsDroppedWithAnIdleConnectionThatMakesRoom() throws Exception { whileItStands(false); }
 
-    /** The same where one was chosen just before the pause. */
-    @Test void noRequestIsDroppedWithAConnectionThatWasChosenBefore() throws Exception { whileItStands(true); }
+    /** The same where one was chosen just before the pause: its client is told then, not once the process goes on. */
+    @Test void whoIsChosenBeforeAPauseIsToldBeforeItAndNoRequestOfOthersIsDropped() throws Exception { whileItStands(true); }
 
     private static void whileItStands(boolean chosen) throws Exception {
         var counters = new Counters();
         var settings = TestSettings.platform();
         var wires = new ArrayList<Wire>();
-        try (var loop = new Loop("test")) {
+        try (var loop = new EventLoop("test")) {
             var pool = new Pool<Statement, PgAnswer>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(), 250, 30_000, 20);
             var front = new PgFront(loop, settings, counters, new Pooler<Statement, PgAnswer>(settings, loop, pool, on -> { }, counters, Balance::new), 20);
             InetSocketAddress address = front.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -53,6 +53,10 @@
                 }
             });
             stopped.await();
+            if (chosen) {
+                assertThat(wires.get(0).ends()).as("the one that has rested for longest is told at once").isTrue();
+                idle.remove(0);
+            }
             for (int i = 0; i < 4; i++) {
                 wires.add(Wire.to(address));  // the system accepts it, the pooler lets it in when it goes on
             }
--- a/src/test/java/crankspar/pg/GoneTest.java
+++ b/src/test/java/crankspar/pg/GoneTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.net.ScriptedPeer;
 import crankspar.net.ScriptedPeer.Wire;
+import crankspar.net.ScriptedPeer;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -160,7 +160,7 @@
         for (PgDoor.Client c : clients) {
             c.wire().close();
         }
-        door.counted("gone", BURST);
+        door.counted(BURST, "gone", "left_untaken");
         cue.countDown();
         TimeUnit.MILLISECONDS.sleep(3 * BREAK);
         for (int left = peer[0].left(); left > 0; left--) {
--- a/src/test/java/crankspar/pg/PgDoor.java
+++ b/src/test/java/crankspar/pg/PgDoor.java
@@ -8,10 +8,10 @@
 import crankspar.TestSettings;
 import crankspar.core.Counters;
 import crankspar.core.Pooler;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import crankspar.net.Pool;
-import crankspar.net.ScriptedPeer;
 import crankspar.net.ScriptedPeer.Wire;
+import crankspar.net.ScriptedPeer;
 import crankspar.policy.Balance;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -29,14 +29,14 @@
 
     private final List<AutoCloseable> open = new ArrayList<>();
     private final Counters counters = new Counters();
-    private final Loop loop;
+    private final EventLoop loop;
     private final Pool<Statement, PgAnswer> pool;
     private final Pooler<Statement, PgAnswer> core;
     private final PgFront front;
     final InetSocketAddress address;
 
     PgDoor() throws Exception {
-        loop = new Loop("test");
+        loop = new EventLoop("test");
         pool = new Pool<>(loop, counters, () -> PgFront.dial(counters), PgFront.probe(), 250, 30_000, 300);
         core = new Pooler<>(TestSettings.platform(), loop, pool, on -> { }, counters, Balance::new);
         front = new PgFront(loop, TestSettings.platform(), counters, core, 400);
@@ -97,10 +97,17 @@
     }
 
     /** Waits until so much is counted. */
-    void counted(String name, long least) throws InterruptedException {
+    void counted(String name, long least) throws InterruptedException { counted(least, name); }
+
+    /** Waits until so much is counted under these names together. */
+    void counted(long least, String... names) throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
-        while (count(name) < least) {
-            assertThat(System.nanoTime()).as(name).isLessThan(until);
+        for (long n = 0; n < least;) {
+            n = 0;
+            for (String name : names) {
+                n += count(name);
+            }
+            assertThat(System.nanoTime()).as(String.join(" and ", names)).isLessThan(until);
             TimeUnit.MILLISECONDS.sleep(1);
         }
     }
--- a/src/test/java/crankspar/pg/PgFrontTest.java
+++ b/src/test/java/crankspar/pg/PgFrontTest.java
@@ -3,16 +3,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import crankspar.policy.Balance;
 import crankspar.Router.Health;
 import crankspar.Router.Member;
 import crankspar.TestSettings;
 import crankspar.core.Counters;
 import crankspar.core.Pooler;
-import crankspar.net.Loop;
+import crankspar.net.EventLoop;
 import crankspar.net.Pool;
-import crankspar.net.ScriptedPeer;
 import crankspar.net.ScriptedPeer.Wire;
+import crankspar.net.ScriptedPeer;
+import crankspar.policy.Balance;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -31,11 +31,11 @@
 
     private final List<AutoCloseable> open = new ArrayList<>();
     private final Counters counters = new Counters();
-    private Loop loop;
+    private EventLoop loop;
     private PgFront front;
     private InetSocketAddress address;
 
-    @BeforeEach void start() throws Exception { loop = new Loop("test"); }
+    @BeforeEach void start() throws Exception { loop = new EventLoop("test"); }
 
     @AfterEach void stop() throws Exception {
         loop.close();
@@ -255,7 +255,7 @@
         var done = new PgMessage.CommandComplete("INSERT 0 1");
         var ready = new PgMessage.ReadyForQuery();
         byte[] longRow = bytes(columns, row, done, ready);
-        longRow[bytes(columns).length + 4] += 9;                  // its length takes in what follows
+        longRow[bytes(columns).length + 4] = (byte) (longRow[bytes(columns).length + 4] + 9);                  // its length takes in what follows
         byte[] hugeValue = bytes(columns, row);
         hugeValue[bytes(columns).length + 7] = (byte) 0xB2;       // 3 GB, it says
         List<byte[]> spoilt = List.of(bytes(columns, row, row, done, ready), bytes(columns, done, ready),
@@ -400,11 +400,11 @@
         for (String value : List.of("NaN", "1e300", "Infinity", "0x1p60", "-5", "9".repeat(15), "")) {
             var session = new ServerSession(counters);
             var told = new ArrayList<crankspar.core.AttemptEnd<PgAnswer>>();
-            session.keeper(new crankspar.net.Carrier.Keeper() {
+            session.keeper(new crankspar.net.ServerConnectionHandler.Keeper() {
                 @Override public void ready() { session.carry(Statement.probe(), 100, told::add); }
                 @Override public void gone(String why) { }
             });
-            session.opened(new crankspar.net.Machine.Out() {
+            session.opened(new crankspar.net.Connection() {
                 @Override public void write(byte[] bytes, int length, Runnable written) { }
                 @Override public void finish() { }
                 @Override public void close() { }
--- a/src/test/java/crankspar/rest/RestDoor.java
+++ b/src/test/java/crankspar/rest/RestDoor.java
@@ -4,9 +4,9 @@
 import crankspar.Router.Member;
 import crankspar.TestSettings;
 import crankspar.core.Counters;
-import crankspar.net.Loop;
-import crankspar.net.ScriptedPeer;
+import crankspar.net.EventLoop;
 import crankspar.net.ScriptedPeer.Wire;
+import crankspar.net.ScriptedPeer;
 import crankspar.policy.Balance;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -19,10 +19,10 @@
 abstract class RestDoor {
     final List<AutoCloseable> open = new ArrayList<>();
     final Counters counters = new Counters();
-    Loop loop;
+    EventLoop loop;
     InetSocketAddress address;
 
-    @BeforeEach void start() throws Exception { loop = new Loop("test"); }
+    @BeforeEach void start() throws Exception { loop = new EventLoop("test"); }
 
     @AfterEach void stop() throws Exception {
         loop.close();
--- a/src/test/java/crankspar/rest/RestFrontTest.java
+++ b/src/test/java/crankspar/rest/RestFrontTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import crankspar.net.ScriptedPeer;
 import crankspar.net.ScriptedPeer.Wire;
+import crankspar.net.ScriptedPeer;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
--- a/src/test/java/crankspar/store/StoreTest.java
+++ b/src/test/java/crankspar/store/StoreTest.java
@@ -3,9 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import crankspar.daemon.Daemon;
 import crankspar.TestSettings;
 import crankspar.config.Operator;
+import crankspar.daemon.Daemon;
 import crankspar.net.ScriptedPeer.Wire;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
