--- a/src/test/java/crankspar/lab/rig/FaultSoak.java
+++ b/src/test/java/crankspar/lab/rig/FaultSoak.java
@@ -28,6 +28,20 @@
   private static final int CROWD = 150;
   private static final int FAULTS = 10;
 
+  /** Processes that share the poolers' one core where a run is starved. */
+  private static final int BUSY = 3;
+
+  /** One run in so many has a crowd, one in so many a starved core. */
+  private static final int CROWDED = 3;
+
+  private static final int STARVED = 4;
+
+  /** Clients that leave soon, a fault; they arrive within this and wait for this at the most. */
+  private static final int LEAVING = 20;
+
+  private static final double LEAVING_SPREAD_MS = 400;
+  private static final double LEAVING_WAITS_MS = 600;
+
   /** The longest deadline and 0.7 s: the kill comes no sooner after SIGTERM. */
   private static final long KILL_AFTER_MS = 3700;
 
@@ -53,6 +67,13 @@
   private final Random random;
   private final List<FaultShim> shims = new ArrayList<>();
   private final List<SoakClients> clients = new ArrayList<>();
+  private final List<LeavingClients> leaving = new ArrayList<>();
+  private final AttemptHistory history = new AttemptHistory();
+
+  /** From this process's wall clock to the history's clock (ms). */
+  private final double toHistory = AttemptHistory.now() - System.currentTimeMillis();
+
+  private BusyCore busy;
   private final List<Call> calls = new ArrayList<>();
   private final List<End> ends = new ArrayList<>();
   private final List<String> broken = new ArrayList<>();
@@ -67,10 +88,24 @@
       rig.pooler(p).environment(shim.environment());
       shims.add(shim);
     }
+    boolean crowd = random.nextInt(CROWDED) == 0;
+    if (random.nextInt(STARVED) == 0) {
+      starve();
+    }
     rig.start();
-    boolean crowd = random.nextInt(3) == 0;
     for (int p = 0; p < POOLERS; p++) {
       clients.add(new SoakClients(rig, p, CLIENTS, crowd ? CROWD : 0, seed + p));
+      leaving.add(
+          new LeavingClients(
+              history, rig.pooler(p).address(), "q" + p, "board", 0, LEAVING_WAITS_MS, seed + p));
+    }
+  }
+
+  private void starve() throws IOException {
+    int core = BusyCore.last();
+    busy = new BusyCore(core, BUSY);
+    for (int p = 0; p < POOLERS; p++) {
+      rig.pooler(p).onCore(core);
     }
   }
 
@@ -83,6 +118,7 @@
         broken.add("crash: p" + p + " ended by itself");
         rig.pooler(p).start();
       }
+      leaving.forEach(l -> l.arrive(LEAVING, LEAVING_SPREAD_MS, 50, 250));
       fault(p);
     }
     TimeUnit.MILLISECONDS.sleep(500);
@@ -90,12 +126,13 @@
     checkDrains();
     checkAnswers();
     checkStatements();
+    checkAttempts();
     broken.addAll(new Rules().once(rig.recording().executed()).broken());
     return broken;
   }
 
   private void fault(int p) throws Exception {
-    switch (random.nextInt(8)) {
+    switch (random.nextInt(9)) {
       case 0, 1 -> {
         call(p, random.nextBoolean());
         if (random.nextBoolean()) {
@@ -122,15 +159,23 @@
               .set(
                   Slot.CLOCK_MS,
                   List.of(3_600_000L, -3_600_000L, 5000L, -5000L).get(random.nextInt(4)));
-      case 6 -> {
-        rig.pooler(p).signal("STOP");
-        TimeUnit.MILLISECONDS.sleep(150);
-        rig.pooler(p).signal("CONT");
+      case 6 -> stop(p, List.of(150, 190, 1300).get(random.nextInt(3)));
+      case 7 -> {
+        for (int i = random.nextInt(3); i >= 0; i--) { // signals in series
+          stop(p, 50 + random.nextInt(140));
+          rig.pooler(p).signal("HUP");
+        }
       }
       default -> rig.pooler(p).signal("HUP");
     }
   }
 
+  private void stop(int p, int ms) throws Exception {
+    rig.pooler(p).signal("STOP");
+    TimeUnit.MILLISECONDS.sleep(ms);
+    rig.pooler(p).signal("CONT");
+  }
+
   /**
    * Takes a replica out or puts it back, and kills on the first byte of the answer every third
    * time.
@@ -176,8 +221,16 @@
 
   private void plannedRestart(int p) throws Exception {
     double told = System.currentTimeMillis();
+    boolean stopped = random.nextBoolean();
+    if (stopped) {
+      rig.pooler(p).signal("STOP");
+    }
     rig.pooler(p).signal("TERM");
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(KILL_AFTER_MS);
+    if (stopped) {
+      TimeUnit.MILLISECONDS.sleep(50 + random.nextInt(100));
+      rig.pooler(p).signal("CONT");
+    }
     while (rig.pooler(p).alive() && System.nanoTime() < until) {
       TimeUnit.MILLISECONDS.sleep(2);
     }
@@ -255,8 +308,22 @@
     }
   }
 
+  /** What was sent for clients that leave: never long after, and never with more time than left. */
+  private void checkAttempts() {
+    double lag = rig.loop().mostLag(); // the stand-ins may be late themselves
+    for (Executed e : rig.recording().executed()) {
+      if (e.sql.startsWith("/* id=q")) {
+        history.attempt(e.sql, e.at + toHistory - lag);
+      }
+    }
+    broken.addAll(history.broken());
+  }
+
   private void checkStatements() {
     for (Executed e : rig.recording().executed()) {
+      if (e.sql.startsWith("/* id=q")) {
+        continue; // see checkAttempts
+      }
       Matcher m = ID.matcher(e.sql);
       boolean sent =
           m.find()
@@ -275,6 +342,10 @@
   @Override
   public void close() throws IOException {
     clients.forEach(SoakClients::close);
+    leaving.forEach(LeavingClients::close);
+    if (busy != null) {
+      busy.close();
+    }
     rig.close();
   }
 
@@ -293,6 +364,9 @@
                 + ": "
                 + soak.answered()
                 + " answered, "
+                + soak.history.attempts()
+                + " attempts for clients that leave, "
+                + (soak.busy != null ? "starved, " : "")
                 + (broken.isEmpty() ? "kept" : "BROKEN " + broken));
       }
     }
