--- a/src/main/java/crankspar/audit/LedgerFile.java
+++ b/src/main/java/crankspar/audit/LedgerFile.java
@@ -17,136 +17,154 @@
 import java.util.logging.Logger;
 
 /**
- * The ledger's file, written behind the loop by one thread. A start never writes over what an earlier life has left: that is
- * set aside under its time, and what of it cannot be read is named in one line. A disk that is full or read-only stops the
- * file, not the pooler: it is logged once, and counted.
+ * The ledger's file, written behind the loop by one thread. A start never writes over what an
+ * earlier life has left: that is set aside under its time, and what of it cannot be read is named
+ * in one line. A disk that is full or read-only stops the file, not the pooler: it is logged once,
+ * and counted.
  *
- * <p>Bounds: {@link #WAITING} batches on their way, further ones are dropped and told; a file of {@link #BYTES_MOST}, then it is
- * written anew from what is in memory; {@link #LIVES} earlier lives.
+ * <p>Bounds: {@link #WAITING} batches on their way, further ones are dropped and told; a file of
+ * {@link #BYTES_MOST}, then it is written anew from what is in memory; {@link #LIVES} earlier
+ * lives.
  */
 public final class LedgerFile implements AutoCloseable {
-    private static final Logger LOG = Logger.getLogger(LedgerFile.class.getName());
-    private static final String NAME = "ledger";
-    private static final String SUFFIX = ".log";
-    private static final int WAITING = 64;
-    static final long BYTES_MOST = 8 << 20;
-    static final int LIVES = 8;
-    private static final long END_MOST = 2000;
+  private static final Logger LOG = Logger.getLogger(LedgerFile.class.getName());
+  private static final String NAME = "ledger";
+  private static final String SUFFIX = ".log";
+  private static final int WAITING = 64;
+  static final long BYTES_MOST = 8 << 20;
+  static final int LIVES = 8;
+  private static final long END_MOST = 2000;
 
-    /** {@code whole} batches replace the file. */
-    private record Batch(byte[] bytes, boolean whole) { }
+  /** {@code whole} batches replace the file. */
+  private record Batch(byte[] bytes, boolean whole) {}
 
-    private final Path file;
-    private final BlockingQueue<Batch> waiting = new ArrayBlockingQueue<>(WAITING);
-    private final Thread thread;
-    private final Consumer<String> failed;
-    private volatile boolean over, broken;
-    private volatile long size;
+  private final Path file;
+  private final BlockingQueue<Batch> waiting = new ArrayBlockingQueue<>(WAITING);
+  private final Thread thread;
+  private final Consumer<String> failed;
+  private volatile boolean over, broken;
+  private volatile long size;
 
-    /** Sets aside what an earlier life left; {@code failed} hears, on the writing thread, of what could not be written. */
-    public LedgerFile(Path folder, double now, byte[] head, Consumer<String> failed) throws IOException {
-        Files.createDirectories(folder);
-        file = folder.resolve(NAME + SUFFIX);
-        this.failed = failed;
-        setAside(folder, now);
-        thread = new Thread(this::write, "ledger");
-        thread.setDaemon(true);
-        waiting.add(new Batch(head, true));
-        thread.start();
-    }
+  /**
+   * Sets aside what an earlier life left; {@code failed} hears, on the writing thread, of what
+   * could not be written.
+   */
+  public LedgerFile(Path folder, double now, byte[] head, Consumer<String> failed)
+      throws IOException {
+    Files.createDirectories(folder);
+    file = folder.resolve(NAME + SUFFIX);
+    this.failed = failed;
+    setAside(folder, now);
+    thread = new Thread(this::write, "ledger");
+    thread.setDaemon(true);
+    waiting.add(new Batch(head, true));
+    thread.start();
+  }
 
-    private void setAside(Path folder, double now) throws IOException {
-        if (Files.exists(file)) {
-            String said = null;
-            try {
-                LedgerCodec.Read r = LedgerCodec.read(Files.readAllBytes(file));
-                said = r.torn() > 0 ? "its last " + r.torn() + " bytes are torn" : null;
-            } catch (LedgerCodec.Foreign e) {
-                said = e.getMessage();
-            }
-            Path aside = folder.resolve(NAME + "-" + (long) now + SUFFIX);
-            Files.move(file, aside, StandardCopyOption.ATOMIC_MOVE);
-            if (said != null) {
-                LOG.warning("the ledger " + file + " is set aside as " + aside.getFileName() + ": " + said);
-            }
-        }
-        List<Path> lives = lives(folder);
-        for (Path old : lives.subList(0, Math.max(0, lives.size() - LIVES))) {
-            Files.deleteIfExists(old);
-        }
+  private void setAside(Path folder, double now) throws IOException {
+    if (Files.exists(file)) {
+      String said = null;
+      try {
+        LedgerCodec.Read r = LedgerCodec.read(Files.readAllBytes(file));
+        said = r.torn() > 0 ? "its last " + r.torn() + " bytes are torn" : null;
+      } catch (LedgerCodec.Foreign e) {
+        said = e.getMessage();
+      }
+      Path aside = folder.resolve(NAME + "-" + (long) now + SUFFIX);
+      Files.move(file, aside, StandardCopyOption.ATOMIC_MOVE);
+      if (said != null) {
+        LOG.warning("the ledger " + file + " is set aside as " + aside.getFileName() + ": " + said);
+      }
     }
+    List<Path> lives = lives(folder);
+    for (Path old : lives.subList(0, Math.max(0, lives.size() - LIVES))) {
+      Files.deleteIfExists(old);
+    }
+  }
 
-    /** The ledgers of a folder, the earliest life first, the present one last. */
-    public static List<Path> lives(Path folder) throws IOException {
-        try (var all = Files.list(folder)) {
-            var found = new ArrayList<>(all.filter(p -> p.getFileName().toString().matches(NAME + "(-[0-9]+)?\\.log")).toList());
-            found.sort(Comparator.comparing((Path p) -> p.getFileName().toString().equals(NAME + SUFFIX))
-                    .thenComparing(p -> p.getFileName().toString()));
-            return found;
-        }
+  /** The ledgers of a folder, the earliest life first, the present one last. */
+  public static List<Path> lives(Path folder) throws IOException {
+    try (var all = Files.list(folder)) {
+      var found =
+          new ArrayList<>(
+              all.filter(p -> p.getFileName().toString().matches(NAME + "(-[0-9]+)?\\.log"))
+                  .toList());
+      found.sort(
+          Comparator.comparing((Path p) -> p.getFileName().toString().equals(NAME + SUFFIX))
+              .thenComparing(p -> p.getFileName().toString()));
+      return found;
     }
+  }
 
-    /** Bytes that the file will have: past {@link #BYTES_MOST} it wants to be written anew. */
-    public boolean full() { return size > BYTES_MOST; }
+  /** Bytes that the file will have: past {@link #BYTES_MOST} it wants to be written anew. */
+  public boolean full() {
+    return size > BYTES_MOST;
+  }
 
-    /** Adds, or replaces all with, these bytes; false where there was no room on the way. */
-    public boolean write(byte[] bytes, boolean whole) {
-        size = whole ? bytes.length : size + bytes.length;
-        return !broken && waiting.offer(new Batch(bytes, whole));
-    }
+  /** Adds, or replaces all with, these bytes; false where there was no room on the way. */
+  public boolean write(byte[] bytes, boolean whole) {
+    size = whole ? bytes.length : size + bytes.length;
+    return !broken && waiting.offer(new Batch(bytes, whole));
+  }
 
-    private void write() {
-        FileChannel out = null;
-        try {
-            while (!over || !waiting.isEmpty()) {
-                Batch b = waiting.poll(50, TimeUnit.MILLISECONDS);
-                if (b == null) {
-                    continue;
-                }
-                if (b.whole()) {
-                    if (out != null) {
-                        out.close();
-                    }
-                    Path next = file.resolveSibling(NAME + ".new");
-                    out = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
-                    all(out, b.bytes());
-                    out.force(false);
-                    Files.move(next, file, StandardCopyOption.ATOMIC_MOVE); // the old one is whole until then
-                } else {
-                    all(out, b.bytes());
-                }
-            }
-        } catch (IOException e) {
-            broken = true;
-            waiting.clear();
-            failed.accept(e.toString());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } finally {
-            try {
-                if (out != null) {
-                    out.close();
-                }
-            } catch (IOException e) {
-                LOG.fine("close of the ledger: " + e);
-            }
+  private void write() {
+    FileChannel out = null;
+    try {
+      while (!over || !waiting.isEmpty()) {
+        Batch b = waiting.poll(50, TimeUnit.MILLISECONDS);
+        if (b == null) {
+          continue;
+        }
+        if (b.whole()) {
+          if (out != null) {
+            out.close();
+          }
+          Path next = file.resolveSibling(NAME + ".new");
+          out =
+              FileChannel.open(
+                  next,
+                  StandardOpenOption.CREATE,
+                  StandardOpenOption.TRUNCATE_EXISTING,
+                  StandardOpenOption.WRITE);
+          all(out, b.bytes());
+          out.force(false);
+          Files.move(next, file, StandardCopyOption.ATOMIC_MOVE); // the old one is whole until then
+        } else {
+          all(out, b.bytes());
+        }
+      }
+    } catch (IOException e) {
+      broken = true;
+      waiting.clear();
+      failed.accept(e.toString());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      try {
+        if (out != null) {
+          out.close();
         }
+      } catch (IOException e) {
+        LOG.fine("close of the ledger: " + e);
+      }
     }
+  }
 
-    private static void all(FileChannel out, byte[] bytes) throws IOException {
-        var b = ByteBuffer.wrap(bytes);
-        while (b.hasRemaining()) {
-            out.write(b);
-        }
+  private static void all(FileChannel out, byte[] bytes) throws IOException {
+    var b = ByteBuffer.wrap(bytes);
+    while (b.hasRemaining()) {
+      out.write(b);
     }
+  }
 
-    /** Writes what waits, within a bound. */
-    @Override public void close() {
-        over = true;
-        try {
-            thread.join(END_MOST);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+  /** Writes what waits, within a bound. */
+  @Override
+  public void close() {
+    over = true;
+    try {
+      thread.join(END_MOST);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+  }
 }
--- a/src/main/java/crankspar/core/Attempt.java
+++ b/src/main/java/crankspar/core/Attempt.java
@@ -4,53 +4,66 @@
 
 /** One sending of a request to one member, from the module's word to its end. */
 final class Attempt<Q, A> implements Ports.Hearer<A> {
-    private final Pooler<Q, A> core;
-    final String request;
-    final PendingRequest<Q, A> owed;
-    final int number;
-    final String member;
-    final double sent;
-    Ports.Call call;
-    boolean ended, written, told;
-
-    Attempt(Pooler<Q, A> core, String request, PendingRequest<Q, A> owed, String member, double now) {
-        this.core = core;
-        this.request = request;
-        this.owed = owed;
-        this.member = member;
-        sent = now;
-        number = owed.sent++;
-    }
+  private final Pooler<Q, A> core;
+  final String request;
+  final PendingRequest<Q, A> owed;
+  final int number;
+  final String member;
+  final double sent;
+  Ports.Call call;
+  boolean ended, written, told;
+
+  Attempt(Pooler<Q, A> core, String request, PendingRequest<Q, A> owed, String member, double now) {
+    this.core = core;
+    this.request = request;
+    this.owed = owed;
+    this.member = member;
+    sent = now;
+    number = owed.sent++;
+  }
 
-    @Override public boolean wanted() { return core.wanted(this); }
+  @Override
+  public boolean wanted() {
+    return core.wanted(this);
+  }
 
-    /** Told by the wire or, where an answer overtakes that, known from how it ended. */
-    @Override public void written() {
-        if (!written) {
-            written = true;
-            core.written(this);
-        }
+  /** Told by the wire or, where an answer overtakes that, known from how it ended. */
+  @Override
+  public void written() {
+    if (!written) {
+      written = true;
+      core.written(this);
     }
+  }
+
+  @Override
+  public boolean began(A answer) {
+    return began(answer, owed.freshness() == Freshness.WRITE ? null : AttemptEnd.Note.NONE);
+  }
+
+  @Override
+  public boolean held(A answer, AttemptEnd.Note note) {
+    return began(answer, core.plausible(note));
+  }
 
-    @Override public boolean began(A answer) { return began(answer, owed.freshness() == Freshness.WRITE ? null : AttemptEnd.Note.NONE); }
-
-    @Override public boolean held(A answer, AttemptEnd.Note note) { return began(answer, core.plausible(note)); }
-
-    /**
-     * From its first bytes on an answer belongs to its client: no time-out, no other attempt, no other answer.
-     * A read's member has done its work by then, and slow readers must not make it look silent; a write's
-     * outcome waits for the note behind its answer.
-     */
-    private boolean began(A answer, AttemptEnd.Note tell) {
-        if (ended || owed.over || owed.begun != null) {
-            return false;
-        }
-        written();
-        owed.begun = this;
-        owed.reply.began(answer);
-        core.begun(this, tell);
-        return true;
+  /**
+   * From its first bytes on an answer belongs to its client: no time-out, no other attempt, no
+   * other answer. A read's member has done its work by then, and slow readers must not make it look
+   * silent; a write's outcome waits for the note behind its answer.
+   */
+  private boolean began(A answer, AttemptEnd.Note tell) {
+    if (ended || owed.over || owed.begun != null) {
+      return false;
     }
+    written();
+    owed.begun = this;
+    owed.reply.began(answer);
+    core.begun(this, tell);
+    return true;
+  }
 
-    @Override public void ended(AttemptEnd<A> end) { core.ended(this, end); }
+  @Override
+  public void ended(AttemptEnd<A> end) {
+    core.ended(this, end);
+  }
 }
--- a/src/main/java/crankspar/core/AttemptEnd.java
+++ b/src/main/java/crankspar/core/AttemptEnd.java
@@ -9,49 +9,92 @@
  * @param <A> a front's own kind of answer, which the core hands on unread
  */
 public sealed interface AttemptEnd<A> {
-    /** What the answer told of its member; NaN where it told no position (Unix ms). */
-    record Note(Role role, double position) {
-        public static final Note NONE = new Note(Role.UNKNOWN, Double.NaN);
+  /** What the answer told of its member; NaN where it told no position (Unix ms). */
+  record Note(Role role, double position) {
+    public static final Note NONE = new Note(Role.UNKNOWN, Double.NaN);
+  }
+
+  /** What the module hears of it. */
+  Status status();
+
+  default Note note() {
+    return Note.NONE;
+  }
+
+  /** Whether its last byte has been handed to the system. */
+  default boolean written() {
+    return true;
+  }
+
+  /** Whether it may have run without a whole answer that says so. */
+  default boolean uncertain() {
+    return false;
+  }
+
+  record Served<A>(A answer, Note note) implements AttemptEnd<A> {
+    @Override
+    public Status status() {
+      return Status.OK;
     }
+  }
 
-    /** What the module hears of it. */
-    Status status();
-    default Note note() { return Note.NONE; }
-    /** Whether its last byte has been handed to the system. */
-    default boolean written() { return true; }
-    /** Whether it may have run without a whole answer that says so. */
-    default boolean uncertain() { return false; }
+  /** Turned away for its role or for how far it lags; nothing ran. */
+  record Missed<A>(Note note) implements AttemptEnd<A> {
+    @Override
+    public Status status() {
+      return Status.MISS;
+    }
+  }
+
+  /** Turned away unseen. */
+  record TurnedAway<A>(Note note) implements AttemptEnd<A> {
+    @Override
+    public Status status() {
+      return Status.FULL;
+    }
+  }
+
+  /** Answered with an error; it may have run. */
+  record Erred<A>(Note note, String why) implements AttemptEnd<A> {
+    @Override
+    public Status status() {
+      return Status.ERROR;
+    }
 
-    record Served<A>(A answer, Note note) implements AttemptEnd<A> {
-        @Override public Status status() { return Status.OK; }
+    @Override
+    public boolean uncertain() {
+      return true;
     }
+  }
 
-    /** Turned away for its role or for how far it lags; nothing ran. */
-    record Missed<A>(Note note) implements AttemptEnd<A> {
-        @Override public Status status() { return Status.MISS; }
+  /** Never written, and its member is not to blame: the time was up before a connection was. */
+  record Unsent<A>(String why) implements AttemptEnd<A> {
+    @Override
+    public Status status() {
+      return Status.MOOT;
     }
 
-    /** Turned away unseen. */
-    record TurnedAway<A>(Note note) implements AttemptEnd<A> {
-        @Override public Status status() { return Status.FULL; }
+    @Override
+    public boolean written() {
+      return false;
     }
+  }
 
-    /** Answered with an error; it may have run. */
-    record Erred<A>(Note note, String why) implements AttemptEnd<A> {
-        @Override public Status status() { return Status.ERROR; }
-        @Override public boolean uncertain() { return true; }
+  /** The connection failed or ended first. */
+  record Broken<A>(Reach reach, String why) implements AttemptEnd<A> {
+    @Override
+    public Status status() {
+      return reach.mayHaveRun() ? Status.RESET : Status.CONNECT_FAILED;
     }
 
-    /** Never written, and its member is not to blame: the time was up before a connection was. */
-    record Unsent<A>(String why) implements AttemptEnd<A> {
-        @Override public Status status() { return Status.MOOT; }
-        @Override public boolean written() { return false; }
+    @Override
+    public boolean written() {
+      return reach.mayHaveRun();
     }
 
-    /** The connection failed or ended first. */
-    record Broken<A>(Reach reach, String why) implements AttemptEnd<A> {
-        @Override public Status status() { return reach.mayHaveRun() ? Status.RESET : Status.CONNECT_FAILED; }
-        @Override public boolean written() { return reach.mayHaveRun(); }
-        @Override public boolean uncertain() { return reach.mayHaveRun(); }
+    @Override
+    public boolean uncertain() {
+      return reach.mayHaveRun();
     }
+  }
 }
--- a/src/main/java/crankspar/core/Counters.java
+++ b/src/main/java/crankspar/core/Counters.java
@@ -5,27 +5,33 @@
 
 /** Counts by name, read on request and at exit. All of them live on the loop's thread. */
 public final class Counters {
-    private final Map<String, long[]> counts = new TreeMap<>();
+  private final Map<String, long[]> counts = new TreeMap<>();
 
-    public void add(String name) { add(name, 1); }
+  public void add(String name) {
+    add(name, 1);
+  }
 
-    public void add(String name, long n) { counts.computeIfAbsent(name, k -> new long[1])[0] += n; }
+  public void add(String name, long n) {
+    counts.computeIfAbsent(name, k -> new long[1])[0] += n;
+  }
 
-    public long get(String name) {
-        long[] at = counts.get(name);
-        return at == null ? 0 : at[0];
-    }
+  public long get(String name) {
+    long[] at = counts.get(name);
+    return at == null ? 0 : at[0];
+  }
 
-    /** A copy, in the order of names. */
-    public Map<String, Long> all() {
-        var copy = new TreeMap<String, Long>();
-        counts.forEach((k, v) -> copy.put(k, v[0]));
-        return copy;
-    }
+  /** A copy, in the order of names. */
+  public Map<String, Long> all() {
+    var copy = new TreeMap<String, Long>();
+    counts.forEach((k, v) -> copy.put(k, v[0]));
+    return copy;
+  }
 
-    @Override public String toString() {
-        var text = new StringBuilder();
-        counts.forEach((k, v) -> text.append(text.isEmpty() ? "" : " ").append(k).append('=').append(v[0]));
-        return text.toString();
-    }
+  @Override
+  public String toString() {
+    var text = new StringBuilder();
+    counts.forEach(
+        (k, v) -> text.append(text.isEmpty() ? "" : " ").append(k).append('=').append(v[0]));
+    return text.toString();
+  }
 }
--- a/src/main/java/crankspar/core/Ports.java
+++ b/src/main/java/crankspar/core/Ports.java
@@ -5,116 +5,168 @@
 
 /** What the core needs of the world and offers to it: small interfaces that know no wire. */
 public interface Ports {
-    /** Time as Unix ms that never goes back, and timers on the thread that owns all state. */
-    interface Time {
-        double now();
-        void after(double ms, Runnable what);
-    }
+  /** Time as Unix ms that never goes back, and timers on the thread that owns all state. */
+  interface Time {
+    double now();
 
-    /** An attempt that is out. */
-    interface Call {
-        /** Gives it up by ending its connection; tells how far it had come. No end is told after this. */
-        Reach abandon();
-    }
+    void after(double ms, Runnable what);
+  }
 
-    /** What an attempt tells of itself, each thing once at most. */
-    interface Hearer<A> {
-        /**
-         * Whether somebody still waits for it; asked right before it is written, and a no means that it is not. Guards against
-         * an attempt for a client that left while a connection came up, or while this process was late.
-         */
-        default boolean wanted() { return true; }
-        /** Its last byte has left. */
-        default void written() { }
-        /**
-         * An answer too long to hold has begun: it is passed on as it comes, and its end is told as any other.
-         * False where nobody waits for it any more.
-         */
-        default boolean began(A answer) { return false; }
-        /**
-         * Its member has answered, and the connection stays its client's: a transaction that goes on. As
-         * {@link #began}, but the module hears of it now, whatever its class: how long a client takes between two
-         * statements says nothing of its member.
-         */
-        default boolean held(A answer, AttemptEnd.Note note) { return false; }
-        void ended(AttemptEnd<A> end);
-    }
+  /** An attempt that is out. */
+  interface Call {
+    /**
+     * Gives it up by ending its connection; tells how far it had come. No end is told after this.
+     */
+    Reach abandon();
+  }
 
-    /** Where a request's one final answer goes. */
-    interface Reply<A> {
-        /**
-         * Whether its client is still there, by what its connection holds at this moment. Asked right before an attempt begins;
-         * a client that has left may be told of as gone within this call.
-         */
-        default boolean present() { return true; }
-        /** Whether the answer is kept for who asks again: what is out when its client has left is awaited then. */
-        default boolean kept() { return false; }
-        /** The answer has begun, and the rest comes as the server gives it; the final answer tells how it ended. */
-        default void began(A answer) { throw new UnsupportedOperationException("answers are taken whole here"); }
-        void answer(FinalAnswer<A> answer);
+  /** What an attempt tells of itself, each thing once at most. */
+  interface Hearer<A> {
+    /**
+     * Whether somebody still waits for it; asked right before it is written, and a no means that it
+     * is not. Guards against an attempt for a client that left while a connection came up, or while
+     * this process was late.
+     */
+    default boolean wanted() {
+      return true;
     }
 
-    /** Where attempts go. An end may be told before {@code send} has returned. */
-    interface Backends<Q, A> {
-        /**
-         * Sends once, whole, or not at all; {@code left} ms will be waited. A connection that takes longer than
-         * {@code within} ms to come up is too late for it.
-         */
-        Call send(String member, Q query, double left, double within, Hearer<A> hearer);
-        Call probe(String member, Consumer<AttemptEnd<A>> end);
+    /** Its last byte has left. */
+    default void written() {}
+
+    /**
+     * An answer too long to hold has begun: it is passed on as it comes, and its end is told as any
+     * other. False where nobody waits for it any more.
+     */
+    default boolean began(A answer) {
+      return false;
     }
 
-    /** Who probes for several, so that not each has to. */
-    interface Probes {
-        /** Whether this member's probes are taken care of: its results come by {@link Pooler#probed}. */
-        boolean takes(Pooler<?, ?> core, String member);
+    /**
+     * Its member has answered, and the connection stays its client's: a transaction that goes on.
+     * As {@link #began}, but the module hears of it now, whatever its class: how long a client
+     * takes between two statements says nothing of its member.
+     */
+    default boolean held(A answer, AttemptEnd.Note note) {
+      return false;
     }
 
-    /** The way to the other poolers: each message to all of them, late or never. */
-    interface Peers {
-        void tell(byte[] message);
+    void ended(AttemptEnd<A> end);
+  }
+
+  /** Where a request's one final answer goes. */
+  interface Reply<A> {
+    /**
+     * Whether its client is still there, by what its connection holds at this moment. Asked right
+     * before an attempt begins; a client that has left may be told of as gone within this call.
+     */
+    default boolean present() {
+      return true;
     }
 
-    /** What a probe found; {@code position} is Unix ms or NaN. */
-    interface Probed {
-        void tell(boolean ok, double elapsed, Role role, double position);
+    /**
+     * Whether the answer is kept for who asks again: what is out when its client has left is
+     * awaited then.
+     */
+    default boolean kept() {
+      return false;
     }
 
-    /** What sessions have written through other processes of this pooler; off the path where there is none. */
-    interface Sessions {
-        /** A write of this session was committed at {@code commit} (Unix ms, or NaN); told before its client is. */
-        void wrote(String session, double commit);
-        /** The position (Unix ms) that a read of this session must see, or NaN. */
-        double need(String session);
-        /** The later of this mark (or NaN) and what the session needs. */
-        default double atLeast(String session, double mark) {
-            double need = need(session);
-            return Double.isNaN(need) || mark > need ? mark : need;
-        }
+    /**
+     * The answer has begun, and the rest comes as the server gives it; the final answer tells how
+     * it ended.
+     */
+    default void began(A answer) {
+      throw new UnsupportedOperationException("answers are taken whole here");
     }
 
-    /** Who keeps what was sent under which stand; see the package {@code audit}. Off the path of a request where there is none. */
-    interface Audit {
-        enum Answer {
-            SERVED, REFUSED, FAILED;
-
-            static Answer of(FinalAnswer<?> answer) {
-                return answer instanceof FinalAnswer.Served ? SERVED : answer instanceof FinalAnswer.Refused ? REFUSED : FAILED;
-            }
-        }
-
-        /** An attempt's last byte has left; it counts under the present stand. */
-        void sent(String request, String member, int requestClass, double now);
-        void answered(String request, Answer how, int requestClass, double now);
-        /** What an answer told of its member; {@code position} is Unix ms or NaN. */
-        void role(String member, Role role, double position);
+    void answer(FinalAnswer<A> answer);
+  }
+
+  /** Where attempts go. An end may be told before {@code send} has returned. */
+  interface Backends<Q, A> {
+    /**
+     * Sends once, whole, or not at all; {@code left} ms will be waited. A connection that takes
+     * longer than {@code within} ms to come up is too late for it.
+     */
+    Call send(String member, Q query, double left, double within, Hearer<A> hearer);
+
+    Call probe(String member, Consumer<AttemptEnd<A>> end);
+  }
+
+  /** Who probes for several, so that not each has to. */
+  interface Probes {
+    /**
+     * Whether this member's probes are taken care of: its results come by {@link Pooler#probed}.
+     */
+    boolean takes(Pooler<?, ?> core, String member);
+  }
+
+  /** The way to the other poolers: each message to all of them, late or never. */
+  interface Peers {
+    void tell(byte[] message);
+  }
+
+  /** What a probe found; {@code position} is Unix ms or NaN. */
+  interface Probed {
+    void tell(boolean ok, double elapsed, Role role, double position);
+  }
+
+  /**
+   * What sessions have written through other processes of this pooler; off the path where there is
+   * none.
+   */
+  interface Sessions {
+    /**
+     * A write of this session was committed at {@code commit} (Unix ms, or NaN); told before its
+     * client is.
+     */
+    void wrote(String session, double commit);
+
+    /** The position (Unix ms) that a read of this session must see, or NaN. */
+    double need(String session);
+
+    /** The later of this mark (or NaN) and what the session needs. */
+    default double atLeast(String session, double mark) {
+      double need = need(session);
+      return Double.isNaN(need) || mark > need ? mark : need;
     }
+  }
+
+  /**
+   * Who keeps what was sent under which stand; see the package {@code audit}. Off the path of a
+   * request where there is none.
+   */
+  interface Audit {
+    enum Answer {
+      SERVED,
+      REFUSED,
+      FAILED;
 
-    /** The list of members: ends of a watch come back through {@link Pooler#watchLost}. */
-    interface Discovery {
-        void watch(boolean on);
+      static Answer of(FinalAnswer<?> answer) {
+        return answer instanceof FinalAnswer.Served
+            ? SERVED
+            : answer instanceof FinalAnswer.Refused ? REFUSED : FAILED;
+      }
     }
 
-    /** What a front has taken. The mark is the position (Unix ms) that a session's read must see, or NaN. */
-    record Ask<Q>(int requestClass, double ttl, String session, double mark, int group, Q query) { }
+    /** An attempt's last byte has left; it counts under the present stand. */
+    void sent(String request, String member, int requestClass, double now);
+
+    void answered(String request, Answer how, int requestClass, double now);
+
+    /** What an answer told of its member; {@code position} is Unix ms or NaN. */
+    void role(String member, Role role, double position);
+  }
+
+  /** The list of members: ends of a watch come back through {@link Pooler#watchLost}. */
+  interface Discovery {
+    void watch(boolean on);
+  }
+
+  /**
+   * What a front has taken. The mark is the position (Unix ms) that a session's read must see, or
+   * NaN.
+   */
+  record Ask<Q>(int requestClass, double ttl, String session, double mark, int group, Q query) {}
 }
--- a/src/main/java/crankspar/core/Turns.java
+++ b/src/main/java/crankspar/core/Turns.java
@@ -6,32 +6,34 @@
 
 /** Every event for the module passes through this queue: it is never called inside its own call. */
 final class Turns {
-    private static final Logger LOG = Logger.getLogger(Turns.class.getName());
+  private static final Logger LOG = Logger.getLogger(Turns.class.getName());
 
-    private final ArrayDeque<Runnable> events = new ArrayDeque<>();
-    private final Counters counters;
-    private boolean busy;
+  private final ArrayDeque<Runnable> events = new ArrayDeque<>();
+  private final Counters counters;
+  private boolean busy;
 
-    Turns(Counters counters) { this.counters = counters; }
+  Turns(Counters counters) {
+    this.counters = counters;
+  }
 
-    void take(Runnable what) {
-        events.add(what);
-        if (busy) {
-            return;
-        }
-        busy = true;
+  void take(Runnable what) {
+    events.add(what);
+    if (busy) {
+      return;
+    }
+    busy = true;
+    try {
+      for (Runnable next = events.poll(); next != null; next = events.poll()) {
         try {
-            for (Runnable next = events.poll(); next != null; next = events.poll()) {
-                try {
-                    next.run();
-                } catch (RuntimeException e) {
-                    // Guards against one bad event taking the daemon along: the last guard still answers.
-                    counters.add("module_errors");
-                    LOG.log(Level.SEVERE, "decision failed", e);
-                }
-            }
-        } finally {
-            busy = false;
+          next.run();
+        } catch (RuntimeException e) {
+          // Guards against one bad event taking the daemon along: the last guard still answers.
+          counters.add("module_errors");
+          LOG.log(Level.SEVERE, "decision failed", e);
         }
+      }
+    } finally {
+      busy = false;
     }
+  }
 }
--- a/src/main/java/crankspar/daemon/GracefulShutdown.java
+++ b/src/main/java/crankspar/daemon/GracefulShutdown.java
@@ -7,148 +7,195 @@
 import java.util.logging.Logger;
 
 /**
- * How this pooler goes: for good at a signal, or until an operator has it serve again. Clients use the connections that they
- * have for as long as these stay open, so that what is idle is closed gently and what is owed is answered first.
+ * How this pooler goes: for good at a signal, or until an operator has it serve again. Clients use
+ * the connections that they have for as long as these stay open, so that what is idle is closed
+ * gently and what is owed is answered first.
  */
 final class GracefulShutdown {
-    private static final Logger LOG = Logger.getLogger(GracefulShutdown.class.getName());
-    /** A stop is followed by a kill no sooner than the longest deadline, or this (ms), ... */
-    private static final double KILL_MOST = 3000;
-    /** ... and this much later. */
-    private static final double KILL_AFTER = 700;
-    /** How long before the kill the last answer is out, and how long before that the last request is taken (ms). */
-    private static final double SPARE = 300;
-    private static final double LAST_REQUEST = 700;
-    /**
-     * After the call to drain (ms): the front asks every 0.1 s, and new connections come for 0.2 s after it
-     * has heard the first no. What a busy machine adds is allowed for.
-     */
-    private static final double STILL_OPEN = 700;
-    /** How often an end looks whether all is answered (ms). */
-    private static final double END_LOOK = 20;
-    /** What is answered last has so long (ms) to leave: a little less than is spared before the kill. */
-    private static final double LAST_BYTES = 200;
-
-    private final Assembly parts;
-    private double longest;
-    /** On the loop: an operator has this pooler leave. */
-    private boolean on;
-    private int drains;
-
-    GracefulShutdown(Assembly parts) { this.parts = parts; }
-
-    boolean on() { return on; }
-
-    /** A stop waits for the longest that any front's clients do. */
-    void waitsFor(Router.Settings settings) {
-        longest = Math.max(longest, settings.classes().stream().mapToDouble(Router.RequestClass::giveUp).max().orElse(0));
-    }
+  private static final Logger LOG = Logger.getLogger(GracefulShutdown.class.getName());
+
+  /** A stop is followed by a kill no sooner than the longest deadline, or this (ms), ... */
+  private static final double KILL_MOST = 3000;
+
+  /** ... and this much later. */
+  private static final double KILL_AFTER = 700;
+
+  /**
+   * How long before the kill the last answer is out, and how long before that the last request is
+   * taken (ms).
+   */
+  private static final double SPARE = 300;
+
+  private static final double LAST_REQUEST = 700;
+
+  /**
+   * After the call to drain (ms): the front asks every 0.1 s, and new connections come for 0.2 s
+   * after it has heard the first no. What a busy machine adds is allowed for.
+   */
+  private static final double STILL_OPEN = 700;
+
+  /** How often an end looks whether all is answered (ms). */
+  private static final double END_LOOK = 20;
+
+  /**
+   * What is answered last has so long (ms) to leave: a little less than is spared before the kill.
+   */
+  private static final double LAST_BYTES = 200;
+
+  private final Assembly parts;
+  private double longest;
+
+  /** On the loop: an operator has this pooler leave. */
+  private boolean on;
 
-    /**
-     * Ends in order: still open, then nothing new, then the last answers. Guards against a gap: poolers are restarted in
-     * turn, and one that closed 0.6 s after its signal was gone for 2 s before the one before it was back.
-     */
-    void stop(double noticed) throws InterruptedException {
-        double since = Math.max(noticed, parts.loop.now() - parts.loop.earliestOfNow()); // it came while the process stood still
-        if (parts.peering.shared() != null) {
-            parts.loop.run(parts.peering.shared()::leave);
-        }
-        double answered = Math.min(longest, KILL_MOST) + KILL_AFTER - SPARE - since;
-        // First: of two processes that are told to end together, each took the other for its successor, and both closed their doors.
-        parts.instanceLock.close();
-        if (parts.instanceLock.another()) {
-            handOver(answered);
-        } else {
-            alone(answered, Math.max(KILL_AFTER - SPARE - since, answered - LAST_REQUEST));
-        }
-        parts.settle();
-        parts.loop.runAndWait(() -> System.err.println("counters " + parts.counters + " loop_lag_most_ms=" + Math.round(parts.loop.mostLag())));
+  private int drains;
+
+  GracefulShutdown(Assembly parts) {
+    this.parts = parts;
+  }
+
+  boolean on() {
+    return on;
+  }
+
+  /** A stop waits for the longest that any front's clients do. */
+  void waitsFor(Router.Settings settings) {
+    longest =
+        Math.max(
+            longest,
+            settings.classes().stream().mapToDouble(Router.RequestClass::giveUp).max().orElse(0));
+  }
+
+  /**
+   * Ends in order: still open, then nothing new, then the last answers. Guards against a gap:
+   * poolers are restarted in turn, and one that closed 0.6 s after its signal was gone for 2 s
+   * before the one before it was back.
+   */
+  void stop(double noticed) throws InterruptedException {
+    double since =
+        Math.max(
+            noticed,
+            parts.loop.now() - parts.loop.earliestOfNow()); // it came while the process stood still
+    if (parts.peering.shared() != null) {
+      parts.loop.run(parts.peering.shared()::leave);
+    }
+    double answered = Math.min(longest, KILL_MOST) + KILL_AFTER - SPARE - since;
+    // First: of two processes that are told to end together, each took the other for its successor,
+    // and both closed their doors.
+    parts.instanceLock.close();
+    if (parts.instanceLock.another()) {
+      handOver(answered);
+    } else {
+      alone(answered, Math.max(KILL_AFTER - SPARE - since, answered - LAST_REQUEST));
     }
+    parts.settle();
+    parts.loop.runAndWait(
+        () ->
+            System.err.println(
+                "counters "
+                    + parts.counters
+                    + " loop_lag_most_ms="
+                    + Math.round(parts.loop.mostLag())));
+  }
 
-    private void alone(double answered, double open) throws InterruptedException {
-        var done = new CountDownLatch(1);
-        parts.loop.run(() -> {
-            double until = parts.loop.now() + answered;
-            parts.fronts.forEach(f -> {
+  private void alone(double answered, double open) throws InterruptedException {
+    var done = new CountDownLatch(1);
+    parts.loop.run(
+        () -> {
+          double until = parts.loop.now() + answered;
+          parts.fronts.forEach(
+              f -> {
                 f.front().stopping();
                 f.core().answerBy(until);
-            });
-            parts.loop.after(open, () -> {
+              });
+          parts.loop.after(
+              open,
+              () -> {
                 parts.fronts.forEach(f -> f.front().drain());
-                look(Double.POSITIVE_INFINITY, done); // what is owed from before the signal may go on up to the kill: nothing is given up for it
-            });
+                look(
+                    Double.POSITIVE_INFINITY,
+                    done); // what is owed from before the signal may go on up to the kill: nothing
+                // is given up for it
+              });
         });
-        done.await((long) (Math.max(open, answered) + longest), TimeUnit.MILLISECONDS);
-    }
+    done.await((long) (Math.max(open, answered) + longest), TimeUnit.MILLISECONDS);
+  }
 
-    /**
-     * Ends in favour of a process that serves already: nothing new, idle clients are closed gently, and the end
-     * comes with the last answer. Guards against requests that end at the door, and against the kill.
-     */
-    private void handOver(double answered) throws InterruptedException {
-        LOG.info("another process serves: this one ends");
-        var done = new CountDownLatch(1);
-        parts.loop.run(() -> {
-            double until = parts.loop.now() + answered;
-            parts.fronts.forEach(f -> {
+  /**
+   * Ends in favour of a process that serves already: nothing new, idle clients are closed gently,
+   * and the end comes with the last answer. Guards against requests that end at the door, and
+   * against the kill.
+   */
+  private void handOver(double answered) throws InterruptedException {
+    LOG.info("another process serves: this one ends");
+    var done = new CountDownLatch(1);
+    parts.loop.run(
+        () -> {
+          double until = parts.loop.now() + answered;
+          parts.fronts.forEach(
+              f -> {
                 f.core().answerBy(until);
                 f.front().drain();
-            });
-            look(until, done);
+              });
+          look(until, done);
         });
-        done.await((long) (answered + SPARE), TimeUnit.MILLISECONDS);
-    }
+    done.await((long) (answered + SPARE), TimeUnit.MILLISECONDS);
+  }
 
-    /**
-     * The end comes once every connection is closed, or when the time is up. Guards against an end that waited for what was owed
-     * and then for a fixed time: a request that was half here then was read, sent on and lost, and so were answers that their
-     * clients were slow to take.
-     */
-    private void look(double until, CountDownLatch done) {
-        double now = parts.loop.now();
-        if (now >= until) {
-            parts.fronts.forEach(f -> f.core().giveUp());
-        }
-        if (now >= until + LAST_BYTES || parts.fronts.stream().allMatch(f -> f.core().owing() == 0 && f.front().closed())) {
-            done.countDown();
-        } else {
-            parts.loop.after(END_LOOK, () -> look(until, done));
-        }
+  /**
+   * The end comes once every connection is closed, or when the time is up. Guards against an end
+   * that waited for what was owed and then for a fixed time: a request that was half here then was
+   * read, sent on and lost, and so were answers that their clients were slow to take.
+   */
+  private void look(double until, CountDownLatch done) {
+    double now = parts.loop.now();
+    if (now >= until) {
+      parts.fronts.forEach(f -> f.core().giveUp());
+    }
+    if (now >= until + LAST_BYTES
+        || parts.fronts.stream().allMatch(f -> f.core().owing() == 0 && f.front().closed())) {
+      done.countDown();
+    } else {
+      parts.loop.after(END_LOOK, () -> look(until, done));
     }
+  }
 
-    /** Who asks is told no at once; the doors stay open until nobody is sent here any more. */
-    Done drain() {
-        if (!parts.serving) {
-            return Done.NOT_NOW;
-        }
-        if (!on) {
-            LOG.info("an operator drains this pooler");
-            on = true;
-            int mine = ++drains;
-            parts.fronts.forEach(f -> f.front().leaving(true));
-            parts.loop.after(STILL_OPEN, () -> {
-                if (on && mine == drains) {
-                    parts.fronts.forEach(f -> f.front().drain());
-                }
-            });
-        }
-        return Done.YES;
+  /** Who asks is told no at once; the doors stay open until nobody is sent here any more. */
+  Done drain() {
+    if (!parts.serving) {
+      return Done.NOT_NOW;
     }
+    if (!on) {
+      LOG.info("an operator drains this pooler");
+      on = true;
+      int mine = ++drains;
+      parts.fronts.forEach(f -> f.front().leaving(true));
+      parts.loop.after(
+          STILL_OPEN,
+          () -> {
+            if (on && mine == drains) {
+              parts.fronts.forEach(f -> f.front().drain());
+            }
+          });
+    }
+    return Done.YES;
+  }
 
-    Done resume() {
-        if (!parts.serving) {
-            return Done.NOT_NOW;
-        }
-        if (on) {
-            LOG.info("an operator has this pooler serve again");
-            on = false;
-            parts.fronts.forEach(f -> {
-                f.front().leaving(parts.fenced());
-                if (!parts.fenced()) {
-                    f.front().resume();
-                }
-            });
-        }
-        return Done.YES;
+  Done resume() {
+    if (!parts.serving) {
+      return Done.NOT_NOW;
+    }
+    if (on) {
+      LOG.info("an operator has this pooler serve again");
+      on = false;
+      parts.fronts.forEach(
+          f -> {
+            f.front().leaving(parts.fenced());
+            if (!parts.fenced()) {
+              f.front().resume();
+            }
+          });
     }
+    return Done.YES;
+  }
 }
--- a/src/main/java/crankspar/gossip/GossipReceiver.java
+++ b/src/main/java/crankspar/gossip/GossipReceiver.java
@@ -7,124 +7,190 @@
 import java.util.function.BiFunction;
 
 /**
- * The decision module with an ear for its peers, as one {@link Router}: the daemon's core and the simulator's adapter use
- * it alike. Every event goes on to the module unchanged; what passes is noted, and what peers told comes to the module as
- * {@link Router#onHearsay}.
+ * The decision module with an ear for its peers, as one {@link Router}: the daemon's core and the
+ * simulator's adapter use it alike. Every event goes on to the module unchanged; what passes is
+ * noted, and what peers told comes to the module as {@link Router#onHearsay}.
  */
 public final class GossipReceiver implements Router {
-    /** The module's own cookies count up from nought and never come so far. */
-    private static final long COOKIE = 1L << 40;
-
-    /**
-     * Up to so many poolers each hears a member's answers often enough by itself. Measured in the simulator with three:
-     * hearing of the others' too costs 0.04, most of it under overload, where reads then fill replicas evenly to the brim.
-     */
-    private static final int FEW = 6;
-
-    private final Router module;
-    private final Actions actions;
-    private final GossipService gossip;
-    private boolean waiting;
-
-    private GossipReceiver(BiFunction<Settings, Actions, Router> module, Settings settings, Actions actions) {
-        this.actions = actions;
-        gossip = new GossipService(settings);
-        this.module = module.apply(settings, new Counting(actions));
+  /** The module's own cookies count up from nought and never come so far. */
+  private static final long COOKIE = 1L << 40;
+
+  /**
+   * Up to so many poolers each hears a member's answers often enough by itself. Measured in the
+   * simulator with three: hearing of the others' too costs 0.04, most of it under overload, where
+   * reads then fill replicas evenly to the brim.
+   */
+  private static final int FEW = 6;
+
+  private final Router module;
+  private final Actions actions;
+  private final GossipService gossip;
+  private boolean waiting;
+
+  private GossipReceiver(
+      BiFunction<Settings, Actions, Router> module, Settings settings, Actions actions) {
+    this.actions = actions;
+    gossip = new GossipService(settings);
+    this.module = module.apply(settings, new Counting(actions));
+  }
+
+  /** The module's actions, with its sends counted. */
+  private final class Counting implements Actions {
+    private final Actions to;
+
+    Counting(Actions to) {
+      this.to = to;
     }
 
-    /** The module's actions, with its sends counted. */
-    private final class Counting implements Actions {
-        private final Actions to;
-
-        Counting(Actions to) { this.to = to; }
-
-        @Override public void send(String request, String member, double timeout) {
-            gossip.inFlight(member, 1);
-            wake();
-            to.send(request, member, timeout);
-        }
-        @Override public void refuse(String request, double retryIn) { to.refuse(request, retryIn); }
-        @Override public void fail(String request) { to.fail(request); }
-        @Override public void cancel(String request, int attempt) { to.cancel(request, attempt); }
-        @Override public void setTimer(double delay, long cookie) { to.setTimer(delay, cookie); }
-        @Override public void probe(String member) { to.probe(member); }
-        @Override public void watch(boolean on) { to.watch(on); }
-        @Override public void log(String text) { to.log(text); }
-        @Override public void tell(byte[] message) { to.tell(message); }
+    @Override
+    public void send(String request, String member, double timeout) {
+      gossip.inFlight(member, 1);
+      wake();
+      to.send(request, member, timeout);
     }
 
-    /** Makes the module, with an ear where the settings allow poolers to tell and there are too many for each to learn by itself. */
-    public static BiFunction<Settings, Actions, Router> before(BiFunction<Settings, Actions, Router> module) {
-        return (settings, actions) -> settings.limits().mayTell() && settings.siblings() > FEW
-                && settings.siblings() <= GossipMessage.POOLERS_MOST ? new GossipReceiver(module, settings, actions) : module.apply(settings, actions);
+    @Override
+    public void refuse(String request, double retryIn) {
+      to.refuse(request, retryIn);
     }
 
-    @Override public void onStart(double now) { module.onStart(now); }
-
-    @Override public void onMembers(double now, ListKind kind, List<Member> members) {
-        gossip.members(kind, members);
-        module.onMembers(now, kind, members);
+    @Override
+    public void fail(String request) {
+      to.fail(request);
     }
 
-    @Override public void onWatchLost(double now) { module.onWatchLost(now); }
-
-    @Override public void onRequest(double now, Request request) {
-        gossip.request();
-        module.onRequest(now, request);
+    @Override
+    public void cancel(String request, int attempt) {
+      to.cancel(request, attempt);
     }
 
-    @Override public void onOutcome(double now, Outcome o) {
-        gossip.inFlight(o.member(), -1);
-        learned(o.member(), o.role(), o.position());
-        module.onOutcome(now, o);
+    @Override
+    public void setTimer(double delay, long cookie) {
+      to.setTimer(delay, cookie);
     }
 
-    @Override public void onProbe(double now, ProbeResult r) {
-        if (r.ok()) {
-            learned(r.member(), r.role(), r.position());
-        }
-        module.onProbe(now, r);
+    @Override
+    public void probe(String member) {
+      to.probe(member);
     }
 
-    private void learned(String member, Role role, double position) {
-        gossip.learned(member, role, position);
-        wake();
+    @Override
+    public void watch(boolean on) {
+      to.watch(on);
     }
 
-    private void wake() {
-        if (!waiting && gossip.due()) {
-            waiting = true;
-            actions.setTimer(gossip.period(), COOKIE);
-        }
+    @Override
+    public void log(String text) {
+      to.log(text);
     }
 
-    @Override public void onGone(double now, String request) { module.onGone(now, request); }
-
-    @Override public void onTimer(double now, long cookie) {
-        if (cookie != COOKIE) {
-            module.onTimer(now, cookie);
-            return;
-        }
-        waiting = false;
-        byte[] message = gossip.next(now);
-        if (message != null) {
-            actions.tell(message);
-        }
-        hand(now, gossip.look(now));
-        wake();
+    @Override
+    public void tell(byte[] message) {
+      to.tell(message);
     }
-
-    @Override public void onPeer(double now, byte[] message) {
-        hand(now, gossip.heard(now, message));
+  }
+
+  /**
+   * Makes the module, with an ear where the settings allow poolers to tell and there are too many
+   * for each to learn by itself.
+   */
+  public static BiFunction<Settings, Actions, Router> before(
+      BiFunction<Settings, Actions, Router> module) {
+    return (settings, actions) ->
+        settings.limits().mayTell()
+                && settings.siblings() > FEW
+                && settings.siblings() <= GossipMessage.POOLERS_MOST
+            ? new GossipReceiver(module, settings, actions)
+            : module.apply(settings, actions);
+  }
+
+  @Override
+  public void onStart(double now) {
+    module.onStart(now);
+  }
+
+  @Override
+  public void onMembers(double now, ListKind kind, List<Member> members) {
+    gossip.members(kind, members);
+    module.onMembers(now, kind, members);
+  }
+
+  @Override
+  public void onWatchLost(double now) {
+    module.onWatchLost(now);
+  }
+
+  @Override
+  public void onRequest(double now, Request request) {
+    gossip.request();
+    module.onRequest(now, request);
+  }
+
+  @Override
+  public void onOutcome(double now, Outcome o) {
+    gossip.inFlight(o.member(), -1);
+    learned(o.member(), o.role(), o.position());
+    module.onOutcome(now, o);
+  }
+
+  @Override
+  public void onProbe(double now, ProbeResult r) {
+    if (r.ok()) {
+      learned(r.member(), r.role(), r.position());
     }
-
-    private void hand(double now, List<Router.Told> news) {
-        if (!news.isEmpty()) {
-            module.onHearsay(now, news);
-        }
+    module.onProbe(now, r);
+  }
+
+  private void learned(String member, Role role, double position) {
+    gossip.learned(member, role, position);
+    wake();
+  }
+
+  private void wake() {
+    if (!waiting && gossip.due()) {
+      waiting = true;
+      actions.setTimer(gossip.period(), COOKIE);
+    }
+  }
+
+  @Override
+  public void onGone(double now, String request) {
+    module.onGone(now, request);
+  }
+
+  @Override
+  public void onTimer(double now, long cookie) {
+    if (cookie != COOKIE) {
+      module.onTimer(now, cookie);
+      return;
+    }
+    waiting = false;
+    byte[] message = gossip.next(now);
+    if (message != null) {
+      actions.tell(message);
+    }
+    hand(now, gossip.look(now));
+    wake();
+  }
+
+  @Override
+  public void onPeer(double now, byte[] message) {
+    hand(now, gossip.heard(now, message));
+  }
+
+  private void hand(double now, List<Router.Told> news) {
+    if (!news.isEmpty()) {
+      module.onHearsay(now, news);
     }
+  }
 
-    @Override public Map<String, Long> counts() { return gossip.counts(); }
+  @Override
+  public Map<String, Long> counts() {
+    return gossip.counts();
+  }
 
-    @Override public Set<String> avoided() { return module.avoided(); }
+  @Override
+  public Set<String> avoided() {
+    return module.avoided();
+  }
 }
--- a/src/main/java/crankspar/http/HttpText.java
+++ b/src/main/java/crankspar/http/HttpText.java
@@ -5,43 +5,46 @@
 
 /** Messages as bytes. A body always has its length told. */
 public final class HttpText {
-    private HttpText() { }
+  private HttpText() {}
 
-    public static byte[] request(String method, String target, Map<String, String> headers, byte[] body) {
-        return message(method + " " + target + " HTTP/1.1", headers, body, body.length > 0);
-    }
+  public static byte[] request(
+      String method, String target, Map<String, String> headers, byte[] body) {
+    return message(method + " " + target + " HTTP/1.1", headers, body, body.length > 0);
+  }
 
-    public static byte[] response(int status, Map<String, String> headers, byte[] body) {
-        return message("HTTP/1.1 " + status + " " + reason(status), headers, body, true);
-    }
+  public static byte[] response(int status, Map<String, String> headers, byte[] body) {
+    return message("HTTP/1.1 " + status + " " + reason(status), headers, body, true);
+  }
 
-    private static byte[] message(String start, Map<String, String> headers, byte[] body, boolean length) {
-        var text = new StringBuilder(start).append("\r\n");
-        headers.forEach((k, v) -> text.append(k).append(": ").append(v.replaceAll("[\r\n]", " ")).append("\r\n"));
-        if (length) {
-            text.append("Content-Length: ").append(body.length).append("\r\n");
-        }
-        byte[] head = text.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-        var whole = new byte[head.length + body.length];
-        System.arraycopy(head, 0, whole, 0, head.length);
-        System.arraycopy(body, 0, whole, head.length, body.length);
-        return whole;
+  private static byte[] message(
+      String start, Map<String, String> headers, byte[] body, boolean length) {
+    var text = new StringBuilder(start).append("\r\n");
+    headers.forEach(
+        (k, v) -> text.append(k).append(": ").append(v.replaceAll("[\r\n]", " ")).append("\r\n"));
+    if (length) {
+      text.append("Content-Length: ").append(body.length).append("\r\n");
     }
+    byte[] head = text.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+    var whole = new byte[head.length + body.length];
+    System.arraycopy(head, 0, whole, 0, head.length);
+    System.arraycopy(body, 0, whole, head.length, body.length);
+    return whole;
+  }
 
-    public static String reason(int status) {
-        return switch (status) {
-            case 200 -> "OK";
-            case 400 -> "Bad Request";
-            case 404 -> "Not Found";
-            case 405 -> "Method Not Allowed";
-            case 408 -> "Request Timeout";
-            case 409 -> "Conflict";
-            case 413 -> "Content Too Large";
-            case 422 -> "Unprocessable Content";
-            case 502 -> "Bad Gateway";
-            case 503 -> "Service Unavailable";
-            case 504 -> "Gateway Timeout";
-            default -> status < 400 ? "Done" : "Error";
-        };
-    }
+  public static String reason(int status) {
+    return switch (status) {
+      case 200 -> "OK";
+      case 400 -> "Bad Request";
+      case 404 -> "Not Found";
+      case 405 -> "Method Not Allowed";
+      case 408 -> "Request Timeout";
+      case 409 -> "Conflict";
+      case 413 -> "Content Too Large";
+      case 422 -> "Unprocessable Content";
+      case 502 -> "Bad Gateway";
+      case 503 -> "Service Unavailable";
+      case 504 -> "Gateway Timeout";
+      default -> status < 400 ? "Done" : "Error";
+    };
+  }
 }
--- a/src/main/java/crankspar/lab/LabSettings.java
+++ b/src/main/java/crankspar/lab/LabSettings.java
@@ -8,11 +8,14 @@
 
 /** The five classes of the brief, for operators' files of experiments. */
 public final class LabSettings {
-    private LabSettings() { }
+  private LabSettings() {}
 
-    /** {@code settings} in the words of the operator's file; {@code siblings} poolers share the servers. */
-    static String text(int siblings) {
-        return """
+  /**
+   * {@code settings} in the words of the operator's file; {@code siblings} poolers share the
+   * servers.
+   */
+  static String text(int siblings) {
+    return """
             settings {
               Callers { MarksRetry = false }
               Classes = [
@@ -33,24 +36,40 @@
               Report { Fields = [x0, x1], How = on_probe }
               Round = 5.0, Siblings = SIBLINGS, Zones = [east, west, south]
             }
-            """.replace("SIBLINGS", Integer.toString(siblings));
-    }
+            """
+        .replace("SIBLINGS", Integer.toString(siblings));
+  }
 
-    /** The same as the platform gives them, where poolers may tell each other at its price. */
-    public static Router.Settings platform(int siblings) { return SettingsReader.read(platform(siblings, 0, "east").unwrapped(), 1); }
+  /** The same as the platform gives them, where poolers may tell each other at its price. */
+  public static Router.Settings platform(int siblings) {
+    return SettingsReader.read(platform(siblings, 0, "east").unwrapped(), 1);
+  }
 
-    /** One pooler's settings in the words of the platform's configuration. */
-    public static String json(int siblings, int me, String zone) {
-        return platform(siblings, me, zone).render(ConfigRenderOptions.concise());
-    }
+  /** One pooler's settings in the words of the platform's configuration. */
+  public static String json(int siblings, int me, String zone) {
+    return platform(siblings, me, zone).render(ConfigRenderOptions.concise());
+  }
 
-    private static ConfigObject platform(int siblings, int me, String zone) {
-        return ConfigFactory.parseString(text(siblings) + "settings { Limits.MayTell = true, Prices.Peer = 0.01, MyNumber = " + me
-                + ", Locality = " + zone + " }").resolve().getObject("settings");
-    }
+  private static ConfigObject platform(int siblings, int me, String zone) {
+    return ConfigFactory.parseString(
+            text(siblings)
+                + "settings { Limits.MayTell = true, Prices.Peer = 0.01, MyNumber = "
+                + me
+                + ", Locality = "
+                + zone
+                + " }")
+        .resolve()
+        .getObject("settings");
+  }
 
-    static String member(String id, int port, boolean primary) {
-        return "{id = " + id + ", host_port = \"127.0.0.1:" + port + "\", locality = east, flavor = std, cell = 1, phase = up, size = 1.0,"
-                + " up_since_ms = 0, role = " + (primary ? "primary" : "replica") + "}";
-    }
+  static String member(String id, int port, boolean primary) {
+    return "{id = "
+        + id
+        + ", host_port = \"127.0.0.1:"
+        + port
+        + "\", locality = east, flavor = std, cell = 1, phase = up, size = 1.0,"
+        + " up_since_ms = 0, role = "
+        + (primary ? "primary" : "replica")
+        + "}";
+  }
 }
--- a/src/main/java/crankspar/lab/history/package-info.java
+++ b/src/main/java/crankspar/lab/history/package-info.java
@@ -1,2 +1,5 @@
-/** Histories of calls that overlapped, and whether some order of them explains what each was answered. */
+/**
+ * Histories of calls that overlapped, and whether some order of them explains what each was
+ * answered.
+ */
 package crankspar.lab.history;
--- a/src/main/java/crankspar/lab/load/Shape.java
+++ b/src/main/java/crankspar/lab/load/Shape.java
@@ -2,40 +2,76 @@
 
 /** How many requests a second are asked at a time (ms from the start). Shapes add up. */
 public sealed interface Shape {
-    double rate(double ms);
+  double rate(double ms);
 
-    /** The highest it ever is: what thinning starts from. */
-    double most();
+  /** The highest it ever is: what thinning starts from. */
+  double most();
 
-    record Constant(double rate) implements Shape {
-        @Override public double rate(double ms) { return rate; }
-        @Override public double most() { return rate; }
+  record Constant(double rate) implements Shape {
+    @Override
+    public double rate(double ms) {
+      return rate;
     }
 
-    /** Up and down like a day, {@code swing} (0 to 1) about its mean. */
-    record Wave(double mean, double swing, double period) implements Shape {
-        @Override public double rate(double ms) { return mean * (1 + swing * Math.sin(2 * Math.PI * ms / period)); }
-        @Override public double most() { return mean * (1 + swing); }
+    @Override
+    public double most() {
+      return rate;
     }
+  }
 
-    /** From a time on another rate. */
-    record Step(double at, double before, double after) implements Shape {
-        @Override public double rate(double ms) { return ms < at ? before : after; }
-        @Override public double most() { return Math.max(before, after); }
+  /** Up and down like a day, {@code swing} (0 to 1) about its mean. */
+  record Wave(double mean, double swing, double period) implements Shape {
+    @Override
+    public double rate(double ms) {
+      return mean * (1 + swing * Math.sin(2 * Math.PI * ms / period));
     }
 
-    /** The minutes before lineup lock: it grows to its peak at {@code at}, ever faster, and is over at once. */
-    record Spike(double at, double rise, double peak) implements Shape {
-        @Override public double rate(double ms) {
-            double x = 1 - (at - ms) / rise;
-            return ms > at || x < 0 ? 0 : peak * x * x;
-        }
-        @Override public double most() { return peak; }
+    @Override
+    public double most() {
+      return mean * (1 + swing);
     }
+  }
 
-    /** On for a part of each period, off for the rest. */
-    record Bursts(double rate, double period, double on) implements Shape {
-        @Override public double rate(double ms) { return ms % period < on ? rate : 0; }
-        @Override public double most() { return rate; }
+  /** From a time on another rate. */
+  record Step(double at, double before, double after) implements Shape {
+    @Override
+    public double rate(double ms) {
+      return ms < at ? before : after;
     }
+
+    @Override
+    public double most() {
+      return Math.max(before, after);
+    }
+  }
+
+  /**
+   * The minutes before lineup lock: it grows to its peak at {@code at}, ever faster, and is over at
+   * once.
+   */
+  record Spike(double at, double rise, double peak) implements Shape {
+    @Override
+    public double rate(double ms) {
+      double x = 1 - (at - ms) / rise;
+      return ms > at || x < 0 ? 0 : peak * x * x;
+    }
+
+    @Override
+    public double most() {
+      return peak;
+    }
+  }
+
+  /** On for a part of each period, off for the rest. */
+  record Bursts(double rate, double period, double on) implements Shape {
+    @Override
+    public double rate(double ms) {
+      return ms % period < on ? rate : 0;
+    }
+
+    @Override
+    public double most() {
+      return rate;
+    }
+  }
 }
--- a/src/main/java/crankspar/net/Addresses.java
+++ b/src/main/java/crankspar/net/Addresses.java
@@ -6,22 +6,23 @@
 
 /** Reads {@code host:port} without ever asking DNS, which the platform has not. */
 public final class Addresses {
-    private Addresses() { }
+  private Addresses() {}
 
-    /** The address; an IllegalArgumentException says what is wrong with it. */
-    public static InetSocketAddress parse(String text) {
-        int colon = text == null ? -1 : text.lastIndexOf(':');
-        if (colon <= 0) {
-            throw new IllegalArgumentException("not host:port: " + text);
-        }
-        String host = text.substring(0, colon).replaceAll("^\\[|]$", "");
-        if (!host.matches("[0-9.]+|[0-9a-fA-F:]+")) {
-            throw new IllegalArgumentException("not a literal address: " + text);
-        }
-        try {
-            return new InetSocketAddress(InetAddress.getByName(host), Integer.parseInt(text.substring(colon + 1)));
-        } catch (UnknownHostException | IllegalArgumentException e) {
-            throw new IllegalArgumentException("not host:port: " + text);
-        }
+  /** The address; an IllegalArgumentException says what is wrong with it. */
+  public static InetSocketAddress parse(String text) {
+    int colon = text == null ? -1 : text.lastIndexOf(':');
+    if (colon <= 0) {
+      throw new IllegalArgumentException("not host:port: " + text);
     }
+    String host = text.substring(0, colon).replaceAll("^\\[|]$", "");
+    if (!host.matches("[0-9.]+|[0-9a-fA-F:]+")) {
+      throw new IllegalArgumentException("not a literal address: " + text);
+    }
+    try {
+      return new InetSocketAddress(
+          InetAddress.getByName(host), Integer.parseInt(text.substring(colon + 1)));
+    } catch (UnknownHostException | IllegalArgumentException e) {
+      throw new IllegalArgumentException("not host:port: " + text);
+    }
+  }
 }
--- a/src/main/java/crankspar/net/EventLoop.java
+++ b/src/main/java/crankspar/net/EventLoop.java
@@ -14,7 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.DoubleConsumer;
 import java.util.function.Supplier;
 import java.util.logging.Level;
@@ -44,9 +44,14 @@
   /** The end of the loop's thread is waited for this long (ms). */
   private static final long END_MOST_MS = 2000;
 
+  /** After a poll that failed the next one is tried so much later. */
+  private static final long POLL_RETRY_NANOS = 10_000_000;
+
   private static final Set<ReadinessPhase> ALL = EnumSet.allOf(ReadinessPhase.class);
 
-  /** What may be taken in while something is being decided: it changes no answer that is at hand. */
+  /**
+   * What may be taken in while something is being decided: it changes no answer that is at hand.
+   */
   private static final Set<ReadinessPhase> BEFORE_A_WRITE =
       EnumSet.of(ReadinessPhase.NEWS, ReadinessPhase.CLIENTS);
 
@@ -138,19 +143,27 @@
   private void turns() {
     try {
       while (!closed) {
-        awaitWork();
-        step();
-        poll(ALL);
-        step();
-        runTasks();
+        turn();
       }
-    } catch (IOException e) {
-      LOG.log(Level.SEVERE, "the selector failed: this loop ends", e);
     } finally {
       closeAll();
     }
   }
 
+  /** A poll that fails, for want of memory say, is tried again; timers and work go on meanwhile. */
+  private void turn() {
+    try {
+      awaitWork();
+      step();
+      poll(ALL);
+    } catch (IOException | RuntimeException e) {
+      LOG.log(Level.SEVERE, "the sockets cannot be polled", e);
+      LockSupport.parkNanos(POLL_RETRY_NANOS);
+    }
+    step();
+    runTasks();
+  }
+
   private void awaitWork() throws IOException {
     double wait = Math.min(IDLE_MOST_MS, tasks.nextDue() - now());
     if (wait > 0 && posted.isEmpty() && news.isEmpty()) {
--- a/src/main/java/crankspar/net/ServerConnectionHandler.java
+++ b/src/main/java/crankspar/net/ServerConnectionHandler.java
@@ -4,27 +4,34 @@
 import crankspar.core.Reach;
 
 /**
- * A machine for one connection to a server, which carries one request at a time. Its end is told exactly
- * once; a connection that breaks while it carries nothing just ends.
+ * A machine for one connection to a server, which carries one request at a time. Its end is told
+ * exactly once; a connection that breaks while it carries nothing just ends.
  */
 public interface ServerConnectionHandler<Q, A> extends ConnectionHandler {
-    /** What the pool wants to hear: that a request may be carried, and that the connection is gone. */
-    interface Keeper {
-        /** It is welcomed or, after a request, settled. */
-        void ready();
-        void gone(String why);
-    }
-
-    void keeper(Keeper keeper);
-    /** Writes the request; called only when ready and idle. */
-    void carry(Q query, double left, Ports.Hearer<A> hearer);
-    /** How far the request at hand has come. */
-    Reach reach();
-    /** Whether the request before was answered whole, and another may follow on this connection. */
-    boolean reusable();
-    /**
-     * Makes sure that nothing of the answer before is still to come, then says that it is ready. Guards
-     * against a second copy of an answer, which would pass for the next request's.
-     */
-    void settle();
+  /**
+   * What the pool wants to hear: that a request may be carried, and that the connection is gone.
+   */
+  interface Keeper {
+    /** It is welcomed or, after a request, settled. */
+    void ready();
+
+    void gone(String why);
+  }
+
+  void keeper(Keeper keeper);
+
+  /** Writes the request; called only when ready and idle. */
+  void carry(Q query, double left, Ports.Hearer<A> hearer);
+
+  /** How far the request at hand has come. */
+  Reach reach();
+
+  /** Whether the request before was answered whole, and another may follow on this connection. */
+  boolean reusable();
+
+  /**
+   * Makes sure that nothing of the answer before is still to come, then says that it is ready.
+   * Guards against a second copy of an answer, which would pass for the next request's.
+   */
+  void settle();
 }
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -1,7 +1,7 @@
 package crankspar.pg;
 
-import crankspar.Router.Freshness;
 import crankspar.Router;
+import crankspar.Router.Freshness;
 import crankspar.core.Counters;
 import crankspar.core.FinalAnswer;
 import crankspar.core.Front;
@@ -19,141 +19,217 @@
 
 /** The platform's front: PostgreSQL clients on one side, PostgreSQL servers on the other. */
 public final class PgFront implements ClientSession.Desk, Front {
-    /** Guards against half statements by the hundred, each within its own bound: a sixth of the heap. */
-    private static final long HELD_MOST = 10 << 20;
-
-    /** A welcomed session, and what a cancel has to bring to name it. */
-    private record Key(int secret, ClientSession session) { }
-
-    /** Null in a rehearsal. */
-    private final EventLoop loop;
-    private final Router.Settings settings;
-    private final Counters counters;
-    private final Pooler<Statement, PgAnswer> pooler;
-    private final Map<String, Integer> classes = new HashMap<>();
-    /** The clients' ids of what is open, with the core's. */
-    private final Map<String, String> open = new HashMap<>();
-    private final Clients<ClientSession> clients;
-    private final Map<Integer, Key> keys = new HashMap<>();
-    private final SecureRandom secrets = new SecureRandom();
-    private long held;
-    private int processes;
-    private boolean leaving;
-
-    public PgFront(EventLoop loop, Router.Settings settings, Counters counters, Pooler<Statement, PgAnswer> pooler,
-                   int most) {
-        this.loop = loop;
-        this.settings = settings;
-        this.counters = counters;
-        this.pooler = pooler;
-        clients = new Clients<>(loop, counters, most, () -> new ClientSession(this));
-        settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
-    }
-
-    /** The server's side of this wire, for a pool. */
-    public static ServerConnectionHandler<Statement, PgAnswer> dial(Counters counters) { return new ServerSession(counters); }
-    public static Statement probe() { return Statement.probe(); }
-
-    public InetSocketAddress listen(InetSocketAddress address) throws IOException { return clients.listen(address); }
-
-    /** A machine for a client's connection, or null when there are too many. */
-    public ConnectionHandler session() { return clients.admit(); }
-
-    /**
-     * Guards against what no client of ours sends: an id that is open already would let one client end or
-     * spoil another's request, and a read that is no SELECT would be run again as though it were harmless.
-     *
-     * <p>A client's time runs from when it wrote its statement, also behind others of its own. Guards against clients that
-     * write many at once: one that came to its turn late was given its whole time anew, and its client left before that.
-     */
-    @Override public void take(Statement s, double since, ClientSession session) throws Statement.Malformed {
-        String id = s.id();
-        Integer kind = classes.get(s.text("c"));
-        if (kind == null) {
-            throw new Statement.Malformed("unknown class");
-        }
-        Router.RequestClass c = settings.classes().get(kind);
-        Freshness freshness = c.freshness();
-        if (freshness != Freshness.WRITE && !s.reads()) {
-            throw new Statement.Malformed("a read must be a SELECT");
-        }
-        boolean inSession = freshness == Freshness.SESSION || freshness == Freshness.WRITE;
-        double mark = s.names().containsKey("after") ? s.number("after") : Double.NaN;
-        double left = Math.max(0, Math.min(s.number("d"), c.giveUp()) - (now() - since));
-        var ask = new Ports.Ask<>(kind, left, inSession ? s.key() : null, mark,
-                (int) s.number("cluster"), s);
-        if (open.putIfAbsent(id, "") != null) {
-            throw new Statement.Malformed("a request with this id is open");
-        }
-        String taken = pooler.take(ask, new Ports.Reply<>() {
-            @Override public boolean present() { return session.present(); }
-
-            @Override public void began(PgAnswer answer) { session.began(answer); }
-
-            @Override public void answer(FinalAnswer<PgAnswer> answer) {
-                open.remove(id);
-                session.answer(answer);
-            }
-        });
-        open.replace(id, taken);              // unless the answer has come already
+  /**
+   * Guards against half statements by the hundred, each within its own bound: a sixth of the heap.
+   */
+  private static final long HELD_MOST = 10 << 20;
+
+  /** A welcomed session, and what a cancel has to bring to name it. */
+  private record Key(int secret, ClientSession session) {}
+
+  /** Null in a rehearsal. */
+  private final EventLoop loop;
+
+  private final Router.Settings settings;
+  private final Counters counters;
+  private final Pooler<Statement, PgAnswer> pooler;
+  private final Map<String, Integer> classes = new HashMap<>();
+
+  /** The clients' ids of what is open, with the core's. */
+  private final Map<String, String> open = new HashMap<>();
+
+  private final Clients<ClientSession> clients;
+  private final Map<Integer, Key> keys = new HashMap<>();
+  private final SecureRandom secrets = new SecureRandom();
+  private long held;
+  private int processes;
+  private boolean leaving;
+
+  public PgFront(
+      EventLoop loop,
+      Router.Settings settings,
+      Counters counters,
+      Pooler<Statement, PgAnswer> pooler,
+      int most) {
+    this.loop = loop;
+    this.settings = settings;
+    this.counters = counters;
+    this.pooler = pooler;
+    clients = new Clients<>(loop, counters, most, () -> new ClientSession(this));
+    settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
+  }
+
+  /** The server's side of this wire, for a pool. */
+  public static ServerConnectionHandler<Statement, PgAnswer> dial(Counters counters) {
+    return new ServerSession(counters);
+  }
+
+  public static Statement probe() {
+    return Statement.probe();
+  }
+
+  public InetSocketAddress listen(InetSocketAddress address) throws IOException {
+    return clients.listen(address);
+  }
+
+  /** A machine for a client's connection, or null when there are too many. */
+  public ConnectionHandler session() {
+    return clients.admit();
+  }
+
+  /**
+   * Guards against what no client of ours sends: an id that is open already would let one client
+   * end or spoil another's request, and a read that is no SELECT would be run again as though it
+   * were harmless.
+   *
+   * <p>A client's time runs from when it wrote its statement, also behind others of its own. Guards
+   * against clients that write many at once: one that came to its turn late was given its whole
+   * time anew, and its client left before that.
+   */
+  @Override
+  public void take(Statement s, double since, ClientSession session) throws Statement.Malformed {
+    String id = s.id();
+    Integer kind = classes.get(s.text("c"));
+    if (kind == null) {
+      throw new Statement.Malformed("unknown class");
     }
-
-    @Override public double now() { return pooler.now(); }
-
-    @Override public void later(Runnable work) {
-        if (loop == null) {
-            work.run();
-        } else {
-            loop.run(work);
-        }
-    }
-
-    @Override public boolean hold(int more) {
-        held += more;
-        return more <= 0 || held <= HELD_MOST;
+    Router.RequestClass c = settings.classes().get(kind);
+    Freshness freshness = c.freshness();
+    if (freshness != Freshness.WRITE && !s.reads()) {
+      throw new Statement.Malformed("a read must be a SELECT");
     }
-
-    @Override public void gone(String id) { pooler.gone(open.remove(id)); }
-
-    @Override public void cancel(String id) { pooler.cancelled(open.get(id)); }
-
-    @Override public PgMessage.BackendKeyData key(ClientSession session) {
-        int process = ++processes & Integer.MAX_VALUE;
-        int secret = secrets.nextInt();
-        keys.put(process, new Key(secret, session));
-        session.process(process);
-        return new PgMessage.BackendKeyData(process, secret);
+    boolean inSession = freshness == Freshness.SESSION || freshness == Freshness.WRITE;
+    double mark = s.names().containsKey("after") ? s.number("after") : Double.NaN;
+    double left = Math.max(0, Math.min(s.number("d"), c.giveUp()) - (now() - since));
+    var ask =
+        new Ports.Ask<>(kind, left, inSession ? s.key() : null, mark, (int) s.number("cluster"), s);
+    if (open.putIfAbsent(id, "") != null) {
+      throw new Statement.Malformed("a request with this id is open");
     }
-
-    /** Guards against guessed keys: the secret is as wide as the protocol allows, and compared whole. */
-    @Override public void cancel(int process, int secret) {
-        Key key = keys.get(process);
-        if (key != null && key.secret() == secret) {
-            key.session().cancel();
-        } else {
-            counters.add("client_cancels_unknown");
-        }
+    String taken =
+        pooler.take(
+            ask,
+            new Ports.Reply<>() {
+              @Override
+              public boolean present() {
+                return session.present();
+              }
+
+              @Override
+              public void began(PgAnswer answer) {
+                session.began(answer);
+              }
+
+              @Override
+              public void answer(FinalAnswer<PgAnswer> answer) {
+                open.remove(id);
+                session.answer(answer);
+              }
+            });
+    open.replace(id, taken); // unless the answer has come already
+  }
+
+  @Override
+  public double now() {
+    return pooler.now();
+  }
+
+  @Override
+  public void later(Runnable work) {
+    if (loop == null) {
+      work.run();
+    } else {
+      loop.run(work);
     }
-
-    @Override public boolean draining() { return clients.draining(); }
-    @Override public Counters counters() { return counters; }
-    @Override public void closing(String id, String why) { pooler.closing(id, why); }
-    @Override public void closed(ClientSession session) {
-        keys.remove(session.process());
-        clients.closed(session);
+  }
+
+  @Override
+  public boolean hold(int more) {
+    held += more;
+    return more <= 0 || held <= HELD_MOST;
+  }
+
+  @Override
+  public void gone(String id) {
+    pooler.gone(open.remove(id));
+  }
+
+  @Override
+  public void cancel(String id) {
+    pooler.cancelled(open.get(id));
+  }
+
+  @Override
+  public PgMessage.BackendKeyData key(ClientSession session) {
+    int process = ++processes & Integer.MAX_VALUE;
+    int secret = secrets.nextInt();
+    keys.put(process, new Key(secret, session));
+    session.process(process);
+    return new PgMessage.BackendKeyData(process, secret);
+  }
+
+  /**
+   * Guards against guessed keys: the secret is as wide as the protocol allows, and compared whole.
+   */
+  @Override
+  public void cancel(int process, int secret) {
+    Key key = keys.get(process);
+    if (key != null && key.secret() == secret) {
+      key.session().cancel();
+    } else {
+      counters.add("client_cancels_unknown");
     }
-
-
-    @Override public void stopping() { clients.stopping(); }
-
-    /** What an empty query is answered from now on: no while an operator has this pooler leave. */
-    @Override public void leaving(boolean on) { leaving = on; }
-
-    @Override public boolean leaving() { return leaving; }
-
-    @Override public void drain() { clients.drain(); }
-
-    @Override public boolean closed() { return clients.closed(); }
-
-    @Override public void resume() { clients.resume(); }
+  }
+
+  @Override
+  public boolean draining() {
+    return clients.draining();
+  }
+
+  @Override
+  public Counters counters() {
+    return counters;
+  }
+
+  @Override
+  public void closing(String id, String why) {
+    pooler.closing(id, why);
+  }
+
+  @Override
+  public void closed(ClientSession session) {
+    keys.remove(session.process());
+    clients.closed(session);
+  }
+
+  @Override
+  public void stopping() {
+    clients.stopping();
+  }
+
+  /** What an empty query is answered from now on: no while an operator has this pooler leave. */
+  @Override
+  public void leaving(boolean on) {
+    leaving = on;
+  }
+
+  @Override
+  public boolean leaving() {
+    return leaving;
+  }
+
+  @Override
+  public void drain() {
+    clients.drain();
+  }
+
+  @Override
+  public boolean closed() {
+    return clients.closed();
+  }
+
+  @Override
+  public void resume() {
+    clients.resume();
+  }
 }
--- a/src/main/java/crankspar/pooling/Carry.java
+++ b/src/main/java/crankspar/pooling/Carry.java
@@ -7,86 +7,98 @@
 import org.pcollections.PMap;
 
 /**
- * The fewest messages that bring a server connection to a client's state. Options and SQL-level statements take one
- * simple query of several statements, and none at all where nothing differs; a statement of the protocol's takes one
- * Parse where it is used and not there.
+ * The fewest messages that bring a server connection to a client's state. Options and SQL-level
+ * statements take one simple query of several statements, and none at all where nothing differs; a
+ * statement of the protocol's takes one Parse where it is used and not there.
  */
 final class Carry {
-    /** Before one of the client's messages: what is closed, and whether its statement is prepared first. */
-    record Bringing(List<Prepared> close, boolean parse) {
-        static final Bringing NOTHING = new Bringing(List.of(), false);
-    }
+  /**
+   * Before one of the client's messages: what is closed, and whether its statement is prepared
+   * first.
+   */
+  record Bringing(List<Prepared> close, boolean parse) {
+    static final Bringing NOTHING = new Bringing(List.of(), false);
+  }
 
-    private Carry() { }
+  private Carry() {}
 
-    /**
-     * The query that makes a connection's options and SQL-level statements the client's, or null where they are.
-     * A role is set last: under another one the rest might not be allowed.
-     */
-    static String settings(ServerState server, SessionState client) {
-        if (server.options() == client.options() && server.sqlPrepared() == client.sqlPrepared()) {
-            return null;
-        }
-        var sql = new StringBuilder();
-        PMap<String, String> want = client.options();
-        for (String name : new TreeMap<>(server.options()).keySet()) {
-            if (!want.containsKey(name)) {
-                say(sql, "RESET " + name(name));
-            }
-        }
-        String role = null;
-        for (Map.Entry<String, String> e : new TreeMap<>(want).entrySet()) {
-            if (!e.getValue().equals(server.options().get(e.getKey()))) {
-                if (e.getKey().equals("role")) {
-                    role = set(e.getKey(), e.getValue());
-                } else {
-                    say(sql, set(e.getKey(), e.getValue()));
-                }
-            }
-        }
-        if (role != null) {
-            say(sql, role);
-        }
-        for (Map.Entry<String, String> e : new TreeMap<>(server.sqlPrepared()).entrySet()) {
-            if (!e.getValue().equals(client.sqlPrepared().get(e.getKey()))) {
-                say(sql, "DEALLOCATE " + Sql.identifier(e.getKey()));
-            }
-        }
-        for (Map.Entry<String, String> e : new TreeMap<>(client.sqlPrepared()).entrySet()) {
-            if (!e.getValue().equals(server.sqlPrepared().get(e.getKey()))) {
-                say(sql, e.getValue());
-            }
+  /**
+   * The query that makes a connection's options and SQL-level statements the client's, or null
+   * where they are. A role is set last: under another one the rest might not be allowed.
+   */
+  static String settings(ServerState server, SessionState client) {
+    if (server.options() == client.options() && server.sqlPrepared() == client.sqlPrepared()) {
+      return null;
+    }
+    var sql = new StringBuilder();
+    PMap<String, String> want = client.options();
+    for (String name : new TreeMap<>(server.options()).keySet()) {
+      if (!want.containsKey(name)) {
+        say(sql, "RESET " + name(name));
+      }
+    }
+    String role = null;
+    for (Map.Entry<String, String> e : new TreeMap<>(want).entrySet()) {
+      if (!e.getValue().equals(server.options().get(e.getKey()))) {
+        if (e.getKey().equals("role")) {
+          role = set(e.getKey(), e.getValue());
+        } else {
+          say(sql, set(e.getKey(), e.getValue()));
         }
-        return sql.isEmpty() ? null : sql.toString();
+      }
     }
-
-    private static void say(StringBuilder sql, String statement) {
-        sql.append(sql.isEmpty() ? "" : "; ").append(statement);
+    if (role != null) {
+      say(sql, role);
     }
-
-    /** {@code SET TIME ZONE} also takes an interval, which {@code SET timezone TO} does not. */
-    private static String set(String name, String value) {
-        return name.equals("timezone") ? "SET TIME ZONE " + value : "SET " + name(name) + " TO " + value;
+    for (Map.Entry<String, String> e : new TreeMap<>(server.sqlPrepared()).entrySet()) {
+      if (!e.getValue().equals(client.sqlPrepared().get(e.getKey()))) {
+        say(sql, "DEALLOCATE " + Sql.identifier(e.getKey()));
+      }
     }
-
-    private static String name(String option) {
-        return option.matches("[a-z_][a-z0-9_]*(\\.[a-z_][a-z0-9_]*)*") ? option : Sql.identifier(option);
+    for (Map.Entry<String, String> e : new TreeMap<>(client.sqlPrepared()).entrySet()) {
+      if (!e.getValue().equals(server.sqlPrepared().get(e.getKey()))) {
+        say(sql, e.getValue());
+      }
     }
+    return sql.isEmpty() ? null : sql.toString();
+  }
 
-    /** How far a connection is from a client: messages that it would take, so that the nearest idle one is used. */
-    static int distance(ServerState server, SessionState client) {
-        if (server.options() == client.options() && server.sqlPrepared() == client.sqlPrepared()) {
-            return 0;
-        }
-        return (server.options().equals(client.options()) ? 0 : 1) + (server.sqlPrepared().equals(client.sqlPrepared()) ? 0 : 1);
-    }
+  private static void say(StringBuilder sql, String statement) {
+    sql.append(sql.isEmpty() ? "" : "; ").append(statement);
+  }
+
+  /** {@code SET TIME ZONE} also takes an interval, which {@code SET timezone TO} does not. */
+  private static String set(String name, String value) {
+    return name.equals("timezone")
+        ? "SET TIME ZONE " + value
+        : "SET " + name(name) + " TO " + value;
+  }
 
-    /**
-     * What a named statement needs before it is used on a connection that may hold {@code most}.
-     * The ones that have been unused for longest make room.
-     */
-    static Bringing statement(ServerState server, Prepared statement, int most) {
-        return server.has(statement) ? Bringing.NOTHING
-                : new Bringing(new ArrayList<>(server.beyond(Math.max(0, most - 1))), true);
+  private static String name(String option) {
+    return option.matches("[a-z_][a-z0-9_]*(\\.[a-z_][a-z0-9_]*)*")
+        ? option
+        : Sql.identifier(option);
+  }
+
+  /**
+   * How far a connection is from a client: messages that it would take, so that the nearest idle
+   * one is used.
+   */
+  static int distance(ServerState server, SessionState client) {
+    if (server.options() == client.options() && server.sqlPrepared() == client.sqlPrepared()) {
+      return 0;
     }
+    return (server.options().equals(client.options()) ? 0 : 1)
+        + (server.sqlPrepared().equals(client.sqlPrepared()) ? 0 : 1);
+  }
+
+  /**
+   * What a named statement needs before it is used on a connection that may hold {@code most}. The
+   * ones that have been unused for longest make room.
+   */
+  static Bringing statement(ServerState server, Prepared statement, int most) {
+    return server.has(statement)
+        ? Bringing.NOTHING
+        : new Bringing(new ArrayList<>(server.beyond(Math.max(0, most - 1))), true);
+  }
 }
--- a/src/main/java/crankspar/pooling/Console.java
+++ b/src/main/java/crankspar/pooling/Console.java
@@ -5,132 +5,259 @@
 import java.util.Locale;
 import java.util.TreeMap;
 
-/** What operators ask the front itself, as database {@code crankspar}: tables of what is, PAUSE and RESUME. */
+/**
+ * What operators ask the front itself, as database {@code crankspar}: tables of what is, PAUSE and
+ * RESUME.
+ */
 final class Console {
-    private static final int ROWS_MOST = 10_000;
+  private static final int ROWS_MOST = 10_000;
 
-    private final PoolingFront front;
+  private final PoolingFront front;
 
-    Console(PoolingFront front) { this.front = front; }
+  Console(PoolingFront front) {
+    this.front = front;
+  }
 
-    /** The answer without its ReadyForQuery, or null where this is no command. */
-    List<Frame> answer(String sql) {
-        String[] words = sql.strip().replaceAll(";+\\s*$", "").split("\\s+");
-        String first = words[0].toUpperCase(Locale.ROOT);
-        if (first.equals("SHOW") && words.length == 2) {
-            return switch (words[1].toLowerCase(Locale.ROOT)) {
-                case "pools" -> pools();
-                case "clients" -> clients();
-                case "servers" -> servers();
-                case "statements" -> statements();
-                case "databases" -> databases();
-                case "counters" -> counters();
-                case "help" -> table("SHOW", List.of("command"), List.of(List.of("SHOW pools | clients | servers | statements | databases | counters"),
-                        List.of("PAUSE database"), List.of("RESUME database")));
-                default -> null;
-            };
-        }
-        if ((first.equals("PAUSE") || first.equals("RESUME")) && words.length == 2) {
-            return front.pause(words[1], first.equals("PAUSE")) ? List.of(Frame.complete(first))
-                    : List.of(Frame.error("ERROR", "3D000", "database \"" + words[1] + "\" is not set up here", null));
-        }
-        return null;
+  /** The answer without its ReadyForQuery, or null where this is no command. */
+  List<Frame> answer(String sql) {
+    String[] words = sql.strip().replaceAll(";+\\s*$", "").split("\\s+");
+    String first = words[0].toUpperCase(Locale.ROOT);
+    if (first.equals("SHOW") && words.length == 2) {
+      return switch (words[1].toLowerCase(Locale.ROOT)) {
+        case "pools" -> pools();
+        case "clients" -> clients();
+        case "servers" -> servers();
+        case "statements" -> statements();
+        case "databases" -> databases();
+        case "counters" -> counters();
+        case "help" ->
+            table(
+                "SHOW",
+                List.of("command"),
+                List.of(
+                    List.of("SHOW pools | clients | servers | statements | databases | counters"),
+                    List.of("PAUSE database"),
+                    List.of("RESUME database")));
+        default -> null;
+      };
     }
-
-    private static List<Frame> table(String tag, List<String> columns, List<List<String>> rows) {
-        var all = new ArrayList<Frame>(rows.size() + 2);
-        all.add(Frame.columns(columns));
-        rows.stream().limit(ROWS_MOST).forEach(r -> all.add(Frame.row(r)));
-        all.add(Frame.complete(tag));
-        return all;
+    if ((first.equals("PAUSE") || first.equals("RESUME")) && words.length == 2) {
+      return front.pause(words[1], first.equals("PAUSE"))
+          ? List.of(Frame.complete(first))
+          : List.of(
+              Frame.error(
+                  "ERROR", "3D000", "database \"" + words[1] + "\" is not set up here", null));
     }
+    return null;
+  }
+
+  private static List<Frame> table(String tag, List<String> columns, List<List<String>> rows) {
+    var all = new ArrayList<Frame>(rows.size() + 2);
+    all.add(Frame.columns(columns));
+    rows.stream().limit(ROWS_MOST).forEach(r -> all.add(Frame.row(r)));
+    all.add(Frame.complete(tag));
+    return all;
+  }
 
-    private static String text(Object value) { return String.valueOf(value); }
+  private static String text(Object value) {
+    return String.valueOf(value);
+  }
 
-    private static String ms(double ms) { return String.format(Locale.ROOT, "%.0f", ms); }
+  private static String ms(double ms) {
+    return String.format(Locale.ROOT, "%.0f", ms);
+  }
 
-    private List<Frame> pools() {
-        var rows = new ArrayList<List<String>>();
-        new TreeMap<>(front.places()).forEach((name, at) -> {
-            Setup.Database d = front.database(name);
-            if (d == null) {
+  private List<Frame> pools() {
+    var rows = new ArrayList<List<String>>();
+    new TreeMap<>(front.places())
+        .forEach(
+            (name, at) -> {
+              Setup.Database d = front.database(name);
+              if (d == null) {
                 return;
-            }
-            var users = new java.util.TreeSet<String>();
-            front.clients().stream().filter(c -> name.equals(c.databaseName()) && c.user() != null).forEach(c -> users.add(c.user()));
-            for (String user : users) {
+              }
+              var users = new java.util.TreeSet<String>();
+              front.clients().stream()
+                  .filter(c -> name.equals(c.databaseName()) && c.user() != null)
+                  .forEach(c -> users.add(c.user()));
+              for (String user : users) {
                 var key = new Server.Key(name, d.serverName(), user);
-                long idle = front.servers().connections().stream()
-                        .filter(s -> s.key().equals(key) && s.state() == Server.State.IDLE).count();
-                long mine = front.clients().stream().filter(c -> name.equals(c.databaseName()) && user.equals(c.user())).count();
-                rows.add(List.of(name, user, text(d.mode(user)).toLowerCase(Locale.ROOT), text(mine), text(at.held(user)), text(at.waiting(user)),
-                        text(front.servers().open(key)), text(idle), text(d.places().most()), ms(at.longestWait()), text(at.paused())));
-            }
-        });
-        return table("SHOW", List.of("database", "user", "mode", "clients", "active", "waiting", "servers", "servers_idle",
-                "places", "longest_wait_ms", "paused"), rows);
-    }
+                long idle =
+                    front.servers().connections().stream()
+                        .filter(s -> s.key().equals(key) && s.state() == Server.State.IDLE)
+                        .count();
+                long mine =
+                    front.clients().stream()
+                        .filter(c -> name.equals(c.databaseName()) && user.equals(c.user()))
+                        .count();
+                rows.add(
+                    List.of(
+                        name,
+                        user,
+                        text(d.mode(user)).toLowerCase(Locale.ROOT),
+                        text(mine),
+                        text(at.held(user)),
+                        text(at.waiting(user)),
+                        text(front.servers().open(key)),
+                        text(idle),
+                        text(d.places().most()),
+                        ms(at.longestWait()),
+                        text(at.paused())));
+              }
+            });
+    return table(
+        "SHOW",
+        List.of(
+            "database",
+            "user",
+            "mode",
+            "clients",
+            "active",
+            "waiting",
+            "servers",
+            "servers_idle",
+            "places",
+            "longest_wait_ms",
+            "paused"),
+        rows);
+  }
 
-    private List<Frame> clients() {
-        var rows = new ArrayList<List<String>>();
-        double now = front.now();
-        for (Client c : front.clients()) {
-            Server s = c.opening() == null ? null : c.opening().server;
-            boolean has = s != null && s.opening() == c.opening();
-            rows.add(List.of(text(c.process()), text(c.databaseName()), text(c.user()), text(c.state()).toLowerCase(Locale.ROOT),
-                    ms(now - c.since()), text(c.transactions()), has ? s.member() : "", c.session() == null ? "" : text(c.session().statements()),
-                    c.session() == null ? "" : String.join(",", c.session().pins().kinds().stream().map(Enum::name).toList())));
-        }
-        return table("SHOW", List.of("process", "database", "user", "state", "state_ms", "transactions", "server", "statements", "pins"), rows);
+  private List<Frame> clients() {
+    var rows = new ArrayList<List<String>>();
+    double now = front.now();
+    for (Client c : front.clients()) {
+      Server s = c.opening() == null ? null : c.opening().server;
+      boolean has = s != null && s.opening() == c.opening();
+      rows.add(
+          List.of(
+              text(c.process()),
+              text(c.databaseName()),
+              text(c.user()),
+              text(c.state()).toLowerCase(Locale.ROOT),
+              ms(now - c.since()),
+              text(c.transactions()),
+              has ? s.member() : "",
+              c.session() == null ? "" : text(c.session().statements()),
+              c.session() == null
+                  ? ""
+                  : String.join(
+                      ",", c.session().pins().kinds().stream().map(Enum::name).toList())));
     }
+    return table(
+        "SHOW",
+        List.of(
+            "process",
+            "database",
+            "user",
+            "state",
+            "state_ms",
+            "transactions",
+            "server",
+            "statements",
+            "pins"),
+        rows);
+  }
 
-    private List<Frame> servers() {
-        var rows = new ArrayList<List<String>>();
-        double now = front.now();
-        for (Server s : front.servers().connections()) {
-            rows.add(List.of(s.member(), s.key().pool(), s.key().user(), text(s.state()).toLowerCase(Locale.ROOT), ms(now - s.since()),
-                    ms(now - s.openedAt()), text(s.there().statements()), text(s.there().options().size()), text(s.status()),
-                    s.opening() == null ? "" : text(s.opening().client.process())));
-        }
-        return table("SHOW", List.of("member", "database", "user", "state", "state_ms", "age_ms", "statements", "options", "transaction",
-                "client"), rows);
+  private List<Frame> servers() {
+    var rows = new ArrayList<List<String>>();
+    double now = front.now();
+    for (Server s : front.servers().connections()) {
+      rows.add(
+          List.of(
+              s.member(),
+              s.key().pool(),
+              s.key().user(),
+              text(s.state()).toLowerCase(Locale.ROOT),
+              ms(now - s.since()),
+              ms(now - s.openedAt()),
+              text(s.there().statements()),
+              text(s.there().options().size()),
+              text(s.status()),
+              s.opening() == null ? "" : text(s.opening().client.process())));
     }
+    return table(
+        "SHOW",
+        List.of(
+            "member",
+            "database",
+            "user",
+            "state",
+            "state_ms",
+            "age_ms",
+            "statements",
+            "options",
+            "transaction",
+            "client"),
+        rows);
+  }
 
-    /** By content: on how many server connections, and for how many clients. */
-    private List<Frame> statements() {
-        var on = new TreeMap<String, int[]>();
-        var texts = new TreeMap<String, String>();
-        for (Server s : front.servers().connections()) {
-            s.there().all().values().forEach(p -> {
+  /** By content: on how many server connections, and for how many clients. */
+  private List<Frame> statements() {
+    var on = new TreeMap<String, int[]>();
+    var texts = new TreeMap<String, String>();
+    for (Server s : front.servers().connections()) {
+      s.there()
+          .all()
+          .values()
+          .forEach(
+              p -> {
                 on.computeIfAbsent(p.name(), k -> new int[2])[0]++;
                 texts.put(p.name(), p.sql());
-            });
-        }
-        for (Client c : front.clients()) {
-            if (c.session() != null) {
-                c.session().all().values().forEach(p -> {
-                    on.computeIfAbsent(p.name(), k -> new int[2])[1]++;
-                    texts.put(p.name(), p.sql());
+              });
+    }
+    for (Client c : front.clients()) {
+      if (c.session() != null) {
+        c.session()
+            .all()
+            .values()
+            .forEach(
+                p -> {
+                  on.computeIfAbsent(p.name(), k -> new int[2])[1]++;
+                  texts.put(p.name(), p.sql());
                 });
-            }
-        }
-        var rows = new ArrayList<List<String>>();
-        on.forEach((name, n) -> rows.add(List.of(name, text(n[0]), text(n[1]), texts.get(name))));
-        return table("SHOW", List.of("name", "servers", "clients", "text"), rows);
+      }
     }
+    var rows = new ArrayList<List<String>>();
+    on.forEach((name, n) -> rows.add(List.of(name, text(n[0]), text(n[1]), texts.get(name))));
+    return table("SHOW", List.of("name", "servers", "clients", "text"), rows);
+  }
 
-    private List<Frame> databases() {
-        var rows = new ArrayList<List<String>>();
-        new TreeMap<>(front.setup().databases()).forEach((name, d) -> rows.add(List.of(name, d.serverName(), text(d.mode()).toLowerCase(Locale.ROOT),
-                text(d.group()), d.requestClass(), text(d.readOnlyClass()), text(d.selectClass()), text(d.places().most()),
-                text(d.places().reserve()), text(front.places().get(name).paused()))));
-        return table("SHOW", List.of("name", "server_name", "mode", "group", "class", "read_only_class", "select_class", "places", "reserve",
-                "paused"), rows);
-    }
+  private List<Frame> databases() {
+    var rows = new ArrayList<List<String>>();
+    new TreeMap<>(front.setup().databases())
+        .forEach(
+            (name, d) ->
+                rows.add(
+                    List.of(
+                        name,
+                        d.serverName(),
+                        text(d.mode()).toLowerCase(Locale.ROOT),
+                        text(d.group()),
+                        d.requestClass(),
+                        text(d.readOnlyClass()),
+                        text(d.selectClass()),
+                        text(d.places().most()),
+                        text(d.places().reserve()),
+                        text(front.places().get(name).paused()))));
+    return table(
+        "SHOW",
+        List.of(
+            "name",
+            "server_name",
+            "mode",
+            "group",
+            "class",
+            "read_only_class",
+            "select_class",
+            "places",
+            "reserve",
+            "paused"),
+        rows);
+  }
 
-    private List<Frame> counters() {
-        var rows = new ArrayList<List<String>>();
-        front.counters().all().forEach((k, v) -> rows.add(List.of(k, text(v))));
-        return table("SHOW", List.of("name", "value"), rows);
-    }
+  private List<Frame> counters() {
+    var rows = new ArrayList<List<String>>();
+    front.counters().all().forEach((k, v) -> rows.add(List.of(k, text(v))));
+    return table("SHOW", List.of("name", "value"), rows);
+  }
 }
--- a/src/main/java/crankspar/pooling/Frame.java
+++ b/src/main/java/crankspar/pooling/Frame.java
@@ -9,199 +9,247 @@
 import java.util.Map;
 
 /**
- * One message of PostgreSQL's protocol 3.0, as it stands on the wire with its type and length, so that what is only
- * passed on is neither taken apart nor put together again. A data message too long to hold comes in pieces: the first
- * with its head, the others as {@link #PART}.
+ * One message of PostgreSQL's protocol 3.0, as it stands on the wire with its type and length, so
+ * that what is only passed on is neither taken apart nor put together again. A data message too
+ * long to hold comes in pieces: the first with its head, the others as {@link #PART}.
  *
  * @param wire all the bytes, the five of the head among them; a part has no head
  * @param whole false while pieces of it are still to come
  */
 public record Frame(char type, byte[] wire, boolean whole) {
-    /** A further piece of the data message before it. */
-    public static final char PART = 1;
-    /** Message types of a start, which have no letter on the wire. */
-    public static final char STARTUP = 2;
-    public static final char CANCEL = 3;
-    public static final char ENCRYPTION = 4;
-    private static final int HEAD = 5;
-
-    /** A message in the form of its fields; they are read in order, and a message that ends too soon is malformed. */
-    public static final class Malformed extends Exception {
-        public Malformed(String message) { super(message); }
-    }
-
-    /** Reads a frame's body. */
-    public static final class Reader {
-        private final byte[] bytes;
-        private int at;
+  /** A further piece of the data message before it. */
+  public static final char PART = 1;
+
+  /** Message types of a start, which have no letter on the wire. */
+  public static final char STARTUP = 2;
+
+  public static final char CANCEL = 3;
+  public static final char ENCRYPTION = 4;
+  private static final int HEAD = 5;
+
+  /**
+   * A message in the form of its fields; they are read in order, and a message that ends too soon
+   * is malformed.
+   */
+  public static final class Malformed extends Exception {
+    public Malformed(String message) {
+      super(message);
+    }
+  }
+
+  /** Reads a frame's body. */
+  public static final class Reader {
+    private final byte[] bytes;
+    private int at;
+
+    Reader(byte[] bytes, int at) {
+      this.bytes = bytes;
+      this.at = at;
+    }
+
+    private int take(int n) throws Malformed {
+      if (n < 0 || bytes.length - at < n) {
+        throw new Malformed("a message ends too soon");
+      }
+      at += n;
+      return at - n;
+    }
+
+    public int int32() throws Malformed {
+      return ByteBuffer.wrap(bytes, take(4), 4).getInt();
+    }
+
+    public int int16() throws Malformed {
+      return ByteBuffer.wrap(bytes, take(2), 2).getShort() & 0xffff;
+    }
+
+    public char code() throws Malformed {
+      return (char) (bytes[take(1)] & 0xff);
+    }
+
+    public String text() throws Malformed {
+      int start = at;
+      while (bytes[take(1)] != 0) {
+        // up to the zero
+      }
+      return new String(bytes, start, at - 1 - start, StandardCharsets.UTF_8);
+    }
 
-        Reader(byte[] bytes, int at) {
-            this.bytes = bytes;
-            this.at = at;
-        }
+    public byte[] bytes(int n) throws Malformed {
+      int start = take(n);
+      return Arrays.copyOfRange(bytes, start, start + n);
+    }
+
+    public byte[] rest() {
+      int start = at;
+      at = bytes.length;
+      return Arrays.copyOfRange(bytes, start, at);
+    }
 
-        private int take(int n) throws Malformed {
-            if (n < 0 || bytes.length - at < n) {
-                throw new Malformed("a message ends too soon");
-            }
-            at += n;
-            return at - n;
-        }
+    public boolean over() {
+      return at == bytes.length;
+    }
+  }
+
+  /** Writes a frame's body. */
+  public static final class Body {
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream(64);
+
+    public Body int32(int n) {
+      return int16(n >>> 16).int16(n);
+    }
 
-        public int int32() throws Malformed { return ByteBuffer.wrap(bytes, take(4), 4).getInt(); }
-        public int int16() throws Malformed { return ByteBuffer.wrap(bytes, take(2), 2).getShort() & 0xffff; }
-        public char code() throws Malformed { return (char) (bytes[take(1)] & 0xff); }
+    public Body int16(int n) {
+      out.write(n >>> 8);
+      out.write(n);
+      return this;
+    }
 
-        public String text() throws Malformed {
-            int start = at;
-            while (bytes[take(1)] != 0) {
-                // up to the zero
-            }
-            return new String(bytes, start, at - 1 - start, StandardCharsets.UTF_8);
-        }
+    public Body code(char c) {
+      out.write(c);
+      return this;
+    }
 
-        public byte[] bytes(int n) throws Malformed {
-            int start = take(n);
-            return Arrays.copyOfRange(bytes, start, start + n);
-        }
-
-        public byte[] rest() {
-            int start = at;
-            at = bytes.length;
-            return Arrays.copyOfRange(bytes, start, at);
-        }
-
-        public boolean over() { return at == bytes.length; }
-    }
-
-    /** Writes a frame's body. */
-    public static final class Body {
-        private final ByteArrayOutputStream out = new ByteArrayOutputStream(64);
-
-        public Body int32(int n) { return int16(n >>> 16).int16(n); }
-
-        public Body int16(int n) {
-            out.write(n >>> 8);
-            out.write(n);
-            return this;
-        }
-
-        public Body code(char c) {
-            out.write(c);
-            return this;
-        }
-
-        public Body text(String text) {
-            out.writeBytes(text.getBytes(StandardCharsets.UTF_8));
-            out.write(0);
-            return this;
-        }
-
-        public Body bytes(byte[] bytes) {
-            out.writeBytes(bytes);
-            return this;
-        }
-
-        public Frame as(char type) {
-            byte[] body = out.toByteArray();
-            var wire = ByteBuffer.allocate(HEAD + body.length);
-            wire.put((byte) type).putInt(body.length + 4).put(body);
-            return new Frame(type, wire.array(), true);
-        }
-    }
-
-    public static Body body() { return new Body(); }
-
-    public Reader read() { return new Reader(wire, type == PART ? 0 : type < ' ' ? 4 : HEAD); }
-
-    public int size() { return wire.length; }
-
-    @Override public String toString() { return (type < ' ' ? "#" + (int) type : String.valueOf(type)) + wire.length; }
-
-    // ---- The ones that are made here.
-    static final Frame SYNC = body().as('S');
-    static final Frame PARSE_COMPLETE = body().as('1');
-    static final Frame CLOSE_COMPLETE = body().as('3');
-    static final Frame EMPTY_QUERY = body().as('I');
-    static final Frame TERMINATE = body().as('X');
-
-    public static Frame query(String sql) { return body().text(sql).as('Q'); }
-
-    public static Frame ready(char status) { return body().code(status).as('Z'); }
-
-    public static Frame complete(String tag) { return body().text(tag).as('C'); }
-
-    public static Frame parameter(String name, String value) { return body().text(name).text(value).as('S'); }
-
-    static Frame close(char kind, String name) { return body().code(kind).text(name).as('C'); }
-
-    /** The severity is ERROR or FATAL; the detail may be null. */
-    public static Frame error(String severity, String code, String message, String detail) {
-        Body b = body().code('S').text(severity).code('V').text(severity).code('C').text(code).code('M').text(message);
-        return (detail == null ? b : b.code('D').text(detail)).code((char) 0).as('E');
-    }
-
-    /** The fields of an ErrorResponse or NoticeResponse by their letters. */
-    public Map<Character, String> fields() throws Malformed {
-        var fields = new LinkedHashMap<Character, String>();
-        Reader r = read();
-        for (char c = r.code(); c != 0; c = r.code()) {
-            fields.put(c, r.text());
-        }
-        return fields;
-    }
-
-    /** Columns of text. */
-    public static Frame columns(List<String> names) {
-        Body b = body().int16(names.size());
-        for (String name : names) {
-            b.text(name).int32(0).int16(0).int32(25).int16(-1).int32(-1).int16(0);
-        }
-        return b.as('T');
+    public Body text(String text) {
+      out.writeBytes(text.getBytes(StandardCharsets.UTF_8));
+      out.write(0);
+      return this;
     }
 
-    public static Frame row(List<String> values) {
-        Body b = body().int16(values.size());
-        for (String value : values) {
-            if (value == null) {
-                b.int32(-1);
-            } else {
-                byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
-                b.int32(bytes.length).bytes(bytes);
-            }
-        }
-        return b.as('D');
+    public Body bytes(byte[] bytes) {
+      out.writeBytes(bytes);
+      return this;
     }
 
-    /** A start as a client sends it, which has no letter. */
-    public static byte[] startup(int version, Map<String, String> parameters) {
-        Body b = body().int32(version);
-        parameters.forEach((k, v) -> b.text(k).text(v));
-        byte[] whole = b.code((char) 0).as('x').wire();
-        return Arrays.copyOfRange(whole, 1, whole.length);
-    }
-
-    /** Asks a server to stop what the connection with this key runs. */
-    public static byte[] cancel(int process, int secret) {
-        byte[] whole = body().int32(FrameDecoder.CANCEL_CODE).int32(process).int32(secret).as('x').wire();
-        return Arrays.copyOfRange(whole, 1, whole.length);
+    public Frame as(char type) {
+      byte[] body = out.toByteArray();
+      var wire = ByteBuffer.allocate(HEAD + body.length);
+      wire.put((byte) type).putInt(body.length + 4).put(body);
+      return new Frame(type, wire.array(), true);
+    }
+  }
+
+  public static Body body() {
+    return new Body();
+  }
+
+  public Reader read() {
+    return new Reader(wire, type == PART ? 0 : type < ' ' ? 4 : HEAD);
+  }
+
+  public int size() {
+    return wire.length;
+  }
+
+  @Override
+  public String toString() {
+    return (type < ' ' ? "#" + (int) type : String.valueOf(type)) + wire.length;
+  }
+
+  // ---- The ones that are made here.
+  static final Frame SYNC = body().as('S');
+  static final Frame PARSE_COMPLETE = body().as('1');
+  static final Frame CLOSE_COMPLETE = body().as('3');
+  static final Frame EMPTY_QUERY = body().as('I');
+  static final Frame TERMINATE = body().as('X');
+
+  public static Frame query(String sql) {
+    return body().text(sql).as('Q');
+  }
+
+  public static Frame ready(char status) {
+    return body().code(status).as('Z');
+  }
+
+  public static Frame complete(String tag) {
+    return body().text(tag).as('C');
+  }
+
+  public static Frame parameter(String name, String value) {
+    return body().text(name).text(value).as('S');
+  }
+
+  static Frame close(char kind, String name) {
+    return body().code(kind).text(name).as('C');
+  }
+
+  /** The severity is ERROR or FATAL; the detail may be null. */
+  public static Frame error(String severity, String code, String message, String detail) {
+    Body b =
+        body()
+            .code('S')
+            .text(severity)
+            .code('V')
+            .text(severity)
+            .code('C')
+            .text(code)
+            .code('M')
+            .text(message);
+    return (detail == null ? b : b.code('D').text(detail)).code((char) 0).as('E');
+  }
+
+  /** The fields of an ErrorResponse or NoticeResponse by their letters. */
+  public Map<Character, String> fields() throws Malformed {
+    var fields = new LinkedHashMap<Character, String>();
+    Reader r = read();
+    for (char c = r.code(); c != 0; c = r.code()) {
+      fields.put(c, r.text());
+    }
+    return fields;
+  }
+
+  /** Columns of text. */
+  public static Frame columns(List<String> names) {
+    Body b = body().int16(names.size());
+    for (String name : names) {
+      b.text(name).int32(0).int16(0).int32(25).int16(-1).int32(-1).int16(0);
+    }
+    return b.as('T');
+  }
+
+  public static Frame row(List<String> values) {
+    Body b = body().int16(values.size());
+    for (String value : values) {
+      if (value == null) {
+        b.int32(-1);
+      } else {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        b.int32(bytes.length).bytes(bytes);
+      }
+    }
+    return b.as('D');
+  }
+
+  /** A start as a client sends it, which has no letter. */
+  public static byte[] startup(int version, Map<String, String> parameters) {
+    Body b = body().int32(version);
+    parameters.forEach((k, v) -> b.text(k).text(v));
+    byte[] whole = b.code((char) 0).as('x').wire();
+    return Arrays.copyOfRange(whole, 1, whole.length);
+  }
+
+  /** Asks a server to stop what the connection with this key runs. */
+  public static byte[] cancel(int process, int secret) {
+    byte[] whole =
+        body().int32(FrameDecoder.CANCEL_CODE).int32(process).int32(secret).as('x').wire();
+    return Arrays.copyOfRange(whole, 1, whole.length);
+  }
+
+  /** Several frames in one piece. */
+  public static byte[] join(List<Frame> frames) {
+    if (frames.size() == 1) {
+      return frames.get(0).wire;
+    }
+    int n = 0;
+    for (Frame f : frames) {
+      n += f.wire.length;
     }
-
-    /** Several frames in one piece. */
-    public static byte[] join(List<Frame> frames) {
-        if (frames.size() == 1) {
-            return frames.get(0).wire;
-        }
-        int n = 0;
-        for (Frame f : frames) {
-            n += f.wire.length;
-        }
-        byte[] all = new byte[n];
-        n = 0;
-        for (Frame f : frames) {
-            System.arraycopy(f.wire, 0, all, n, f.wire.length);
-            n += f.wire.length;
-        }
-        return all;
+    byte[] all = new byte[n];
+    n = 0;
+    for (Frame f : frames) {
+      System.arraycopy(f.wire, 0, all, n, f.wire.length);
+      n += f.wire.length;
     }
+    return all;
+  }
 }
--- a/src/main/java/crankspar/pooling/Progress.java
+++ b/src/main/java/crankspar/pooling/Progress.java
@@ -5,85 +5,111 @@
 import java.util.List;
 
 /**
- * How far a transaction had come, and so what may follow when its connection breaks. PostgreSQL begins a message with
- * its last byte and an implicit transaction takes effect with its Sync or simple query; a block does with its COMMIT.
- * What has been passed on to the client is never taken back: from then on nothing is sent elsewhere.
+ * How far a transaction had come, and so what may follow when its connection breaks. PostgreSQL
+ * begins a message with its last byte and an implicit transaction takes effect with its Sync or
+ * simple query; a block does with its COMMIT. What has been passed on to the client is never taken
+ * back: from then on nothing is sent elsewhere.
  */
 final class Progress {
-    /** What may follow a break. */
-    enum Verdict {
-        /** Nothing ran, or nothing but reads, and the client has seen nothing: another member may be asked. */
-        ELSEWHERE,
-        /** It was rolled back: it had no effect, and is not sent again. */
-        FAILED,
-        /** It may have taken effect, or not: 08007. */
-        UNKNOWN
-    }
-
-    private boolean block, closing, effect, running, harmless = true, shown, decided, waiting, executed;
-
+  /** What may follow a break. */
+  enum Verdict {
     /**
-     * Statements go out, outside a block as one implicit transaction; called before their first byte leaves. One
-     * message ({@code whole}) is begun with its last byte; of several, the first may be executed before the last leaves.
+     * Nothing ran, or nothing but reads, and the client has seen nothing: another member may be
+     * asked.
      */
-    void sending(List<Statement> statements, boolean whole) {
-        for (Statement s : statements) {
-            harmless &= s.harmless();
-            waiting |= s.kind() != Kind.BEGIN;
-            executed |= !whole && s.kind() != Kind.BEGIN;
-            if (s.kind() == Kind.BEGIN) {
-                block = true;
-            } else if ((s.kind() == Kind.COMMIT || s.kind() == Kind.PREPARE_TRANSACTION) && block) {
-                closing = true;
-            } else if (s.kind() == Kind.ROLLBACK) {
-                block = false;
-                effect = false;
-            } else if (!block && !s.harmless()) {
-                effect = true;
-            }
-        }
-    }
+    ELSEWHERE,
+    /** It was rolled back: it had no effect, and is not sent again. */
+    FAILED,
+    /** It may have taken effect, or not: 08007. */
+    UNKNOWN
+  }
+
+  private boolean block,
+      closing,
+      effect,
+      running,
+      harmless = true,
+      shown,
+      decided,
+      waiting,
+      executed;
 
-    /** The last byte of what ends a batch (a Sync, a simple query) has left: the server may begin it. */
-    void sent() {
-        running = true;
-        executed |= waiting;
+  /**
+   * Statements go out, outside a block as one implicit transaction; called before their first byte
+   * leaves. One message ({@code whole}) is begun with its last byte; of several, the first may be
+   * executed before the last leaves.
+   */
+  void sending(List<Statement> statements, boolean whole) {
+    for (Statement s : statements) {
+      harmless &= s.harmless();
+      waiting |= s.kind() != Kind.BEGIN;
+      executed |= !whole && s.kind() != Kind.BEGIN;
+      if (s.kind() == Kind.BEGIN) {
+        block = true;
+      } else if ((s.kind() == Kind.COMMIT || s.kind() == Kind.PREPARE_TRANSACTION) && block) {
+        closing = true;
+      } else if (s.kind() == Kind.ROLLBACK) {
+        block = false;
+        effect = false;
+      } else if (!block && !s.harmless()) {
+        effect = true;
+      }
     }
+  }
+
+  /**
+   * The last byte of what ends a batch (a Sync, a simple query) has left: the server may begin it.
+   */
+  void sent() {
+    running = true;
+    executed |= waiting;
+  }
 
-    /** Something of the answer has gone to the client. */
-    void shown() { shown = true; }
+  /** Something of the answer has gone to the client. */
+  void shown() {
+    shown = true;
+  }
 
-    /** The server has answered COMMIT, ROLLBACK or the like: what is before it is decided. */
-    void decided(String tag) {
-        if (tag.equals("COMMIT") || tag.equals("ROLLBACK") || tag.equals("PREPARE TRANSACTION")) {
-            block = closing = effect = false;
-            decided |= tag.equals("COMMIT") && !harmless;
-        }
+  /** The server has answered COMMIT, ROLLBACK or the like: what is before it is decided. */
+  void decided(String tag) {
+    if (tag.equals("COMMIT") || tag.equals("ROLLBACK") || tag.equals("PREPARE TRANSACTION")) {
+      block = closing = effect = false;
+      decided |= tag.equals("COMMIT") && !harmless;
     }
+  }
 
-    /** The server is ready in this state. */
-    void ready(char status) {
-        running = false;
-        block = status != 'I';
-        if (status == 'I') {
-            closing = effect = false;
-        }
+  /** The server is ready in this state. */
+  void ready(char status) {
+    running = false;
+    block = status != 'I';
+    if (status == 'I') {
+      closing = effect = false;
     }
+  }
 
-    /** Whether more than a BEGIN may have been executed, if only to be rolled back. */
-    boolean executed() { return executed; }
+  /** Whether more than a BEGIN may have been executed, if only to be rolled back. */
+  boolean executed() {
+    return executed;
+  }
 
-    /** Whether anything but reads has been sent in it. */
-    boolean writes() { return !harmless; }
+  /** Whether anything but reads has been sent in it. */
+  boolean writes() {
+    return !harmless;
+  }
 
-    /** Whether a batch is out that has not been answered whole. */
-    boolean running() { return running; }
+  /** Whether a batch is out that has not been answered whole. */
+  boolean running() {
+    return running;
+  }
 
-    Verdict verdict() {
-        if (running && (closing || effect)) {
-            return Verdict.UNKNOWN;
-        }
-        // A piece of a batch may have been executed and rolled back: only what has no trace is asked elsewhere.
-        return !shown && !decided && (harmless || !running && !executed) ? Verdict.ELSEWHERE : Verdict.FAILED;
+  Verdict verdict() {
+    if (running && (closing || effect)) {
+      return Verdict.UNKNOWN;
     }
+    // A piece of a batch may have been executed and rolled back: only what has no trace is asked
+    // elsewhere.
+    return !shown && !decided && (harmless || !running && !executed)
+        ? Verdict.ELSEWHERE
+        : Verdict.FAILED;
+  }
 }
--- a/src/main/java/crankspar/pooling/ServerNotes.java
+++ b/src/main/java/crankspar/pooling/ServerNotes.java
@@ -20,8 +20,7 @@
       case "role" -> role = role(value);
       case "in_hot_standby" -> role = value.equals("on") ? Role.REPLICA : Role.PRIMARY;
       case "applied_ms" ->
-          position =
-              PLAIN_NUMBER.matcher(value).matches() ? Double.parseDouble(value) : Double.NaN;
+          position = PLAIN_NUMBER.matcher(value).matches() ? Double.parseDouble(value) : Double.NaN;
       default -> {}
     }
   }
--- a/src/main/java/crankspar/pooling/ServerState.java
+++ b/src/main/java/crankspar/pooling/ServerState.java
@@ -12,108 +12,149 @@
 
 /** What is in force on one server connection, as far as it was set through here. */
 final class ServerState {
-    private static final int UNFIT_MOST = 64;
-
-    private final Transactional<PMap<String, String>> options = new Transactional<>(HashTreePMap.empty());
-    /** Statements by name, the least recently used first. */
-    private final LinkedHashMap<String, Prepared> statements = new LinkedHashMap<>(16, 0.75f, true);
-    private PMap<String, String> sqlPrepared = HashTreePMap.empty();
-    private Prepared unnamed;
-    /** Statements that must be closed before they are prepared anew: the server may still have them. */
-    private final Set<Prepared> unfit = new HashSet<>();
-    private PMap<String, String> reported = HashTreePMap.empty();
-
-    PMap<String, String> options() { return options.now(); }
-    PMap<String, String> sqlPrepared() { return sqlPrepared; }
-    /** The parameters that the server reported last. */
-    PMap<String, String> reported() { return reported; }
-    Prepared unnamed() { return unnamed; }
-    void unnamed(Prepared statement) { unnamed = statement; }
-    int statements() { return statements.size(); }
-
-    void report(String name, String value) {
-        if (!value.equals(reported.get(name))) {
-            reported = reported.plus(name, value);
-        }
-    }
+  private static final int UNFIT_MOST = 64;
 
-    /** Whether the statement is there; it counts as used now. */
-    boolean has(Prepared statement) { return statements.get(statement.name()) != null; }
+  private final Transactional<PMap<String, String>> options =
+      new Transactional<>(HashTreePMap.empty());
 
-    void add(Prepared statement) { statements.put(statement.name(), statement); }
+  /** Statements by name, the least recently used first. */
+  private final LinkedHashMap<String, Prepared> statements = new LinkedHashMap<>(16, 0.75f, true);
 
-    void remove(Prepared statement) { statements.remove(statement.name()); }
+  private PMap<String, String> sqlPrepared = HashTreePMap.empty();
+  private Prepared unnamed;
 
-    /** It failed as lost or stale: it counts as absent, and is closed before it is prepared anew. */
-    void drop(Prepared statement) {
-        if (statement.equals(unnamed)) {
-            unnamed = null;
-        }
-        if (statements.remove(statement.name()) != null || unfit.size() < UNFIT_MOST) {
-            unfit.add(statement);
-        }
-    }
+  /**
+   * Statements that must be closed before they are prepared anew: the server may still have them.
+   */
+  private final Set<Prepared> unfit = new HashSet<>();
 
-    /** Whether it was dropped, said once. */
-    boolean unfit(Prepared statement) { return unfit.remove(statement); }
+  private PMap<String, String> reported = HashTreePMap.empty();
 
-    /** The least recently used ones beyond a bound. */
-    List<Prepared> beyond(int most) {
-        var all = new ArrayList<Prepared>();
-        var eldest = statements.values().iterator();
-        for (int n = statements.size(); n > most && eldest.hasNext(); n--) {
-            all.add(eldest.next());
-        }
-        return all;
-    }
+  PMap<String, String> options() {
+    return options.now();
+  }
 
-    /** A statement has been done here; RESET goes back to what this connection began with, which is nothing set. */
-    void done(Statement s, String tag) {
-        PMap<String, String> now = options.now();
-        switch (s.kind()) {
-            case SET -> options.change(now.plus(s.name(), s.value()));
-            case RESET -> options.change(now.minus(s.name()));
-            case RESET_ALL -> options.change(HashTreePMap.empty());
-            case DISCARD_ALL -> {
-                options.replace(HashTreePMap.empty());
-                forgetStatements();
-            }
-            case PREPARE -> sqlPrepared = sqlPrepared.plus(s.name(), s.text());
-            case DEALLOCATE -> {
-                sqlPrepared = sqlPrepared.minus(s.name());
-                statements.remove(s.name());
-            }
-            case DEALLOCATE_ALL -> forgetStatements();
-            case COMMIT, ROLLBACK -> {
-                if (tag.equals("COMMIT")) {
-                    options.commit();
-                } else {
-                    options.rollback();
-                }
-            }
-            case SAVEPOINT -> options.savepoint(s.name());
-            case RELEASE -> options.release(s.name());
-            case ROLLBACK_TO -> options.rollbackTo(s.name());
-            default -> { }
-        }
-    }
+  PMap<String, String> sqlPrepared() {
+    return sqlPrepared;
+  }
 
-    private void forgetStatements() {
-        statements.clear();
-        unfit.clear();
-        sqlPrepared = HashTreePMap.empty();
-        unnamed = null;
-    }
+  /** The parameters that the server reported last. */
+  PMap<String, String> reported() {
+    return reported;
+  }
 
-    void failed() { options.fail(); }
+  Prepared unnamed() {
+    return unnamed;
+  }
 
-    void ready(char status) { options.ready(status); }
+  void unnamed(Prepared statement) {
+    unnamed = statement;
+  }
 
-    /** What was brought here by a carry, in one go. */
-    void carried(PMap<String, String> asIt, PMap<String, String> prepared) {
-        options.replace(asIt);
-        sqlPrepared = prepared;
+  int statements() {
+    return statements.size();
+  }
+
+  void report(String name, String value) {
+    if (!value.equals(reported.get(name))) {
+      reported = reported.plus(name, value);
     }
+  }
+
+  /** Whether the statement is there; it counts as used now. */
+  boolean has(Prepared statement) {
+    return statements.get(statement.name()) != null;
+  }
+
+  void add(Prepared statement) {
+    statements.put(statement.name(), statement);
+  }
 
-    Map<String, Prepared> all() { return statements; }
+  void remove(Prepared statement) {
+    statements.remove(statement.name());
+  }
+
+  /** It failed as lost or stale: it counts as absent, and is closed before it is prepared anew. */
+  void drop(Prepared statement) {
+    if (statement.equals(unnamed)) {
+      unnamed = null;
+    }
+    if (statements.remove(statement.name()) != null || unfit.size() < UNFIT_MOST) {
+      unfit.add(statement);
+    }
+  }
+
+  /** Whether it was dropped, said once. */
+  boolean unfit(Prepared statement) {
+    return unfit.remove(statement);
+  }
+
+  /** The least recently used ones beyond a bound. */
+  List<Prepared> beyond(int most) {
+    var all = new ArrayList<Prepared>();
+    var eldest = statements.values().iterator();
+    for (int n = statements.size(); n > most && eldest.hasNext(); n--) {
+      all.add(eldest.next());
+    }
+    return all;
+  }
+
+  /**
+   * A statement has been done here; RESET goes back to what this connection began with, which is
+   * nothing set.
+   */
+  void done(Statement s, String tag) {
+    PMap<String, String> now = options.now();
+    switch (s.kind()) {
+      case SET -> options.change(now.plus(s.name(), s.value()));
+      case RESET -> options.change(now.minus(s.name()));
+      case RESET_ALL -> options.change(HashTreePMap.empty());
+      case DISCARD_ALL -> {
+        options.replace(HashTreePMap.empty());
+        forgetStatements();
+      }
+      case PREPARE -> sqlPrepared = sqlPrepared.plus(s.name(), s.text());
+      case DEALLOCATE -> {
+        sqlPrepared = sqlPrepared.minus(s.name());
+        statements.remove(s.name());
+      }
+      case DEALLOCATE_ALL -> forgetStatements();
+      case COMMIT, ROLLBACK -> {
+        if (tag.equals("COMMIT")) {
+          options.commit();
+        } else {
+          options.rollback();
+        }
+      }
+      case SAVEPOINT -> options.savepoint(s.name());
+      case RELEASE -> options.release(s.name());
+      case ROLLBACK_TO -> options.rollbackTo(s.name());
+      default -> {}
+    }
+  }
+
+  private void forgetStatements() {
+    statements.clear();
+    unfit.clear();
+    sqlPrepared = HashTreePMap.empty();
+    unnamed = null;
+  }
+
+  void failed() {
+    options.fail();
+  }
+
+  void ready(char status) {
+    options.ready(status);
+  }
+
+  /** What was brought here by a carry, in one go. */
+  void carried(PMap<String, String> asIt, PMap<String, String> prepared) {
+    options.replace(asIt);
+    sqlPrepared = prepared;
+  }
+
+  Map<String, Prepared> all() {
+    return statements;
+  }
 }
--- a/src/main/java/crankspar/pooling/Servers.java
+++ b/src/main/java/crankspar/pooling/Servers.java
@@ -27,238 +27,316 @@
 import org.pcollections.PMap;
 
 /**
- * Connections to servers, by database, user and member. It sends where the core tells it, once; which idle connection
- * is used and which are closed {@link Keeping} decides. Probes have connections of their own.
+ * Connections to servers, by database, user and member. It sends where the core tells it, once;
+ * which idle connection is used and which are closed {@link Keeping} decides. Probes have
+ * connections of their own.
  */
 final class Servers implements Ports.Backends<Opening, Answer>, Addressed, Server.Keeper {
-    private static final double SWEEP = 250;
-    /** A member that is gone is forgotten after this long (ms), by when no attempt at it is out. */
-    private static final double FORGET = 60_000;
-
-    private static final class Member {
-        InetSocketAddress address;
-        double goneAt = Double.POSITIVE_INFINITY;
-        final Set<Server> connections = new LinkedHashSet<>();
-    }
+  private static final double SWEEP = 250;
 
-    private final EventLoop loop;
-    private final Counters counters;
-    private final Pool<Statement, PgAnswer> probes;
-    private final double dialTimeout;
-    private final int most;
-    private final RandomGenerator chance;
-    private final Map<String, Member> members = new HashMap<>();
-    private final Map<Server.Key, Integer> open = new HashMap<>();
-    /** What a server said of itself at the last login, by key: for the clients that log in next. */
-    private final Map<Server.Key, PMap<String, String>> reported = new LinkedHashMap<>();
-    private Setup setup;
-    private int all;
-
-    Servers(EventLoop loop, Counters counters, Pool<Statement, PgAnswer> probes, Setup setup, double dialTimeout, int most,
-            RandomGenerator chance) {
-        this.loop = loop;
-        this.counters = counters;
-        this.probes = probes;
-        this.setup = setup;
-        this.dialTimeout = dialTimeout;
-        this.most = most;
-        this.chance = chance;
-        loop.after(SWEEP, this::sweep);
-    }
+  /** A member that is gone is forgotten after this long (ms), by when no attempt at it is out. */
+  private static final double FORGET = 60_000;
 
-    void set(Setup setup) { this.setup = setup; }
+  private static final class Member {
+    InetSocketAddress address;
+    double goneAt = Double.POSITIVE_INFINITY;
+    final Set<Server> connections = new LinkedHashSet<>();
+  }
 
-    @Override public double now() { return loop.now(); }
-    @Override public Setup.Limits limits() { return setup.limits(); }
-    @Override public Set<Pins.Kind> refused() { return setup.refused(); }
-    @Override public void count(String name, long n) { counters.add(name, n); }
+  private final EventLoop loop;
+  private final Counters counters;
+  private final Pool<Statement, PgAnswer> probes;
+  private final double dialTimeout;
+  private final int most;
+  private final RandomGenerator chance;
+  private final Map<String, Member> members = new HashMap<>();
+  private final Map<Server.Key, Integer> open = new HashMap<>();
 
-    /** What clients of this key are told at their start, or null while no server has said it. */
-    PMap<String, String> reported(Server.Key key) { return reported.get(key); }
+  /** What a server said of itself at the last login, by key: for the clients that log in next. */
+  private final Map<Server.Key, PMap<String, String>> reported = new LinkedHashMap<>();
 
-    Collection<Server> connections() {
-        var list = new ArrayList<Server>(all);
-        members.values().forEach(m -> list.addAll(m.connections));
-        return list;
-    }
+  private Setup setup;
+  private int all;
 
-    int open(Server.Key key) { return open.getOrDefault(key, 0); }
+  Servers(
+      EventLoop loop,
+      Counters counters,
+      Pool<Statement, PgAnswer> probes,
+      Setup setup,
+      double dialTimeout,
+      int most,
+      RandomGenerator chance) {
+    this.loop = loop;
+    this.counters = counters;
+    this.probes = probes;
+    this.setup = setup;
+    this.dialTimeout = dialTimeout;
+    this.most = most;
+    this.chance = chance;
+    loop.after(SWEEP, this::sweep);
+  }
 
-    // ---- Members.
-    @Override public void locate(String id, InetSocketAddress address) {
-        probes.locate(id, address);
-        Member m = members.computeIfAbsent(id, k -> new Member());
-        if (m.address != null && !address.equals(m.address)) {
-            new ArrayList<>(m.connections).forEach(Server::retire);
-        }
-        m.address = address;
-        m.goneAt = Double.POSITIVE_INFINITY;
-    }
+  void set(Setup setup) {
+    this.setup = setup;
+  }
 
-    /**
-     * It drains or is gone: what has not been sent is not sent there any more, idle connections close, and a
-     * transaction that is open there goes on within its bound.
-     */
-    @Override public void forget(String id) {
-        probes.forget(id);
-        Member m = members.get(id);
-        if (m == null || m.goneAt < loop.now()) {
-            return;
-        }
-        m.goneAt = loop.now();
-        var there = new ArrayList<>(m.connections);
-        there.forEach(Server::retire);
-        loop.after(setup.limits().drain(), () -> {
-            if (m.goneAt < loop.now()) {
-                for (Server s : there) {
-                    if (s.state() == Server.State.ACTIVE && s.opening() != null) {
-                        counters.add("pooling_drain_ended", 1);
-                        s.opening().client.fatal("57P01", "the server drains, and this transaction took longer than it may");
-                    }
-                    s.lose("its member drains");
-                }
-            }
-        });
+  @Override
+  public double now() {
+    return loop.now();
+  }
+
+  @Override
+  public Setup.Limits limits() {
+    return setup.limits();
+  }
+
+  @Override
+  public Set<Pins.Kind> refused() {
+    return setup.refused();
+  }
+
+  @Override
+  public void count(String name, long n) {
+    counters.add(name, n);
+  }
+
+  /** What clients of this key are told at their start, or null while no server has said it. */
+  PMap<String, String> reported(Server.Key key) {
+    return reported.get(key);
+  }
+
+  Collection<Server> connections() {
+    var list = new ArrayList<Server>(all);
+    members.values().forEach(m -> list.addAll(m.connections));
+    return list;
+  }
+
+  int open(Server.Key key) {
+    return open.getOrDefault(key, 0);
+  }
+
+  // ---- Members.
+  @Override
+  public void locate(String id, InetSocketAddress address) {
+    probes.locate(id, address);
+    Member m = members.computeIfAbsent(id, k -> new Member());
+    if (m.address != null && !address.equals(m.address)) {
+      new ArrayList<>(m.connections).forEach(Server::retire);
     }
+    m.address = address;
+    m.goneAt = Double.POSITIVE_INFINITY;
+  }
 
-    // ---- Attempts.
-    @Override public Ports.Call send(String member, Opening opening, double left, double within, Ports.Hearer<Answer> hearer) {
-        Member m = members.get(member);
-        if (m == null) {
-            return refuse(hearer, "no address is known");
-        }
-        Server.Key key = opening.client.key();
-        Server server = Keeping.choose(idle(m, key), s -> Carry.distance(s.there(), opening.client.session()));
-        if (server != null) {
-            server.serve(opening, within, hearer);
-            return server;
-        }
-        Setup.Places places = opening.client.database().places();
-        if (open(key) >= places.most() + places.reserve() && !closeOldest(key) || all >= most && !closeOldest(null)) {
-            return refuse(hearer, "no connection is left");
-        }
-        Server dialled = dial(member, m, key);
-        dialled.serve(opening, within, hearer);
-        loop.after(Math.min(dialTimeout, within), () -> {
-            if (dialled.state() == Server.State.LOGIN) {
-                dialled.lose("no connection in time");
+  /**
+   * It drains or is gone: what has not been sent is not sent there any more, idle connections
+   * close, and a transaction that is open there goes on within its bound.
+   */
+  @Override
+  public void forget(String id) {
+    probes.forget(id);
+    Member m = members.get(id);
+    if (m == null || m.goneAt < loop.now()) {
+      return;
+    }
+    m.goneAt = loop.now();
+    var there = new ArrayList<>(m.connections);
+    there.forEach(Server::retire);
+    loop.after(
+        setup.limits().drain(),
+        () -> {
+          if (m.goneAt < loop.now()) {
+            for (Server s : there) {
+              if (s.state() == Server.State.ACTIVE && s.opening() != null) {
+                counters.add("pooling_drain_ended", 1);
+                s.opening()
+                    .client
+                    .fatal(
+                        "57P01", "the server drains, and this transaction took longer than it may");
+              }
+              s.lose("its member drains");
             }
+          }
         });
-        return dialled;
-    }
+  }
 
-    private Server dial(String member, Member m, Server.Key key) {
-        var server = new Server(this, key, member, chance.nextDouble());
-        m.connections.add(server);
-        open.merge(key, 1, Integer::sum);
-        all++;
-        counters.add("pooling_server_connections", 1);
-        server.stream(loop.connect(m.address, server));
-        return server;
+  // ---- Attempts.
+  @Override
+  public Ports.Call send(
+      String member, Opening opening, double left, double within, Ports.Hearer<Answer> hearer) {
+    Member m = members.get(member);
+    if (m == null) {
+      return refuse(hearer, "no address is known");
     }
-
-    private Ports.Call refuse(Ports.Hearer<Answer> hearer, String why) {
-        hearer.ended(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, why));
-        return () -> Reach.NOT_CONNECTED;
+    Server.Key key = opening.client.key();
+    Server server =
+        Keeping.choose(idle(m, key), s -> Carry.distance(s.there(), opening.client.session()));
+    if (server != null) {
+      server.serve(opening, within, hearer);
+      return server;
     }
-
-    private static List<Server> idle(Member m, Server.Key key) {
-        var list = new ArrayList<Server>();
-        for (Server s : m.connections) {
-            if (s.state() == Server.State.IDLE && s.opening() == null && (key == null || s.key().equals(key))) {
-                list.add(s);
-            }
-        }
-        return list;
+    Setup.Places places = opening.client.database().places();
+    if (open(key) >= places.most() + places.reserve() && !closeOldest(key)
+        || all >= most && !closeOldest(null)) {
+      return refuse(hearer, "no connection is left");
     }
+    Server dialled = dial(member, m, key);
+    dialled.serve(opening, within, hearer);
+    loop.after(
+        Math.min(dialTimeout, within),
+        () -> {
+          if (dialled.state() == Server.State.LOGIN) {
+            dialled.lose("no connection in time");
+          }
+        });
+    return dialled;
+  }
 
-    /** Makes room for a connection elsewhere: the longest idle one goes, of this key or, where null, of any. */
-    private boolean closeOldest(Server.Key key) {
-        Server oldest = null;
-        for (Member m : members.values()) {
-            for (Server s : idle(m, key)) {
-                oldest = oldest == null || s.idleSince() < oldest.idleSince() ? s : oldest;
-            }
-        }
-        if (oldest != null) {
-            oldest.lose("room is made");
-        }
-        return oldest != null;
+  private Server dial(String member, Member m, Server.Key key) {
+    var server = new Server(this, key, member, chance.nextDouble());
+    m.connections.add(server);
+    open.merge(key, 1, Integer::sum);
+    all++;
+    counters.add("pooling_server_connections", 1);
+    server.stream(loop.connect(m.address, server));
+    return server;
+  }
+
+  private Ports.Call refuse(Ports.Hearer<Answer> hearer, String why) {
+    hearer.ended(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, why));
+    return () -> Reach.NOT_CONNECTED;
+  }
+
+  private static List<Server> idle(Member m, Server.Key key) {
+    var list = new ArrayList<Server>();
+    for (Server s : m.connections) {
+      if (s.state() == Server.State.IDLE
+          && s.opening() == null
+          && (key == null || s.key().equals(key))) {
+        list.add(s);
+      }
     }
+    return list;
+  }
 
-    @Override public Ports.Call probe(String member, Consumer<AttemptEnd<Answer>> end) {
-        return probes.probe(member, how -> end.accept(how instanceof AttemptEnd.Served<PgAnswer> s
-                ? new AttemptEnd.Served<>(null, s.note())
-                : new AttemptEnd.Broken<>(Reach.ANSWERED, "no report")));
+  /**
+   * Makes room for a connection elsewhere: the longest idle one goes, of this key or, where null,
+   * of any.
+   */
+  private boolean closeOldest(Server.Key key) {
+    Server oldest = null;
+    for (Member m : members.values()) {
+      for (Server s : idle(m, key)) {
+        oldest = oldest == null || s.idleSince() < oldest.idleSince() ? s : oldest;
+      }
+    }
+    if (oldest != null) {
+      oldest.lose("room is made");
     }
+    return oldest != null;
+  }
 
-    // ---- What connections tell.
-    @Override public void up(Server server) {
-        reported.put(server.key(), server.there().reported());
-        if (reported.size() > 10_000) {       // one a key: users may be any
-            reported.remove(reported.keySet().iterator().next());
-        }
+  @Override
+  public Ports.Call probe(String member, Consumer<AttemptEnd<Answer>> end) {
+    return probes.probe(
+        member,
+        how ->
+            end.accept(
+                how instanceof AttemptEnd.Served<PgAnswer> s
+                    ? new AttemptEnd.Served<>(null, s.note())
+                    : new AttemptEnd.Broken<>(Reach.ANSWERED, "no report")));
+  }
+
+  // ---- What connections tell.
+  @Override
+  public void up(Server server) {
+    reported.put(server.key(), server.there().reported());
+    if (reported.size() > 10_000) { // one a key: users may be any
+      reported.remove(reported.keySet().iterator().next());
     }
+  }
 
-    @Override public void free(Server server) {
-        Setup.Database database = setup.databases().get(server.key().pool());
-        if (database != null && Keeping.old(server, database.places(), loop.now())) {
-            server.lose("its lifetime is over");
-        }
+  @Override
+  public void free(Server server) {
+    Setup.Database database = setup.databases().get(server.key().pool());
+    if (database != null && Keeping.old(server, database.places(), loop.now())) {
+      server.lose("its lifetime is over");
     }
+  }
 
-    @Override public void gone(Server server) {
-        Member m = members.get(server.member());
-        if (m != null && m.connections.remove(server)) {
-            all--;
-            open.computeIfPresent(server.key(), (k, n) -> n > 1 ? n - 1 : null);
-        }
+  @Override
+  public void gone(Server server) {
+    Member m = members.get(server.member());
+    if (m != null && m.connections.remove(server)) {
+      all--;
+      open.computeIfPresent(server.key(), (k, n) -> n > 1 ? n - 1 : null);
     }
+  }
 
-    /** Asks a server to stop what this connection runs now; it is kept apart until that request has passed. */
-    void cancel(Server server) {
-        Member m = members.get(server.member());
-        if (m == null || server.process() == 0) {
-            return;
-        }
-        counters.add("pooling_cancels", 1);
-        server.cancelSent();
-        boolean[] over = new boolean[2];
-        SocketConnection stream = loop.connect(m.address, new ConnectionHandler() {
-            @Override public void opened(Connection out) {
+  /**
+   * Asks a server to stop what this connection runs now; it is kept apart until that request has
+   * passed.
+   */
+  void cancel(Server server) {
+    Member m = members.get(server.member());
+    if (m == null || server.process() == 0) {
+      return;
+    }
+    counters.add("pooling_cancels", 1);
+    server.cancelSent();
+    boolean[] over = new boolean[2];
+    SocketConnection stream =
+        loop.connect(
+            m.address,
+            new ConnectionHandler() {
+              @Override
+              public void opened(Connection out) {
                 over[1] = true;
                 byte[] bytes = Frame.cancel(server.process(), server.secret());
                 out.write(bytes, bytes.length, null);
-            }
-            @Override public void received(ByteBuffer in) { in.position(in.limit()); }
-            @Override public void ended(String why) { passed(true); }
-            @Override public void closed() { loop.run(() -> passed(false)); }
+              }
+
+              @Override
+              public void received(ByteBuffer in) {
+                in.position(in.limit());
+              }
+
+              @Override
+              public void ended(String why) {
+                passed(true);
+              }
+
+              @Override
+              public void closed() {
+                loop.run(() -> passed(false));
+              }
 
-            private void passed(boolean byServer) {
+              private void passed(boolean byServer) {
                 if (!over[0]) {
-                    over[0] = true;
-                    server.cancelPassed(byServer || !over[1]);
+                  over[0] = true;
+                  server.cancelPassed(byServer || !over[1]);
                 }
-            }
-        });
-        loop.after(setup.limits().cancel(), stream::close);
-    }
+              }
+            });
+    loop.after(setup.limits().cancel(), stream::close);
+  }
 
-    private void sweep() {
-        double now = loop.now();
-        members.values().removeIf(m -> now - m.goneAt > FORGET && m.connections.isEmpty());
-        for (Setup.Database d : setup.databases().values()) {
-            var byKey = new HashMap<Server.Key, List<Server>>();
-            for (Member m : members.values()) {
-                for (Server s : idle(m, null)) {
-                    if (s.key().pool().equals(d.name())) {
-                        byKey.computeIfAbsent(s.key(), k -> new ArrayList<>()).add(s);
-                    }
-                }
-            }
-            byKey.forEach((key, idle) -> Keeping.expired(idle, d.places(), open(key), now)
-                    .forEach(s -> s.lose("its time is over")));
+  private void sweep() {
+    double now = loop.now();
+    members.values().removeIf(m -> now - m.goneAt > FORGET && m.connections.isEmpty());
+    for (Setup.Database d : setup.databases().values()) {
+      var byKey = new HashMap<Server.Key, List<Server>>();
+      for (Member m : members.values()) {
+        for (Server s : idle(m, null)) {
+          if (s.key().pool().equals(d.name())) {
+            byKey.computeIfAbsent(s.key(), k -> new ArrayList<>()).add(s);
+          }
         }
-        loop.after(SWEEP, this::sweep);
+      }
+      byKey.forEach(
+          (key, idle) ->
+              Keeping.expired(idle, d.places(), open(key), now)
+                  .forEach(s -> s.lose("its time is over")));
     }
+    loop.after(SWEEP, this::sweep);
+  }
 }
--- a/src/main/java/crankspar/pooling/SessionState.java
+++ b/src/main/java/crankspar/pooling/SessionState.java
@@ -8,179 +8,231 @@
 import org.pcollections.PMap;
 
 /**
- * What a client expects to find again, whichever connection its next transaction lands on: options, prepared statements
- * of both kinds, and the position that its next read must see. Options and pins follow transactions and savepoints as
- * PostgreSQL has them do; prepared statements do not. An idle client's state is a few references to shared values.
+ * What a client expects to find again, whichever connection its next transaction lands on: options,
+ * prepared statements of both kinds, and the position that its next read must see. Options and pins
+ * follow transactions and savepoints as PostgreSQL has them do; prepared statements do not. An idle
+ * client's state is a few references to shared values.
  */
 final class SessionState {
-    /** Options by name as SQL text, and what pins the client. */
-    private record Kept(PMap<String, String> options, Pins pins) { }
-
-    /** What the client asked for at its start, to which RESET returns. */
-    private final PMap<String, String> base;
-    private final Transactional<Kept> kept;
-    private Map<String, Prepared> prepared = Map.of();
-    private PMap<String, String> sqlPrepared = HashTreePMap.empty();
-    private int bytes;
-    private Prepared unnamed;
-    /** The parameters that the client was told of. */
-    private PMap<String, String> told = HashTreePMap.empty();
-    private double mark = Double.NaN;
-
-    SessionState(PMap<String, String> base) {
-        this.base = base;
-        kept = new Transactional<>(new Kept(base, Pins.NONE),
-                (before, after) -> new Kept(before.options(), Pins.undone(before.pins(), after.pins())));
-    }
-
-    /** The state of a client that starts with these parameters; what is no option is left out. */
-    static SessionState of(Map<String, String> startup) {
-        PMap<String, String> base = HashTreePMap.empty();
-        for (Map.Entry<String, String> e : startup.entrySet()) {
-            String name = e.getKey().toLowerCase(Locale.ROOT);
-            if (name.equals("options")) {
-                for (Map.Entry<String, String> o : arguments(e.getValue()).entrySet()) {
-                    base = base.plus(o.getKey(), Sql.literal(o.getValue()));
-                }
-            } else if (!name.equals("user") && !name.equals("database") && !name.equals("replication") && !name.startsWith("_pq_.")) {
-                base = base.plus(name, Sql.literal(e.getValue()));
-            }
+  /** Options by name as SQL text, and what pins the client. */
+  private record Kept(PMap<String, String> options, Pins pins) {}
+
+  /** What the client asked for at its start, to which RESET returns. */
+  private final PMap<String, String> base;
+
+  private final Transactional<Kept> kept;
+  private Map<String, Prepared> prepared = Map.of();
+  private PMap<String, String> sqlPrepared = HashTreePMap.empty();
+  private int bytes;
+  private Prepared unnamed;
+
+  /** The parameters that the client was told of. */
+  private PMap<String, String> told = HashTreePMap.empty();
+
+  private double mark = Double.NaN;
+
+  SessionState(PMap<String, String> base) {
+    this.base = base;
+    kept =
+        new Transactional<>(
+            new Kept(base, Pins.NONE),
+            (before, after) ->
+                new Kept(before.options(), Pins.undone(before.pins(), after.pins())));
+  }
+
+  /** The state of a client that starts with these parameters; what is no option is left out. */
+  static SessionState of(Map<String, String> startup) {
+    PMap<String, String> base = HashTreePMap.empty();
+    for (Map.Entry<String, String> e : startup.entrySet()) {
+      String name = e.getKey().toLowerCase(Locale.ROOT);
+      if (name.equals("options")) {
+        for (Map.Entry<String, String> o : arguments(e.getValue()).entrySet()) {
+          base = base.plus(o.getKey(), Sql.literal(o.getValue()));
         }
-        return new SessionState(base);
+      } else if (!name.equals("user")
+          && !name.equals("database")
+          && !name.equals("replication")
+          && !name.startsWith("_pq_.")) {
+        base = base.plus(name, Sql.literal(e.getValue()));
+      }
     }
-
-    /** {@code -c name=value} and {@code --name=value}, with a backslash before a space that belongs to a value. */
-    private static Map<String, String> arguments(String text) {
-        var all = new LinkedHashMap<String, String>();
-        String[] words = text.strip().split("(?<!\\\\)\\s+");
-        for (int i = 0; i < words.length; i++) {
-            String word = words[i].replace("\\ ", " ").replace("\\\\", "\\");
-            String pair = word.equals("-c") && i + 1 < words.length ? words[++i].replace("\\ ", " ")
-                    : word.startsWith("--") ? word.substring(2) : word.startsWith("-c") ? word.substring(2) : "";
-            int at = pair.indexOf('=');
-            if (at > 0) {
-                all.put(pair.substring(0, at).replace('-', '_').toLowerCase(Locale.ROOT), pair.substring(at + 1));
-            }
-        }
-        return all;
+    return new SessionState(base);
+  }
+
+  /**
+   * {@code -c name=value} and {@code --name=value}, with a backslash before a space that belongs to
+   * a value.
+   */
+  private static Map<String, String> arguments(String text) {
+    var all = new LinkedHashMap<String, String>();
+    String[] words = text.strip().split("(?<!\\\\)\\s+");
+    for (int i = 0; i < words.length; i++) {
+      String word = words[i].replace("\\ ", " ").replace("\\\\", "\\");
+      String pair =
+          word.equals("-c") && i + 1 < words.length
+              ? words[++i].replace("\\ ", " ")
+              : word.startsWith("--")
+                  ? word.substring(2)
+                  : word.startsWith("-c") ? word.substring(2) : "";
+      int at = pair.indexOf('=');
+      if (at > 0) {
+        all.put(
+            pair.substring(0, at).replace('-', '_').toLowerCase(Locale.ROOT),
+            pair.substring(at + 1));
+      }
     }
-
-    PMap<String, String> options() { return kept.now().options(); }
-    PMap<String, String> sqlPrepared() { return sqlPrepared; }
-    Pins pins() { return kept.now().pins(); }
-    PMap<String, String> told() { return told; }
-    void told(PMap<String, String> parameters) { told = parameters; }
-
-    double mark() { return mark; }
-
-    /** Its newest commit: never back. */
-    void committedAt(double position) { mark = Double.isNaN(mark) ? position : Math.max(mark, position); }
-
-    /** Whether its transactions only read unless they say otherwise. */
-    boolean readsByDefault() {
-        String value = options().get("default_transaction_read_only");
-        return value != null && value.toLowerCase(Locale.ROOT).matches("'?(on|true|yes|1)'?");
+    return all;
+  }
+
+  PMap<String, String> options() {
+    return kept.now().options();
+  }
+
+  PMap<String, String> sqlPrepared() {
+    return sqlPrepared;
+  }
+
+  Pins pins() {
+    return kept.now().pins();
+  }
+
+  PMap<String, String> told() {
+    return told;
+  }
+
+  void told(PMap<String, String> parameters) {
+    told = parameters;
+  }
+
+  double mark() {
+    return mark;
+  }
+
+  /** Its newest commit: never back. */
+  void committedAt(double position) {
+    mark = Double.isNaN(mark) ? position : Math.max(mark, position);
+  }
+
+  /** Whether its transactions only read unless they say otherwise. */
+  boolean readsByDefault() {
+    String value = options().get("default_transaction_read_only");
+    return value != null && value.toLowerCase(Locale.ROOT).matches("'?(on|true|yes|1)'?");
+  }
+
+  // ---- Statements of the protocol's.
+  Prepared prepared(String name) {
+    return name.isEmpty() ? unnamed : prepared.get(name);
+  }
+
+  int statements() {
+    return prepared.size() + sqlPrepared.size();
+  }
+
+  /** Bytes of all that is prepared. */
+  int bytes() {
+    return bytes;
+  }
+
+  Map<String, Prepared> all() {
+    return prepared;
+  }
+
+  void prepare(String name, Prepared statement) {
+    if (name.isEmpty()) {
+      unnamed = statement;
+      return;
     }
-
-    // ---- Statements of the protocol's.
-    Prepared prepared(String name) { return name.isEmpty() ? unnamed : prepared.get(name); }
-
-    int statements() { return prepared.size() + sqlPrepared.size(); }
-
-    /** Bytes of all that is prepared. */
-    int bytes() { return bytes; }
-
-    Map<String, Prepared> all() { return prepared; }
-
-    void prepare(String name, Prepared statement) {
-        if (name.isEmpty()) {
-            unnamed = statement;
-            return;
-        }
-        if (prepared.isEmpty()) {
-            prepared = new LinkedHashMap<>(4);
-        }
-        Prepared before = prepared.put(name, statement);
-        bytes += statement.bytes() - (before == null ? 0 : before.bytes());
+    if (prepared.isEmpty()) {
+      prepared = new LinkedHashMap<>(4);
     }
-
-    /** Forgets it; returns what it was, or null. */
-    Prepared close(String name) {
-        if (name.isEmpty()) {
-            Prepared was = unnamed;
-            unnamed = null;
-            return was;
-        }
-        Prepared was = prepared.isEmpty() ? null : prepared.remove(name);
-        bytes -= was == null ? 0 : was.bytes();
-        return was;
-    }
-
-    // ---- What happens, in the order in which the server says so.
-    /** A statement has been done; the tag tells a COMMIT that was none. */
-    void done(Statement s, String tag) {
-        Kept now = kept.now();
-        switch (s.kind()) {
-            case SET -> kept.change(new Kept(now.options().plus(s.name(), s.value()), now.pins()));
-            case RESET -> kept.change(new Kept(reset(now.options(), s.name()), now.pins()));
-            case RESET_ALL -> kept.change(new Kept(base, now.pins()));
-            case DISCARD_ALL -> {
-                kept.replace(new Kept(base, now.pins().done(s)));
-                forgetStatements();
-            }
-            case PREPARE -> {
-                bytes += s.text().length();
-                sqlPrepared = sqlPrepared.plus(s.name(), s.text());
-            }
-            case DEALLOCATE -> deallocate(s.name());
-            case DEALLOCATE_ALL -> forgetStatements();
-            case COMMIT, ROLLBACK -> {
-                if (tag.equals("COMMIT")) {
-                    kept.commit();
-                } else {
-                    kept.rollback();
-                }
-            }
-            case SAVEPOINT -> kept.savepoint(s.name());
-            case RELEASE -> kept.release(s.name());
-            case ROLLBACK_TO -> kept.rollbackTo(s.name());
-            default -> {
-                Pins pins = now.pins().done(s);
-                if (pins != now.pins()) {
-                    kept.change(new Kept(now.options(), pins));
-                }
-            }
-        }
-    }
-
-    private PMap<String, String> reset(PMap<String, String> options, String name) {
-        return base.containsKey(name) ? options.plus(name, base.get(name)) : options.minus(name);
+    Prepared before = prepared.put(name, statement);
+    bytes += statement.bytes() - (before == null ? 0 : before.bytes());
+  }
+
+  /** Forgets it; returns what it was, or null. */
+  Prepared close(String name) {
+    if (name.isEmpty()) {
+      Prepared was = unnamed;
+      unnamed = null;
+      return was;
     }
-
-    private void deallocate(String name) {
-        String text = sqlPrepared.get(name);
-        if (text != null) {
-            bytes -= text.length();
-            sqlPrepared = sqlPrepared.minus(name);
+    Prepared was = prepared.isEmpty() ? null : prepared.remove(name);
+    bytes -= was == null ? 0 : was.bytes();
+    return was;
+  }
+
+  // ---- What happens, in the order in which the server says so.
+  /** A statement has been done; the tag tells a COMMIT that was none. */
+  void done(Statement s, String tag) {
+    Kept now = kept.now();
+    switch (s.kind()) {
+      case SET -> kept.change(new Kept(now.options().plus(s.name(), s.value()), now.pins()));
+      case RESET -> kept.change(new Kept(reset(now.options(), s.name()), now.pins()));
+      case RESET_ALL -> kept.change(new Kept(base, now.pins()));
+      case DISCARD_ALL -> {
+        kept.replace(new Kept(base, now.pins().done(s)));
+        forgetStatements();
+      }
+      case PREPARE -> {
+        bytes += s.text().length();
+        sqlPrepared = sqlPrepared.plus(s.name(), s.text());
+      }
+      case DEALLOCATE -> deallocate(s.name());
+      case DEALLOCATE_ALL -> forgetStatements();
+      case COMMIT, ROLLBACK -> {
+        if (tag.equals("COMMIT")) {
+          kept.commit();
         } else {
-            close(name);
+          kept.rollback();
         }
+      }
+      case SAVEPOINT -> kept.savepoint(s.name());
+      case RELEASE -> kept.release(s.name());
+      case ROLLBACK_TO -> kept.rollbackTo(s.name());
+      default -> {
+        Pins pins = now.pins().done(s);
+        if (pins != now.pins()) {
+          kept.change(new Kept(now.options(), pins));
+        }
+      }
     }
-
-    private void forgetStatements() {
-        prepared = Map.of();
-        unnamed = null;
-        sqlPrepared = HashTreePMap.empty();
-        bytes = 0;
-    }
-
-    void failed() { kept.fail(); }
-
-    void ready(char status) { kept.ready(status); }
-
-    /** The connection is lost, and the transaction with it: what it changed is as before, and nothing pins any more. */
-    void lost() {
-        kept.rollback();
-        kept.replace(new Kept(kept.now().options(), Pins.NONE));
+  }
+
+  private PMap<String, String> reset(PMap<String, String> options, String name) {
+    return base.containsKey(name) ? options.plus(name, base.get(name)) : options.minus(name);
+  }
+
+  private void deallocate(String name) {
+    String text = sqlPrepared.get(name);
+    if (text != null) {
+      bytes -= text.length();
+      sqlPrepared = sqlPrepared.minus(name);
+    } else {
+      close(name);
     }
+  }
+
+  private void forgetStatements() {
+    prepared = Map.of();
+    unnamed = null;
+    sqlPrepared = HashTreePMap.empty();
+    bytes = 0;
+  }
+
+  void failed() {
+    kept.fail();
+  }
+
+  void ready(char status) {
+    kept.ready(status);
+  }
+
+  /**
+   * The connection is lost, and the transaction with it: what it changed is as before, and nothing
+   * pins any more.
+   */
+  void lost() {
+    kept.rollback();
+    kept.replace(new Kept(kept.now().options(), Pins.NONE));
+  }
 }
--- a/src/main/java/crankspar/pooling/Setup.java
+++ b/src/main/java/crankspar/pooling/Setup.java
@@ -5,65 +5,105 @@
 import java.util.Set;
 
 /** How the pooling front is set up. Times are ms, sizes bytes. */
-public record Setup(InetSocketAddress listen, Limits limits, Set<Pins.Kind> refused, Map<String, Database> databases) {
-    /** When a connection is given back: with the client's end, or with the transaction's. */
-    public enum Mode { SESSION, TRANSACTION }
+public record Setup(
+    InetSocketAddress listen,
+    Limits limits,
+    Set<Pins.Kind> refused,
+    Map<String, Database> databases) {
+  /** When a connection is given back: with the client's end, or with the transaction's. */
+  public enum Mode {
+    SESSION,
+    TRANSACTION
+  }
 
-    /**
-     * Bounds for all clients.
-     *
-     * @param clients connections of clients at once
-     * @param waiting clients that wait for a turn, all together
-     * @param login from connecting to a whole start
-     * @param statements that one client may have prepared, and {@code statementBytes} of them
-     * @param serverStatements prepared on one server connection
-     * @param buffers bytes of clients' messages that wait, all clients together
-     * @param idleInTransaction between two messages of an open transaction
-     * @param transaction a whole one
-     * @param drain how long an open transaction goes on at a server that drains
-     * @param cancel how long a server may take to end a cancel's connection
-     */
-    public record Limits(int clients, int waiting, double login, int statements, int statementBytes, int serverStatements,
-                         int buffers, double idleInTransaction, double transaction, double drain, double cancel) {
-        public static final Limits DEFAULT = new Limits(2000, 2000, 5000, 1000, 1 << 20, 200, 16 << 20, 60_000, 600_000, 10_000, 2000);
-    }
+  /**
+   * Bounds for all clients.
+   *
+   * @param clients connections of clients at once
+   * @param waiting clients that wait for a turn, all together
+   * @param login from connecting to a whole start
+   * @param statements that one client may have prepared, and {@code statementBytes} of them
+   * @param serverStatements prepared on one server connection
+   * @param buffers bytes of clients' messages that wait, all clients together
+   * @param idleInTransaction between two messages of an open transaction
+   * @param transaction a whole one
+   * @param drain how long an open transaction goes on at a server that drains
+   * @param cancel how long a server may take to end a cancel's connection
+   */
+  public record Limits(
+      int clients,
+      int waiting,
+      double login,
+      int statements,
+      int statementBytes,
+      int serverStatements,
+      int buffers,
+      double idleInTransaction,
+      double transaction,
+      double drain,
+      double cancel) {
+    public static final Limits DEFAULT =
+        new Limits(2000, 2000, 5000, 1000, 1 << 20, 200, 16 << 20, 60_000, 600_000, 10_000, 2000);
+  }
 
-    /**
-     * Connections for one database.
-     *
-     * @param most transactions at once, and so connections
-     * @param least idle connections that are kept when nothing is asked
-     * @param reserve further ones, when somebody has waited for {@code reserveAfter}
-     * @param lifetime after which a connection is closed between transactions, give or take a tenth
-     * @param idle after which an idle one is closed
-     */
-    public record Places(int most, int least, int reserve, double reserveAfter, double lifetime, double idle) {
-        public static final Places DEFAULT = new Places(20, 0, 0, 1000, 3_600_000, 300_000);
-    }
+  /**
+   * Connections for one database.
+   *
+   * @param most transactions at once, and so connections
+   * @param least idle connections that are kept when nothing is asked
+   * @param reserve further ones, when somebody has waited for {@code reserveAfter}
+   * @param lifetime after which a connection is closed between transactions, give or take a tenth
+   * @param idle after which an idle one is closed
+   */
+  public record Places(
+      int most, int least, int reserve, double reserveAfter, double lifetime, double idle) {
+    public static final Places DEFAULT = new Places(20, 0, 0, 1000, 3_600_000, 300_000);
+  }
 
-    /** What one user has of its own; null or 0 where it has what the database has. */
-    public record User(Mode mode, int most) { }
+  /** What one user has of its own; null or 0 where it has what the database has. */
+  public record User(Mode mode, int most) {}
 
-    /**
-     * One database as clients name it.
-     *
-     * @param serverName as servers name it
-     * @param requestClass of what no comment and no mapping tells otherwise
-     * @param readOnlyClass of blocks that say READ ONLY, or null
-     * @param selectClass of single SELECTs, or null
-     */
-    public record Database(String name, String serverName, Mode mode, int group, String requestClass, String readOnlyClass,
-                           String selectClass, Places places, Map<String, User> users, boolean anyUser) {
-        Mode mode(String user) {
-            User own = users.get(user);
-            return own == null || own.mode() == null ? mode : own.mode();
-        }
+  /**
+   * One database as clients name it.
+   *
+   * @param serverName as servers name it
+   * @param requestClass of what no comment and no mapping tells otherwise
+   * @param readOnlyClass of blocks that say READ ONLY, or null
+   * @param selectClass of single SELECTs, or null
+   */
+  public record Database(
+      String name,
+      String serverName,
+      Mode mode,
+      int group,
+      String requestClass,
+      String readOnlyClass,
+      String selectClass,
+      Places places,
+      Map<String, User> users,
+      boolean anyUser) {
+    Mode mode(String user) {
+      User own = users.get(user);
+      return own == null || own.mode() == null ? mode : own.mode();
+    }
 
-        /** The same, in a user's own mode. */
-        Database as(String user) {
-            return new Database(name, serverName, mode(user), group, requestClass, readOnlyClass, selectClass, places, users, anyUser);
-        }
+    /** The same, in a user's own mode. */
+    Database as(String user) {
+      return new Database(
+          name,
+          serverName,
+          mode(user),
+          group,
+          requestClass,
+          readOnlyClass,
+          selectClass,
+          places,
+          users,
+          anyUser);
+    }
 
-        boolean takes(String user) { return anyUser || users.containsKey(user); }
+    boolean takes(String user) {
+      return anyUser || users.containsKey(user);
     }
+  }
 }
--- a/src/main/java/crankspar/pooling/Transactional.java
+++ b/src/main/java/crankspar/pooling/Transactional.java
@@ -4,96 +4,113 @@
 import java.util.function.BinaryOperator;
 
 /**
- * A value that follows a transaction: what was changed in one that is rolled back is as before, savepoints included.
- * The value itself is immutable, so that a savepoint costs a reference.
+ * A value that follows a transaction: what was changed in one that is rolled back is as before,
+ * savepoints included. The value itself is immutable, so that a savepoint costs a reference.
  *
  * @param <T> an immutable value
  */
 final class Transactional<T> {
-    private record Savepoint<T>(String name, T value) { }
-
-    /** Savepoints beyond this are not told apart: rolling back to one of them goes back to the last that is. */
-    private static final int SAVEPOINTS_MOST = 256;
-
-    private final BinaryOperator<T> undone;
-    private ArrayDeque<Savepoint<T>> savepoints;
-    private T committed, current;
-    private boolean failed;
-
-    /** {@code undone} tells what remains, given the value before and the one given up: some things outlive a rollback. */
-    Transactional(T value, BinaryOperator<T> undone) {
-        committed = current = value;
-        this.undone = undone;
-    }
-
-    Transactional(T value) { this(value, (before, after) -> before); }
-
-    T now() { return current; }
-
-    void change(T value) { current = value; }
-
-    /** A whole new value, whatever the transaction does: after DISCARD ALL, or at a start. */
-    void replace(T value) {
-        committed = current = value;
-        savepoints = null;
-    }
-
-    void commit() {
-        committed = current;
-        savepoints = null;
-        failed = false;
+  private record Savepoint<T>(String name, T value) {}
+
+  /**
+   * Savepoints beyond this are not told apart: rolling back to one of them goes back to the last
+   * that is.
+   */
+  private static final int SAVEPOINTS_MOST = 256;
+
+  private final BinaryOperator<T> undone;
+  private ArrayDeque<Savepoint<T>> savepoints;
+  private T committed, current;
+  private boolean failed;
+
+  /**
+   * {@code undone} tells what remains, given the value before and the one given up: some things
+   * outlive a rollback.
+   */
+  Transactional(T value, BinaryOperator<T> undone) {
+    committed = current = value;
+    this.undone = undone;
+  }
+
+  Transactional(T value) {
+    this(value, (before, after) -> before);
+  }
+
+  T now() {
+    return current;
+  }
+
+  void change(T value) {
+    current = value;
+  }
+
+  /** A whole new value, whatever the transaction does: after DISCARD ALL, or at a start. */
+  void replace(T value) {
+    committed = current = value;
+    savepoints = null;
+  }
+
+  void commit() {
+    committed = current;
+    savepoints = null;
+    failed = false;
+  }
+
+  void rollback() {
+    committed = current = undone.apply(committed, current);
+    savepoints = null;
+    failed = false;
+  }
+
+  void savepoint(String name) {
+    if (savepoints == null) {
+      savepoints = new ArrayDeque<>(2);
     }
-
-    void rollback() {
-        committed = current = undone.apply(committed, current);
-        savepoints = null;
-        failed = false;
+    if (savepoints.size() < SAVEPOINTS_MOST) {
+      savepoints.push(new Savepoint<>(name, current));
     }
-
-    void savepoint(String name) {
-        if (savepoints == null) {
-            savepoints = new ArrayDeque<>(2);
-        }
-        if (savepoints.size() < SAVEPOINTS_MOST) {
-            savepoints.push(new Savepoint<>(name, current));
-        }
+  }
+
+  /** A released savepoint goes with all that came after it; what they changed stays. */
+  void release(String name) {
+    if (known(name)) {
+      while (!savepoints.pop().name().equals(name)) {
+        // later ones go too
+      }
     }
-
-    /** A released savepoint goes with all that came after it; what they changed stays. */
-    void release(String name) {
-        if (known(name)) {
-            while (!savepoints.pop().name().equals(name)) {
-                // later ones go too
-            }
-        }
+  }
+
+  /** The savepoint itself stays, to be rolled back to again. */
+  void rollbackTo(String name) {
+    if (known(name)) {
+      while (!savepoints.peek().name().equals(name)) {
+        savepoints.pop();
+      }
+      current = undone.apply(savepoints.peek().value(), current);
     }
-
-    /** The savepoint itself stays, to be rolled back to again. */
-    void rollbackTo(String name) {
-        if (known(name)) {
-            while (!savepoints.peek().name().equals(name)) {
-                savepoints.pop();
-            }
-            current = undone.apply(savepoints.peek().value(), current);
-        }
-    }
-
-    private boolean known(String name) {
-        return savepoints != null && savepoints.stream().anyMatch(s -> s.name().equals(name));
-    }
-
-    /** A statement failed: outside a block, what its implicit transaction did is undone at the next ready. */
-    void fail() { failed = true; }
-
-    /** The server is ready: outside a block the implicit transaction has ended. */
-    void ready(char status) {
-        if (status == 'I') {
-            if (failed) {
-                rollback();
-            } else {
-                commit();
-            }
-        }
-        failed = false;
+  }
+
+  private boolean known(String name) {
+    return savepoints != null && savepoints.stream().anyMatch(s -> s.name().equals(name));
+  }
+
+  /**
+   * A statement failed: outside a block, what its implicit transaction did is undone at the next
+   * ready.
+   */
+  void fail() {
+    failed = true;
+  }
+
+  /** The server is ready: outside a block the implicit transaction has ended. */
+  void ready(char status) {
+    if (status == 'I') {
+      if (failed) {
+        rollback();
+      } else {
+        commit();
+      }
     }
+    failed = false;
+  }
 }
