--- a/src/main/java/crankspar/rest/RestServerSession.java
+++ b/src/main/java/crankspar/rest/RestServerSession.java
@@ -3,8 +3,8 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import crankspar.Router.Role;
-import crankspar.core.AttemptEnd.Note;
 import crankspar.core.AttemptEnd;
+import crankspar.core.AttemptEnd.Note;
 import crankspar.core.Counters;
 import crankspar.core.Ports;
 import crankspar.core.Reach;
@@ -21,240 +21,295 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 
-/** The pooler's side of a connection to a server that speaks REST: one request at a time, HTTP/1.1. */
-final class RestServerSession implements ServerConnectionHandler<RestQuery, RestAnswer>, HttpParser.Handler {
-    static final int BODY_MOST = 1088 * 1024;
-    /** HTTP/1.1 has nothing to ask a server behind an answer: it is listened to for this long (ms) instead. */
-    private static final double SETTLE = 20;
+/**
+ * The pooler's side of a connection to a server that speaks REST: one request at a time, HTTP/1.1.
+ */
+final class RestServerSession
+    implements ServerConnectionHandler<RestQuery, RestAnswer>, HttpParser.Handler {
+  static final int BODY_MOST = 1088 * 1024;
 
-    private final HttpParser parser = new HttpParser(false, BODY_MOST, this);
-    private final Counters counters;
-    private final Ports.Time clock;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private Keeper keeper;
-    private Connection out;
-    private Reach reach = Reach.NOT_CONNECTED;
-    private RestQuery query;
-    private double least;
-    private HttpHead.Response head;
-    private Ports.Hearer<RestAnswer> hearer;
-    private boolean keepAlive = true;
-    private boolean surplus;
+  /**
+   * HTTP/1.1 has nothing to ask a server behind an answer: it is listened to for this long (ms)
+   * instead.
+   */
+  private static final double SETTLE = 20;
 
-    RestServerSession(Counters counters, Ports.Time clock) {
-        this.counters = counters;
-        this.clock = clock;
-    }
+  private final HttpParser parser = new HttpParser(false, BODY_MOST, this);
+  private final Counters counters;
+  private final Ports.Time clock;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private Keeper keeper;
+  private Connection out;
+  private Reach reach = Reach.NOT_CONNECTED;
+  private RestQuery query;
+  private double least;
+  private HttpHead.Response head;
+  private Ports.Hearer<RestAnswer> hearer;
+  private boolean keepAlive = true;
+  private boolean surplus;
 
-    @Override public void keeper(Keeper keeper) { this.keeper = keeper; }
+  RestServerSession(Counters counters, Ports.Time clock) {
+    this.counters = counters;
+    this.clock = clock;
+  }
 
-    @Override public Reach reach() { return reach; }
+  @Override
+  public void keeper(Keeper keeper) {
+    this.keeper = keeper;
+  }
 
-    @Override public boolean reusable() { return reach == Reach.ANSWERED && keepAlive; }
+  @Override
+  public Reach reach() {
+    return reach;
+  }
 
-    @Override public void opened(Connection out) {
-        this.out = out;
-        keeper.ready();
-    }
+  @Override
+  public boolean reusable() {
+    return reach == Reach.ANSWERED && keepAlive;
+  }
 
-    @Override public void carry(RestQuery q, double left, Ports.Hearer<RestAnswer> told) {
-        query = q;
-        hearer = told;
-        reach = Reach.PARTLY_WRITTEN;
-        least = q.least(clock.now());
-        var headers = new LinkedHashMap<String, String>();
-        headers.put("Host", "server");
-        headers.put("Request-Deadline-Ms", Long.toString(Math.max(1, Math.round(left))));
-        if (least > Double.NEGATIVE_INFINITY) {
-            headers.put("Least-Position", Long.toString((long) Math.ceil(least)));
-        }
-        if (q.idempotencyKey() != null) {
-            headers.put("Idempotency-Key", q.idempotencyKey());
-            headers.put("Content-Type", "application/json");
-        }
-        byte[] bytes = HttpText.request(q.write() ? "POST" : "GET", target(q), headers,
-                q.body() == null ? new byte[0] : q.body());
-        out.write(bytes, bytes.length, () -> {
-            if (reach == Reach.PARTLY_WRITTEN) {
-                reach = Reach.WHOLLY_WRITTEN;
-                hearer.written();
-            }
-        });
+  @Override
+  public void opened(Connection out) {
+    this.out = out;
+    keeper.ready();
+  }
+
+  @Override
+  public void carry(RestQuery q, double left, Ports.Hearer<RestAnswer> told) {
+    query = q;
+    hearer = told;
+    reach = Reach.PARTLY_WRITTEN;
+    least = q.least(clock.now());
+    var headers = new LinkedHashMap<String, String>();
+    headers.put("Host", "server");
+    headers.put("Request-Deadline-Ms", Long.toString(Math.max(1, Math.round(left))));
+    if (least > Double.NEGATIVE_INFINITY) {
+      headers.put("Least-Position", Long.toString((long) Math.ceil(least)));
+    }
+    if (q.idempotencyKey() != null) {
+      headers.put("Idempotency-Key", q.idempotencyKey());
+      headers.put("Content-Type", "application/json");
     }
+    byte[] bytes =
+        HttpText.request(
+            q.write() ? "POST" : "GET",
+            target(q),
+            headers,
+            q.body() == null ? new byte[0] : q.body());
+    out.write(
+        bytes,
+        bytes.length,
+        () -> {
+          if (reach == Reach.PARTLY_WRITTEN) {
+            reach = Reach.WHOLLY_WRITTEN;
+            hearer.written();
+          }
+        });
+  }
 
-    @Override public void settle() {
-        clock.after(SETTLE, () -> {
-            if (!surplus) {
-                keeper.ready();
-            }
+  @Override
+  public void settle() {
+    clock.after(
+        SETTLE,
+        () -> {
+          if (!surplus) {
+            keeper.ready();
+          }
         });
-    }
+  }
 
-    private static String target(RestQuery q) {
-        if (q == RestQuery.LOAD) {
-            return "/v1/load";
-        }
-        var text = new StringBuilder("/v1/groups/").append(q.group()).append('/').append(escape(q.kind()));
-        if (!q.write()) {
-            text.append("?limit=").append(q.limit());
-            if (!q.after().isEmpty()) {
-                text.append("&after=").append(escape(q.after()));
-            }
-            if (q.key() != null) {
-                text.append("&key=").append(escape(q.key()));
-            }
-        }
-        return text.toString();
+  private static String target(RestQuery q) {
+    if (q == RestQuery.LOAD) {
+      return "/v1/load";
     }
-
-    private static String escape(String text) {
-        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+    var text =
+        new StringBuilder("/v1/groups/").append(q.group()).append('/').append(escape(q.kind()));
+    if (!q.write()) {
+      text.append("?limit=").append(q.limit());
+      if (!q.after().isEmpty()) {
+        text.append("&after=").append(escape(q.after()));
+      }
+      if (q.key() != null) {
+        text.append("&key=").append(escape(q.key()));
+      }
     }
+    return text.toString();
+  }
 
-    @Override public void received(ByteBuffer in) {
-        try {
-            while (hearer != null && in.hasRemaining()) {
-                parser.feedMessage(in);
-            }
-        } catch (HttpParser.Malformed e) {
-            in.position(in.limit());
-            spoilt("server_malformed", "malformed: " + e.getMessage());
-            return;
-        }
-        if (in.hasRemaining()) {              // a second copy, say: it must not answer the next request
-            in.position(in.limit());
-            spoilt("server_unasked_bytes", "bytes that nothing asked for");
-        }
-    }
+  private static String escape(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+  }
 
-    private void spoilt(String counter, String why) {
-        surplus = true;
-        counters.add(counter);
-        out.close();
-        keeper.gone(why);
+  @Override
+  public void received(ByteBuffer in) {
+    try {
+      while (hearer != null && in.hasRemaining()) {
+        parser.feedMessage(in);
+      }
+    } catch (HttpParser.Malformed e) {
+      in.position(in.limit());
+      spoilt("server_malformed", "malformed: " + e.getMessage());
+      return;
     }
-
-    @Override public void head(HttpHead head) {
-        this.head = (HttpHead.Response) head;
-        body.reset();
+    if (in.hasRemaining()) { // a second copy, say: it must not answer the next request
+      in.position(in.limit());
+      spoilt("server_unasked_bytes", "bytes that nothing asked for");
     }
+  }
 
-    @Override public void body(byte[] part) {
-        if (body.size() + part.length <= BODY_MOST) {
-            body.writeBytes(part);
-        } else if (!surplus) {
-            spoilt("server_malformed", "an answer of more than " + BODY_MOST + " bytes");
-        }
+  private void spoilt(String counter, String why) {
+    surplus = true;
+    counters.add(counter);
+    out.close();
+    keeper.gone(why);
+  }
+
+  @Override
+  public void head(HttpHead head) {
+    this.head = (HttpHead.Response) head;
+    body.reset();
+  }
+
+  @Override
+  public void body(byte[] part) {
+    if (body.size() + part.length <= BODY_MOST) {
+      body.writeBytes(part);
+    } else if (!surplus) {
+      spoilt("server_malformed", "an answer of more than " + BODY_MOST + " bytes");
     }
+  }
 
-    @Override public void end() {
-        if (head.status() / 100 == 1) {
-            return;                           // an interim answer
-        }
-        keepAlive = head.keepAlive();
-        Ports.Hearer<RestAnswer> told = hearer;
-        hearer = null;
-        if (told == null || surplus) {
-            return;                           // it was too long, and is given up already
-        }
-        AttemptEnd<RestAnswer> how = how();
-        reach = Reach.ANSWERED;
-        told.ended(how);
-        if (!keepAlive) {
-            out.close();
-            keeper.gone("closed by the server's wish");
-        }
+  @Override
+  public void end() {
+    if (head.status() / 100 == 1) {
+      return; // an interim answer
     }
+    keepAlive = head.keepAlive();
+    Ports.Hearer<RestAnswer> told = hearer;
+    hearer = null;
+    if (told == null || surplus) {
+      return; // it was too long, and is given up already
+    }
+    AttemptEnd<RestAnswer> how = how();
+    reach = Reach.ANSWERED;
+    told.ended(how);
+    if (!keepAlive) {
+      out.close();
+      keeper.gone("closed by the server's wish");
+    }
+  }
 
-    /** Each status stands for one outcome of the protocol's table. */
-    private AttemptEnd<RestAnswer> how() {
-        String role = head.header("role");
-        Note note = new Note("primary".equals(role) ? Role.PRIMARY : "replica".equals(role) ? Role.REPLICA
-                : Role.UNKNOWN, number(head.header("applied-position")));
-        int status = head.status();
-        if (status == 421 || status == 412) { // no primary, or too far behind
-            return new AttemptEnd.Missed<>(note);
-        }
-        if (status == 503 || status == 429) {
-            return new AttemptEnd.TurnedAway<>(note);
-        }
-        if (status >= 500 || status < 200 || status / 100 == 3) {
-            return new AttemptEnd.Erred<>(note, "status " + status);
-        }
-        byte[] bytes = body.toByteArray();
-        String type = head.headers().getOrDefault("content-type", "application/json");
-        if (query.write() || status >= 400) {
-            return new AttemptEnd.Served<>(new RestAnswer(status, type, bytes, null, null), note);
-        }
-        if (query == RestQuery.LOAD) {
-            return load(bytes);
-        }
-        // What an answer tells of its own age is held against the need at the send: a position never goes back,
-        // so that one below it proves the data too old, and one that is missing proves nothing.
-        if (least > Double.NEGATIVE_INFINITY && !(note.position() >= least)) {
-            counters.add("server_stale");
-            return new AttemptEnd.Missed<>(note);
-        }
-        return page(status, type, bytes, note);
+  /** Each status stands for one outcome of the protocol's table. */
+  private AttemptEnd<RestAnswer> how() {
+    String role = head.header("role");
+    Note note =
+        new Note(
+            "primary".equals(role)
+                ? Role.PRIMARY
+                : "replica".equals(role) ? Role.REPLICA : Role.UNKNOWN,
+            number(head.header("applied-position")));
+    int status = head.status();
+    if (status == 421 || status == 412) { // no primary, or too far behind
+      return new AttemptEnd.Missed<>(note);
     }
+    if (status == 503 || status == 429) {
+      return new AttemptEnd.TurnedAway<>(note);
+    }
+    if (status >= 500 || status < 200 || status / 100 == 3) {
+      return new AttemptEnd.Erred<>(note, "status " + status);
+    }
+    byte[] bytes = body.toByteArray();
+    String type = head.headers().getOrDefault("content-type", "application/json");
+    if (query.write() || status >= 400) {
+      return new AttemptEnd.Served<>(new RestAnswer(status, type, bytes, null, null), note);
+    }
+    if (query == RestQuery.LOAD) {
+      return load(bytes);
+    }
+    // What an answer tells of its own age is held against the need at the send: a position never
+    // goes back,
+    // so that one below it proves the data too old, and one that is missing proves nothing.
+    if (least > Double.NEGATIVE_INFINITY && !(note.position() >= least)) {
+      counters.add("server_stale");
+      return new AttemptEnd.Missed<>(note);
+    }
+    return page(status, type, bytes, note);
+  }
 
-    private AttemptEnd<RestAnswer> load(byte[] bytes) {
-        try {
-            var report = Json.object(new String(bytes, StandardCharsets.UTF_8));
-            boolean known = report.get("role") instanceof String && report.get("position") instanceof Number;
-            return new AttemptEnd.Served<>(new RestAnswer(200, "", bytes, null, null), !known ? Note.NONE
-                    : new Note("primary".equals(report.get("role")) ? Role.PRIMARY : Role.REPLICA,
-                            ((Number) report.get("position")).doubleValue()));
-        } catch (IOException e) {
-            return new AttemptEnd.Erred<>(Note.NONE, "no load report");
-        }
+  private AttemptEnd<RestAnswer> load(byte[] bytes) {
+    try {
+      var report = Json.object(new String(bytes, StandardCharsets.UTF_8));
+      boolean known =
+          report.get("role") instanceof String && report.get("position") instanceof Number;
+      return new AttemptEnd.Served<>(
+          new RestAnswer(200, "", bytes, null, null),
+          !known
+              ? Note.NONE
+              : new Note(
+                  "primary".equals(report.get("role")) ? Role.PRIMARY : Role.REPLICA,
+                  ((Number) report.get("position")).doubleValue()));
+    } catch (IOException e) {
+      return new AttemptEnd.Erred<>(Note.NONE, "no load report");
     }
+  }
 
-    /** The items stay as they came: cut out, not read and written anew, so that no number changes its digits. */
-    private AttemptEnd<RestAnswer> page(int status, String type, byte[] bytes, Note note) {
-        String items = null;
-        String next = null;
-        try (JsonParser p = Json.FACTORY.createParser(bytes)) {
-            if (p.nextToken() == JsonToken.START_OBJECT) {
-                while (p.nextToken() == JsonToken.FIELD_NAME) {
-                    String name = p.currentName();
-                    JsonToken token = p.nextToken();
-                    if (name.equals("items") && token == JsonToken.START_ARRAY) {
-                        int from = (int) p.currentTokenLocation().getByteOffset();
-                        p.skipChildren();
-                        int to = (int) p.currentLocation().getByteOffset();
-                        items = new String(bytes, from, to - from, StandardCharsets.UTF_8);
-                    } else if (name.equals("next") && token == JsonToken.VALUE_STRING) {
-                        next = p.getText();
-                    } else {
-                        p.skipChildren();
-                    }
-                }
-            }
-            items = p.nextToken() == null ? items : null;
-        } catch (IOException e) {
-            items = null;
-        }
-        if (items == null) {
-            counters.add("server_malformed");
-            return new AttemptEnd.Erred<>(note, "no page");
+  /**
+   * The items stay as they came: cut out, not read and written anew, so that no number changes its
+   * digits.
+   */
+  private AttemptEnd<RestAnswer> page(int status, String type, byte[] bytes, Note note) {
+    String items = null;
+    String next = null;
+    try (JsonParser p = Json.FACTORY.createParser(bytes)) {
+      if (p.nextToken() == JsonToken.START_OBJECT) {
+        while (p.nextToken() == JsonToken.FIELD_NAME) {
+          String name = p.currentName();
+          JsonToken token = p.nextToken();
+          if (name.equals("items") && token == JsonToken.START_ARRAY) {
+            int from = (int) p.currentTokenLocation().getByteOffset();
+            p.skipChildren();
+            int to = (int) p.currentLocation().getByteOffset();
+            items = new String(bytes, from, to - from, StandardCharsets.UTF_8);
+          } else if (name.equals("next") && token == JsonToken.VALUE_STRING) {
+            next = p.getText();
+          } else {
+            p.skipChildren();
+          }
         }
-        return new AttemptEnd.Served<>(new RestAnswer(status, type, bytes, items, next), note);
+      }
+      items = p.nextToken() == null ? items : null;
+    } catch (IOException e) {
+      items = null;
     }
-
-    /** A plain number, or NaN: nothing else that Java would read passes for a position. */
-    private static double number(String text) {
-        return text != null && text.matches("[0-9]{1,15}(\\.[0-9]{0,6})?") ? Double.parseDouble(text) : Double.NaN;
+    if (items == null) {
+      counters.add("server_malformed");
+      return new AttemptEnd.Erred<>(note, "no page");
     }
+    return new AttemptEnd.Served<>(new RestAnswer(status, type, bytes, items, next), note);
+  }
 
-    /** An answer without a length ends with its connection. Guards against half an answer before a reset, which was served as a whole one. */
-    @Override public void finished() {
-        try {
-            parser.close();
-        } catch (HttpParser.Malformed e) {
-            counters.add("server_cut_short");
-        }
+  /** A plain number, or NaN: nothing else that Java would read passes for a position. */
+  private static double number(String text) {
+    return text != null && text.matches("[0-9]{1,15}(\\.[0-9]{0,6})?")
+        ? Double.parseDouble(text)
+        : Double.NaN;
+  }
+
+  /**
+   * An answer without a length ends with its connection. Guards against half an answer before a
+   * reset, which was served as a whole one.
+   */
+  @Override
+  public void finished() {
+    try {
+      parser.close();
+    } catch (HttpParser.Malformed e) {
+      counters.add("server_cut_short");
     }
+  }
 
-    @Override public void ended(String why) { keeper.gone(why); }
+  @Override
+  public void ended(String why) {
+    keeper.gone(why);
+  }
 }
--- a/src/test/java/crankspar/HoldTest.java
+++ b/src/test/java/crankspar/HoldTest.java
@@ -4,22 +4,27 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Guards against reads held past half their time with nothing sent: that costs their client and the result. */
+/**
+ * Guards against reads held past half their time with nothing sent: that costs their client and the
+ * result.
+ */
 class HoldTest {
-    @Test void aReadThatNothingTakesIsRefusedBeforeHalfItsTime() {
-        Fake f = new Fake().start();          // a group without members
-        f.ask("own", Fake.OWN, 400, "s");
-        f.at(190);
-        assertThat(f.finals("own")).isZero();
-        f.at(199);
-        assertThat(f.did("refuse own")).isTrue();
-        assertThat(f.finals("own")).isOne();
-    }
+  @Test
+  void aReadThatNothingTakesIsRefusedBeforeHalfItsTime() {
+    Fake f = new Fake().start(); // a group without members
+    f.ask("own", Fake.OWN, 400, "s");
+    f.at(190);
+    assertThat(f.finals("own")).isZero();
+    f.at(199);
+    assertThat(f.did("refuse own")).isTrue();
+    assertThat(f.finals("own")).isOne();
+  }
 
-    @Test void aWriteWaitsOnForItsPrimary() {
-        Fake f = new Fake().start();
-        f.ask("write", Fake.WRITE, 1000, "s");
-        f.at(520);
-        assertThat(f.finals("write")).isZero();
-    }
+  @Test
+  void aWriteWaitsOnForItsPrimary() {
+    Fake f = new Fake().start();
+    f.ask("write", Fake.WRITE, 1000, "s");
+    f.at(520);
+    assertThat(f.finals("write")).isZero();
+  }
 }
--- a/src/test/java/crankspar/ModuleTextTest.java
+++ b/src/test/java/crankspar/ModuleTextTest.java
@@ -11,42 +11,55 @@
 
 /** The module stays short enough to be read in one's first days. */
 class ModuleTextTest {
-    private static final Path MODULE = Path.of("src/main/java/crankspar/policy");
+  private static final Path MODULE = Path.of("src/main/java/crankspar/policy");
 
-    private static List<Path> files() throws IOException {
-        try (var all = Files.list(MODULE)) {
-            return all.filter(f -> !f.endsWith("package-info.java")).toList();
-        }
+  private static List<Path> files() throws IOException {
+    try (var all = Files.list(MODULE)) {
+      return all.filter(f -> !f.endsWith("package-info.java")).toList();
     }
+  }
 
-    private static List<String> lines() throws IOException {
-        var all = new java.util.ArrayList<String>();
-        for (Path f : files()) {
-            all.addAll(Files.readAllLines(f));
-        }
-        return all;
+  private static List<String> lines() throws IOException {
+    var all = new java.util.ArrayList<String>();
+    for (Path f : files()) {
+      all.addAll(Files.readAllLines(f));
     }
+    return all;
+  }
 
-    @Test void atMost940LinesThatAreNotBlank() throws IOException {
-        long lines = lines().stream().filter(l -> !l.isBlank()).count();
-        assertTrue(lines > 0 && lines <= 940, "lines: " + lines);
-    }
+  @Test
+  void atMost940LinesThatAreNotBlank() throws IOException {
+    long lines = lines().stream().filter(l -> !l.isBlank()).count();
+    assertTrue(lines > 0 && lines <= 940, "lines: " + lines);
+  }
 
-    /** The deploy file names all of them, and no decision is left out of the count. */
-    @Test void theDeployFileNamesEachFile() throws IOException {
-        String policy = Files.readString(Path.of("deploy/balancer.toml")).lines().filter(l -> l.startsWith("policy")).findFirst().orElseThrow();
-        for (Path f : files()) {
-            assertTrue(policy.contains('"' + f.toString() + '"'), "not named: " + f);
-            assertTrue(Files.readAllLines(f).size() < 400, "too long: " + f);
-        }
+  /** The deploy file names all of them, and no decision is left out of the count. */
+  @Test
+  void theDeployFileNamesEachFile() throws IOException {
+    String policy =
+        Files.readString(Path.of("deploy/balancer.toml"))
+            .lines()
+            .filter(l -> l.startsWith("policy"))
+            .findFirst()
+            .orElseThrow();
+    for (Path f : files()) {
+      assertTrue(policy.contains('"' + f.toString() + '"'), "not named: " + f);
+      assertTrue(Files.readAllLines(f).size() < 400, "too long: " + f);
     }
+  }
 
-    @Test void atMost110Columns() throws IOException {
-        List<String> wide = lines().stream().filter(l -> l.length() > 110).toList();
-        assertEquals(List.of(), wide);
-    }
+  @Test
+  void atMost110Columns() throws IOException {
+    List<String> wide = lines().stream().filter(l -> l.length() > 110).toList();
+    assertEquals(List.of(), wide);
+  }
 
-    @Test void itsInterfaceIsNamedAtTheTop() throws IOException {
-        assertTrue(Files.readString(MODULE.resolve("Balance.java")).lines().limit(25).anyMatch(l -> l.contains("Router.java")));
-    }
+  @Test
+  void itsInterfaceIsNamedAtTheTop() throws IOException {
+    assertTrue(
+        Files.readString(MODULE.resolve("Balance.java"))
+            .lines()
+            .limit(25)
+            .anyMatch(l -> l.contains("Router.java")));
+  }
 }
--- a/src/test/java/crankspar/TestSettings.java
+++ b/src/test/java/crankspar/TestSettings.java
@@ -6,7 +6,8 @@
 
 /** The platform's settings for tests, in the words of its configuration. */
 public final class TestSettings {
-    public static final String JSON = """
+  public static final String JSON =
+      """
             {"Callers": {"MarksRetry": false},
              "Classes": [
               {"DedupScope": "all", "Gain": 3.0, "GiveUp": 600.0, "Idempotency": "pure", "KeyTtl": 5000.0, "LateValue": 0.2, "Name": "scoreboard", "Target": 200.0},
@@ -24,31 +25,40 @@
              "Report": {"Fields": ["x0", "x1"], "How": "on_probe"},
              "Round": 5.0, "Siblings": 1, "Zones": ["burnaby", "surrey", "richmond"]}""";
 
-    private TestSettings() { }
+  private TestSettings() {}
 
-    public static Router.Settings platform() { return platform(1); }
+  public static Router.Settings platform() {
+    return platform(1);
+  }
 
-    /** The platform's, with one text of them replaced by another. */
-    public static Router.Settings with(String was, String is) {
-        if (!JSON.contains(was)) {
-            throw new IllegalArgumentException(was);
-        }
-        try {
-            return SettingsReader.read(Json.object(JSON.replace(was, is)), 7);
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
+  /** The platform's, with one text of them replaced by another. */
+  public static Router.Settings with(String was, String is) {
+    if (!JSON.contains(was)) {
+      throw new IllegalArgumentException(was);
     }
+    try {
+      return SettingsReader.read(Json.object(JSON.replace(was, is)), 7);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
 
-    /** With so many poolers, which may tell each other at the platform's price. */
-    public static Router.Settings platform(int poolers) { return platform(poolers, 0); }
+  /** With so many poolers, which may tell each other at the platform's price. */
+  public static Router.Settings platform(int poolers) {
+    return platform(poolers, 0);
+  }
 
-    public static Router.Settings platform(int poolers, int me) {
-        try {
-            return SettingsReader.read(Json.object(JSON.replace("\"MyNumber\": 0", "\"MyNumber\": " + me).replace("\"Siblings\": 1,", "\"Siblings\": " + poolers + ",")
-                    .replace("\"MayDuplicate\"", "\"MayTell\": true, \"MayDuplicate\"").replace("\"Probe\": 0.03", "\"Peer\": 0.01, \"Probe\": 0.03")), 7);
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
+  public static Router.Settings platform(int poolers, int me) {
+    try {
+      return SettingsReader.read(
+          Json.object(
+              JSON.replace("\"MyNumber\": 0", "\"MyNumber\": " + me)
+                  .replace("\"Siblings\": 1,", "\"Siblings\": " + poolers + ",")
+                  .replace("\"MayDuplicate\"", "\"MayTell\": true, \"MayDuplicate\"")
+                  .replace("\"Probe\": 0.03", "\"Peer\": 0.01, \"Probe\": 0.03")),
+          7);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
     }
+  }
 }
--- a/src/test/java/crankspar/Trace.java
+++ b/src/test/java/crankspar/Trace.java
@@ -11,167 +11,280 @@
 import java.util.function.BiFunction;
 
 /**
- * What a module was told and what it did, a line each, in order: recorded at one version, replayed at another. Numbers are
- * written so that they come back exactly.
+ * What a module was told and what it did, a line each, in order: recorded at one version, replayed
+ * at another. Numbers are written so that they come back exactly.
  */
 final class Trace implements Router.Actions {
-    final StringBuilder text = new StringBuilder();
-    private final Router.Actions to;
+  final StringBuilder text = new StringBuilder();
+  private final Router.Actions to;
 
-    /** What is done goes on to {@code to}, or nowhere. */
-    Trace(Router.Actions to) { this.to = to; }
+  /** What is done goes on to {@code to}, or nowhere. */
+  Trace(Router.Actions to) {
+    this.to = to;
+  }
 
-    private void line(Object... parts) {
-        for (int i = 0; i < parts.length; i++) {
-            text.append(i == 0 ? "" : "\t").append(parts[i]);
-        }
-        text.append('\n');
+  private void line(Object... parts) {
+    for (int i = 0; i < parts.length; i++) {
+      text.append(i == 0 ? "" : "\t").append(parts[i]);
     }
+    text.append('\n');
+  }
 
-    /** A module whose events are written down, and which still does what it does. */
-    static Router recording(Router.Settings settings, Trace into, BiFunction<Router.Settings, Router.Actions, Router> maker) {
-        Router module = maker.apply(settings, into);
-        return new Router() {
-            @Override public void onStart(double now) {
-                into.line("start", now);
-                module.onStart(now);
-            }
-            @Override public void onMembers(double now, ListKind kind, List<Member> members) {
-                into.line("members", now, kind, members.size());
-                members.forEach(m -> into.line("member", m.id(), m.zone(), m.listedPrimary(), m.capacityHint(), m.health(), m.group(),
-                        m.machine(), m.lastStart()));
-                module.onMembers(now, kind, members);
-            }
-            @Override public void onWatchLost(double now) {
-                into.line("lost", now);
-                module.onWatchLost(now);
-            }
-            @Override public void onRequest(double now, Request r) {
-                into.line("request", now, r.id(), r.requestClass(), r.ttl(), r.session(), r.markAge(), r.group());
-                module.onRequest(now, r);
-            }
-            @Override public void onOutcome(double now, Outcome o) {
-                into.line("outcome", now, o.request(), o.number(), o.member(), o.status(), o.elapsed(), o.over(), o.role(), o.position());
-                module.onOutcome(now, o);
-            }
-            @Override public void onProbe(double now, ProbeResult r) {
-                into.line("probed", now, r.member(), r.ok(), r.elapsed(), r.role(), r.position());
-                module.onProbe(now, r);
-            }
-            @Override public void onHearsay(double now, List<Told> what) {
-                into.line("hearsay", now, what.size());
-                what.forEach(t -> into.line("told", t.member(), t.role(), t.position(), t.at(), t.inFlight()));
-                module.onHearsay(now, what);
-            }
-            @Override public void onGone(double now, String request) {
-                into.line("gone", now, request);
-                module.onGone(now, request);
-            }
-            @Override public void onTimer(double now, long cookie) {
-                into.line("timer", now, cookie);
-                module.onTimer(now, cookie);
-            }
-            @Override public Set<String> avoided() { return module.avoided(); }
-        };
-    }
+  /** A module whose events are written down, and which still does what it does. */
+  static Router recording(
+      Router.Settings settings,
+      Trace into,
+      BiFunction<Router.Settings, Router.Actions, Router> maker) {
+    Router module = maker.apply(settings, into);
+    return new Router() {
+      @Override
+      public void onStart(double now) {
+        into.line("start", now);
+        module.onStart(now);
+      }
 
-    /** The same events to another module; gives what that did, with them. */
-    static String replay(List<String> lines, Router.Settings settings, BiFunction<Router.Settings, Router.Actions, Router> maker) {
-        var trace = new Trace(null);
-        Router module = recording(settings, trace, maker);
-        for (int i = 0; i < lines.size(); i++) {
-            String[] f = lines.get(i).split("\t", -1);
-            double now = f.length > 1 && !f[0].startsWith(">") && !f[0].equals("member") && !f[0].equals("told") ? num(f[1]) : 0;
-            switch (f[0]) {
-                case "start" -> module.onStart(now);
-                case "members" -> module.onMembers(now, ListKind.valueOf(f[2]), lines.subList(i + 1, i + 1 + Integer.parseInt(f[3])).stream()
-                        .map(Trace::member).toList());
-                case "lost" -> module.onWatchLost(now);
-                case "request" -> module.onRequest(now, new Router.Request(f[2], Integer.parseInt(f[3]), num(f[4]),
-                        f[5].equals("null") ? null : f[5], num(f[6]), Integer.parseInt(f[7])));
-                case "outcome" -> module.onOutcome(now, new Router.Outcome(f[2], Integer.parseInt(f[3]), f[4], Status.valueOf(f[5]), num(f[6]),
-                        Boolean.parseBoolean(f[7]), Role.valueOf(f[8]), num(f[9])));
-                case "probed" -> module.onProbe(now, new Router.ProbeResult(f[2], Boolean.parseBoolean(f[3]), num(f[4]), Role.valueOf(f[5]), num(f[6])));
-                case "hearsay" -> module.onHearsay(now, lines.subList(i + 1, i + 1 + Integer.parseInt(f[2])).stream().map(Trace::told).toList());
-                case "gone" -> module.onGone(now, f[2]);
-                case "timer" -> module.onTimer(now, Long.parseLong(f[2]));
-                default -> { }                // an action, or a line that its event has read
-            }
-        }
-        return trace.text.toString();
-    }
+      @Override
+      public void onMembers(double now, ListKind kind, List<Member> members) {
+        into.line("members", now, kind, members.size());
+        members.forEach(
+            m ->
+                into.line(
+                    "member",
+                    m.id(),
+                    m.zone(),
+                    m.listedPrimary(),
+                    m.capacityHint(),
+                    m.health(),
+                    m.group(),
+                    m.machine(),
+                    m.lastStart()));
+        module.onMembers(now, kind, members);
+      }
 
-    private static double num(String text) { return Double.parseDouble(text); }
+      @Override
+      public void onWatchLost(double now) {
+        into.line("lost", now);
+        module.onWatchLost(now);
+      }
 
-    private static Member member(String line) {
-        String[] f = line.split("\t", -1);
-        return new Member(f[1], f[2], Boolean.parseBoolean(f[3]), num(f[4]), Health.valueOf(f[5]), Integer.parseInt(f[6]), f[7], num(f[8]));
-    }
+      @Override
+      public void onRequest(double now, Request r) {
+        into.line(
+            "request", now, r.id(), r.requestClass(), r.ttl(), r.session(), r.markAge(), r.group());
+        module.onRequest(now, r);
+      }
 
-    private static Router.Told told(String line) {
-        String[] f = line.split("\t", -1);
-        return new Router.Told(f[1], Role.valueOf(f[2]), num(f[3]), num(f[4]), Integer.parseInt(f[5]));
-    }
+      @Override
+      public void onOutcome(double now, Outcome o) {
+        into.line(
+            "outcome",
+            now,
+            o.request(),
+            o.number(),
+            o.member(),
+            o.status(),
+            o.elapsed(),
+            o.over(),
+            o.role(),
+            o.position());
+        module.onOutcome(now, o);
+      }
+
+      @Override
+      public void onProbe(double now, ProbeResult r) {
+        into.line("probed", now, r.member(), r.ok(), r.elapsed(), r.role(), r.position());
+        module.onProbe(now, r);
+      }
 
-    /** Where two texts part: the line and its number, or null. */
-    static String difference(List<String> was, List<String> is) {
-        var both = new ArrayList<>(was);
-        for (int i = 0; i < Math.max(both.size(), is.size()); i++) {
-            String a = i < both.size() ? both.get(i) : "the end";
-            String b = i < is.size() ? is.get(i) : "the end";
-            if (!a.equals(b)) {
-                return "line " + (i + 1) + ": was <" + a + ">, is <" + b + ">";
-            }
-        }
-        return null;
+      @Override
+      public void onHearsay(double now, List<Told> what) {
+        into.line("hearsay", now, what.size());
+        what.forEach(
+            t -> into.line("told", t.member(), t.role(), t.position(), t.at(), t.inFlight()));
+        module.onHearsay(now, what);
+      }
+
+      @Override
+      public void onGone(double now, String request) {
+        into.line("gone", now, request);
+        module.onGone(now, request);
+      }
+
+      @Override
+      public void onTimer(double now, long cookie) {
+        into.line("timer", now, cookie);
+        module.onTimer(now, cookie);
+      }
+
+      @Override
+      public Set<String> avoided() {
+        return module.avoided();
+      }
+    };
+  }
+
+  /** The same events to another module; gives what that did, with them. */
+  static String replay(
+      List<String> lines,
+      Router.Settings settings,
+      BiFunction<Router.Settings, Router.Actions, Router> maker) {
+    var trace = new Trace(null);
+    Router module = recording(settings, trace, maker);
+    for (int i = 0; i < lines.size(); i++) {
+      String[] f = lines.get(i).split("\t", -1);
+      double now =
+          f.length > 1 && !f[0].startsWith(">") && !f[0].equals("member") && !f[0].equals("told")
+              ? num(f[1])
+              : 0;
+      switch (f[0]) {
+        case "start" -> module.onStart(now);
+        case "members" ->
+            module.onMembers(
+                now,
+                ListKind.valueOf(f[2]),
+                lines.subList(i + 1, i + 1 + Integer.parseInt(f[3])).stream()
+                    .map(Trace::member)
+                    .toList());
+        case "lost" -> module.onWatchLost(now);
+        case "request" ->
+            module.onRequest(
+                now,
+                new Router.Request(
+                    f[2],
+                    Integer.parseInt(f[3]),
+                    num(f[4]),
+                    f[5].equals("null") ? null : f[5],
+                    num(f[6]),
+                    Integer.parseInt(f[7])));
+        case "outcome" ->
+            module.onOutcome(
+                now,
+                new Router.Outcome(
+                    f[2],
+                    Integer.parseInt(f[3]),
+                    f[4],
+                    Status.valueOf(f[5]),
+                    num(f[6]),
+                    Boolean.parseBoolean(f[7]),
+                    Role.valueOf(f[8]),
+                    num(f[9])));
+        case "probed" ->
+            module.onProbe(
+                now,
+                new Router.ProbeResult(
+                    f[2], Boolean.parseBoolean(f[3]), num(f[4]), Role.valueOf(f[5]), num(f[6])));
+        case "hearsay" ->
+            module.onHearsay(
+                now,
+                lines.subList(i + 1, i + 1 + Integer.parseInt(f[2])).stream()
+                    .map(Trace::told)
+                    .toList());
+        case "gone" -> module.onGone(now, f[2]);
+        case "timer" -> module.onTimer(now, Long.parseLong(f[2]));
+        default -> {} // an action, or a line that its event has read
+      }
     }
+    return trace.text.toString();
+  }
+
+  private static double num(String text) {
+    return Double.parseDouble(text);
+  }
 
-    private void did(Object... parts) {
-        parts[0] = "> " + parts[0];
-        line(parts);
+  private static Member member(String line) {
+    String[] f = line.split("\t", -1);
+    return new Member(
+        f[1],
+        f[2],
+        Boolean.parseBoolean(f[3]),
+        num(f[4]),
+        Health.valueOf(f[5]),
+        Integer.parseInt(f[6]),
+        f[7],
+        num(f[8]));
+  }
+
+  private static Router.Told told(String line) {
+    String[] f = line.split("\t", -1);
+    return new Router.Told(f[1], Role.valueOf(f[2]), num(f[3]), num(f[4]), Integer.parseInt(f[5]));
+  }
+
+  /** Where two texts part: the line and its number, or null. */
+  static String difference(List<String> was, List<String> is) {
+    var both = new ArrayList<>(was);
+    for (int i = 0; i < Math.max(both.size(), is.size()); i++) {
+      String a = i < both.size() ? both.get(i) : "the end";
+      String b = i < is.size() ? is.get(i) : "the end";
+      if (!a.equals(b)) {
+        return "line " + (i + 1) + ": was <" + a + ">, is <" + b + ">";
+      }
     }
+    return null;
+  }
+
+  private void did(Object... parts) {
+    parts[0] = "> " + parts[0];
+    line(parts);
+  }
 
-    @Override public void send(String request, String member, double timeout) {
-        did("send", request, member, timeout);
-        if (to != null) {
-            to.send(request, member, timeout);
-        }
+  @Override
+  public void send(String request, String member, double timeout) {
+    did("send", request, member, timeout);
+    if (to != null) {
+      to.send(request, member, timeout);
     }
-    @Override public void refuse(String request, double retryIn) {
-        did("refuse", request, retryIn);
-        if (to != null) {
-            to.refuse(request, retryIn);
-        }
+  }
+
+  @Override
+  public void refuse(String request, double retryIn) {
+    did("refuse", request, retryIn);
+    if (to != null) {
+      to.refuse(request, retryIn);
     }
-    @Override public void fail(String request) {
-        did("fail", request);
-        if (to != null) {
-            to.fail(request);
-        }
+  }
+
+  @Override
+  public void fail(String request) {
+    did("fail", request);
+    if (to != null) {
+      to.fail(request);
     }
-    @Override public void cancel(String request, int attempt) {
-        did("cancel", request, attempt);
-        if (to != null) {
-            to.cancel(request, attempt);
-        }
+  }
+
+  @Override
+  public void cancel(String request, int attempt) {
+    did("cancel", request, attempt);
+    if (to != null) {
+      to.cancel(request, attempt);
     }
-    @Override public void setTimer(double delay, long cookie) {
-        did("timer", delay, cookie);
-        if (to != null) {
-            to.setTimer(delay, cookie);
-        }
+  }
+
+  @Override
+  public void setTimer(double delay, long cookie) {
+    did("timer", delay, cookie);
+    if (to != null) {
+      to.setTimer(delay, cookie);
     }
-    @Override public void probe(String member) {
-        did("probe", member);
-        if (to != null) {
-            to.probe(member);
-        }
+  }
+
+  @Override
+  public void probe(String member) {
+    did("probe", member);
+    if (to != null) {
+      to.probe(member);
     }
-    @Override public void watch(boolean on) {
-        did("watch", on);
-        if (to != null) {
-            to.watch(on);
-        }
+  }
+
+  @Override
+  public void watch(boolean on) {
+    did("watch", on);
+    if (to != null) {
+      to.watch(on);
     }
-    @Override public void log(String text) { did("log", text); }
+  }
+
+  @Override
+  public void log(String text) {
+    did("log", text);
+  }
 }
--- a/src/test/java/crankspar/daemon/EndingTest.java
+++ b/src/test/java/crankspar/daemon/EndingTest.java
@@ -4,8 +4,8 @@
 
 import crankspar.TestSettings;
 import crankspar.config.Config;
-import crankspar.net.ScriptedPeer.Wire;
 import crankspar.net.ScriptedPeer;
+import crankspar.net.ScriptedPeer.Wire;
 import crankspar.pg.Pg;
 import crankspar.pg.PgEncoder;
 import crankspar.pg.PgMessage;
@@ -22,59 +22,80 @@
 
 /** What comes in the very moment in which the process ends. */
 class EndingTest {
-    @TempDir Path dir;
+  @TempDir Path dir;
 
-    private Daemon daemon(ScriptedPeer server) throws Exception {
-        Path file = Files.writeString(dir.resolve("config.json"), "{\"name\":\"n3\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"known\":{\"revision\":7,"
-                + "\"complete\":true,\"members\":[{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:" + server.address().getPort() + "\",\"locality\":\"burnaby\",\"flavor\":\"m\","
-                + "\"cell\":2,\"phase\":\"up\",\"size\":1.0,\"up_since_ms\":0,\"role\":\"primary\"}]},\"settings\":" + TestSettings.JSON + "}");
-        return new Daemon(Config.read(Map.of("BALANCER_CONFIG", file.toString())), null);
-    }
+  private Daemon daemon(ScriptedPeer server) throws Exception {
+    Path file =
+        Files.writeString(
+            dir.resolve("config.json"),
+            "{\"name\":\"n3\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"known\":{\"revision\":7,"
+                + "\"complete\":true,\"members\":[{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:"
+                + server.address().getPort()
+                + "\",\"locality\":\"burnaby\",\"flavor\":\"m\","
+                + "\"cell\":2,\"phase\":\"up\",\"size\":1.0,\"up_since_ms\":0,\"role\":\"primary\"}]},\"settings\":"
+                + TestSettings.JSON
+                + "}");
+    return new Daemon(Config.read(Map.of("BALANCER_CONFIG", file.toString())), null);
+  }
 
-    private static boolean refuses(InetSocketAddress address) {
-        try (var socket = new Socket(address.getAddress(), address.getPort())) {
-            return !socket.isConnected();
-        } catch (IOException e) {
-            return true;
-        }
+  private static boolean refuses(InetSocketAddress address) {
+    try (var socket = new Socket(address.getAddress(), address.getPort())) {
+      return !socket.isConnected();
+    } catch (IOException e) {
+      return true;
     }
+  }
 
-    /** Half of it was here when the door was closed; the rest was read, sent on, and lost with the process 50 ms later. */
-    @Test void aRequestThatIsWholeOnlyAfterTheDoorWasClosedIsAnsweredBeforeTheEnd() throws Exception {
-        var self = new ScriptedPeer[1];
-        self[0] = new ScriptedPeer(wire -> Pg.serve(wire, (pg, sql) -> {
-            if (!sql.startsWith("SHOW")) {
-                self[0].saw(sql);
-                self[0].cue().await(150, TimeUnit.MILLISECONDS); // its work
-            }
-            pg.row("v", System.currentTimeMillis());
-        }));
-        try (ScriptedPeer server = self[0]) {
-            Daemon daemon = daemon(server);
-            InetSocketAddress address = daemon.pgAddress();
-            Pg client = Pg.welcomed(Wire.to(address));
-            client.ask("");
-            var stop = new Thread(() -> {
+  /**
+   * Half of it was here when the door was closed; the rest was read, sent on, and lost with the
+   * process 50 ms later.
+   */
+  @Test
+  void aRequestThatIsWholeOnlyAfterTheDoorWasClosedIsAnsweredBeforeTheEnd() throws Exception {
+    var self = new ScriptedPeer[1];
+    self[0] =
+        new ScriptedPeer(
+            wire ->
+                Pg.serve(
+                    wire,
+                    (pg, sql) -> {
+                      if (!sql.startsWith("SHOW")) {
+                        self[0].saw(sql);
+                        self[0].cue().await(150, TimeUnit.MILLISECONDS); // its work
+                      }
+                      pg.row("v", System.currentTimeMillis());
+                    }));
+    try (ScriptedPeer server = self[0]) {
+      Daemon daemon = daemon(server);
+      InetSocketAddress address = daemon.pgAddress();
+      Pg client = Pg.welcomed(Wire.to(address));
+      client.ask("");
+      var stop =
+          new Thread(
+              () -> {
                 try {
-                    daemon.stop();
+                  daemon.stop();
                 } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
+                  Thread.currentThread().interrupt();
                 }
-                daemon.close();               // the process ends
-            });
-            stop.start();
-            byte[] query = new PgEncoder().add(new PgMessage.Query("/* id=h1,c=waiver-check,d=2000,cluster=2 */ SELECT 1")).bytes();
-            TimeUnit.MILLISECONDS.sleep(1500); // late enough that half a message is borne until the end
-            client.wire.send(Arrays.copyOf(query, 20));
-            while (!refuses(address)) {
-                TimeUnit.MILLISECONDS.sleep(1);
-            }
-            client.wire.send(Arrays.copyOfRange(query, 20, query.length));
-            assertThat(server.next()).contains("h1");
-            assertThat(client.answer()).hasSize(3);
-            assertThat(client.wire.ends()).as("closed behind its answer").isTrue();
-            stop.join(5000);
-            assertThat(stop.isAlive()).isFalse();
-        }
+                daemon.close(); // the process ends
+              });
+      stop.start();
+      byte[] query =
+          new PgEncoder()
+              .add(new PgMessage.Query("/* id=h1,c=waiver-check,d=2000,cluster=2 */ SELECT 1"))
+              .bytes();
+      TimeUnit.MILLISECONDS.sleep(1500); // late enough that half a message is borne until the end
+      client.wire.send(Arrays.copyOf(query, 20));
+      while (!refuses(address)) {
+        TimeUnit.MILLISECONDS.sleep(1);
+      }
+      client.wire.send(Arrays.copyOfRange(query, 20, query.length));
+      assertThat(server.next()).contains("h1");
+      assertThat(client.answer()).hasSize(3);
+      assertThat(client.wire.ends()).as("closed behind its answer").isTrue();
+      stop.join(5000);
+      assertThat(stop.isAlive()).isFalse();
     }
+  }
 }
--- a/src/test/java/crankspar/daemon/StopTest.java
+++ b/src/test/java/crankspar/daemon/StopTest.java
@@ -12,46 +12,57 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Guards against a gap between two restarts: a connection is served on for as long as the kill allows. */
+/**
+ * Guards against a gap between two restarts: a connection is served on for as long as the kill
+ * allows.
+ */
 class StopTest {
-    private static final byte[] EMPTY_QUERY = {'Q', 0, 0, 0, 5, 0};
-    private static final int EMPTY_ANSWER = 5 + 6;
+  private static final byte[] EMPTY_QUERY = {'Q', 0, 0, 0, 5, 0};
+  private static final int EMPTY_ANSWER = 5 + 6;
 
-    @TempDir Path dir;
+  @TempDir Path dir;
 
-    @Test void clientsAreServedOnUntilTheLastAnswersAreDue() throws Exception {
-        Path file = Files.writeString(dir.resolve("config.json"), "{\"name\":\"n3\",\"listen\":\"127.0.0.1:0\","
-                + "\"discovery\":\"127.0.0.1:1\",\"settings\":" + TestSettings.JSON + "}");
-        try (var daemon = new Daemon(Config.read(Map.of("BALANCER_CONFIG", file.toString())), null);
-                Wire wire = Wire.to(daemon.pgAddress())) {
-            wire.send(new byte[] {0, 0, 0, 9, 0, 3, 0, 0, 0});
-            while (wire.read(1)[0] != 'Z') {
-                // the welcome, up to ReadyForQuery
-            }
-            wire.read(5);
-            long began = System.nanoTime();
-            var stop = new Thread(() -> {
+  @Test
+  void clientsAreServedOnUntilTheLastAnswersAreDue() throws Exception {
+    Path file =
+        Files.writeString(
+            dir.resolve("config.json"),
+            "{\"name\":\"n3\",\"listen\":\"127.0.0.1:0\","
+                + "\"discovery\":\"127.0.0.1:1\",\"settings\":"
+                + TestSettings.JSON
+                + "}");
+    try (var daemon = new Daemon(Config.read(Map.of("BALANCER_CONFIG", file.toString())), null);
+        Wire wire = Wire.to(daemon.pgAddress())) {
+      wire.send(new byte[] {0, 0, 0, 9, 0, 3, 0, 0, 0});
+      while (wire.read(1)[0] != 'Z') {
+        // the welcome, up to ReadyForQuery
+      }
+      wire.read(5);
+      long began = System.nanoTime();
+      var stop =
+          new Thread(
+              () -> {
                 try {
-                    daemon.stop();
+                  daemon.stop();
                 } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
+                  Thread.currentThread().interrupt();
                 }
-            });
-            stop.start();
-            double served = 0;
-            try {
-                while (true) {
-                    wire.send(EMPTY_QUERY);
-                    wire.read(EMPTY_ANSWER);
-                    served = (System.nanoTime() - began) / 1e6;
-                }
-            } catch (IOException e) {
-                // closed between two requests
-            }
-            stop.join(5000);
-            double ended = (System.nanoTime() - began) / 1e6;
-            assertThat(served).isGreaterThan(1500);
-            assertThat(ended).isLessThan(3700); // the kill, at the soonest
+              });
+      stop.start();
+      double served = 0;
+      try {
+        while (true) {
+          wire.send(EMPTY_QUERY);
+          wire.read(EMPTY_ANSWER);
+          served = (System.nanoTime() - began) / 1e6;
         }
+      } catch (IOException e) {
+        // closed between two requests
+      }
+      stop.join(5000);
+      double ended = (System.nanoTime() - began) / 1e6;
+      assertThat(served).isGreaterThan(1500);
+      assertThat(ended).isLessThan(3700); // the kill, at the soonest
     }
+  }
 }
--- a/src/test/java/crankspar/lab/rig/AcknowledgedDrainTest.java
+++ b/src/test/java/crankspar/lab/rig/AcknowledgedDrainTest.java
@@ -3,8 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import crankspar.TestSettings;
-import crankspar.net.ScriptedPeer.Wire;
 import crankspar.net.ScriptedPeer;
+import crankspar.net.ScriptedPeer.Wire;
 import crankspar.pg.Pg;
 import java.io.IOException;
 import java.net.InetAddress;
--- a/src/test/java/crankspar/lab/rig/DiskFaultTest.java
+++ b/src/test/java/crankspar/lab/rig/DiskFaultTest.java
@@ -4,8 +4,8 @@
 
 import crankspar.TestSettings;
 import crankspar.lab.rig.FaultShim.Slot;
-import crankspar.net.ScriptedPeer.Wire;
 import crankspar.net.ScriptedPeer;
+import crankspar.net.ScriptedPeer.Wire;
 import crankspar.pg.Pg;
 import java.io.IOException;
 import java.net.InetAddress;
--- a/src/test/java/crankspar/lab/rig/SignalTest.java
+++ b/src/test/java/crankspar/lab/rig/SignalTest.java
@@ -3,8 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import crankspar.TestSettings;
-import crankspar.net.ScriptedPeer.Wire;
 import crankspar.net.ScriptedPeer;
+import crankspar.net.ScriptedPeer.Wire;
 import crankspar.pg.Pg;
 import crankspar.pg.PgEncoder;
 import crankspar.pg.PgMessage;
@@ -19,105 +19,138 @@
 
 /** Signals to the built program as a process, at moments that are not meant for them. */
 class SignalTest {
-    private static final int ENDS_MS = 6000;
+  private static final int ENDS_MS = 6000;
 
-    private static int freePort() throws IOException {
-        try (var s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return s.getLocalPort();
-        }
+  private static int freePort() throws IOException {
+    try (var s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
     }
+  }
 
-    private static String configuration(int port, int mgmt, ScriptedPeer database) {
-        return "{\"name\":\"n3\",\"mgmt\":\"127.0.0.1:" + mgmt + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:1\",\"known\":{\"revision\":7,\"complete\":true,\"members\":[{\"id\":\"s-1\","
-                + "\"host_port\":\"127.0.0.1:" + database.address().getPort() + "\",\"locality\":\"burnaby\",\"flavor\":\"m\",\"cell\":2,\"phase\":\"up\",\"size\":1.0,"
-                + "\"up_since_ms\":0,\"role\":\"primary\"}]},\"settings\":" + TestSettings.JSON + "}";
-    }
+  private static String configuration(int port, int mgmt, ScriptedPeer database) {
+    return "{\"name\":\"n3\",\"mgmt\":\"127.0.0.1:"
+        + mgmt
+        + "\",\"listen\":\"127.0.0.1:"
+        + port
+        + "\",\"discovery\":\"127.0.0.1:1\",\"known\":{\"revision\":7,\"complete\":true,\"members\":[{\"id\":\"s-1\","
+        + "\"host_port\":\"127.0.0.1:"
+        + database.address().getPort()
+        + "\",\"locality\":\"burnaby\",\"flavor\":\"m\",\"cell\":2,\"phase\":\"up\",\"size\":1.0,"
+        + "\"up_since_ms\":0,\"role\":\"primary\"}]},\"settings\":"
+        + TestSettings.JSON
+        + "}";
+  }
 
-    private static ScriptedPeer database(ScriptedPeer[] self) throws IOException {
-        self[0] = new ScriptedPeer(wire -> Pg.serve(wire, (pg, sql) -> {
-            if (!sql.startsWith("SHOW")) {
-                self[0].saw(sql);
-                self[0].cue().await();
-            }
-            pg.row("v", System.currentTimeMillis());
-        }));
-        return self[0];
-    }
+  private static ScriptedPeer database(ScriptedPeer[] self) throws IOException {
+    self[0] =
+        new ScriptedPeer(
+            wire ->
+                Pg.serve(
+                    wire,
+                    (pg, sql) -> {
+                      if (!sql.startsWith("SHOW")) {
+                        self[0].saw(sql);
+                        self[0].cue().await();
+                      }
+                      pg.row("v", System.currentTimeMillis());
+                    }));
+    return self[0];
+  }
 
-    private static byte[] greetingAndQuery(String id) {
-        return new PgEncoder().add(new PgMessage.Startup(Map.of("user", "client", "database", "core")))
-                .add(new PgMessage.Query("/* id=" + id + ",c=waiver-check,d=2000,cluster=2 */ SELECT 1")).bytes();
-    }
+  private static byte[] greetingAndQuery(String id) {
+    return new PgEncoder()
+        .add(new PgMessage.Startup(Map.of("user", "client", "database", "core")))
+        .add(new PgMessage.Query("/* id=" + id + ",c=waiver-check,d=2000,cluster=2 */ SELECT 1"))
+        .bytes();
+  }
 
-    private static Wire connected(InetSocketAddress address) throws InterruptedException {
-        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
-        while (true) {
-            try {
-                return Wire.to(address);
-            } catch (IOException e) {
-                assertThat(System.nanoTime()).as("it listens").isLessThan(until);
-                Thread.onSpinWait();
-            }
-        }
+  private static Wire connected(InetSocketAddress address) throws InterruptedException {
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+    while (true) {
+      try {
+        return Wire.to(address);
+      } catch (IOException e) {
+        assertThat(System.nanoTime()).as("it listens").isLessThan(until);
+        Thread.onSpinWait();
+      }
     }
+  }
 
-    private static void ends(PlatformProcess process) throws InterruptedException {
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ENDS_MS);
-        while (process.alive()) {
-            assertThat(System.nanoTime()).as("it ends").isLessThan(until);
-            TimeUnit.MILLISECONDS.sleep(10);
-        }
+  private static void ends(PlatformProcess process) throws InterruptedException {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ENDS_MS);
+    while (process.alive()) {
+      assertThat(System.nanoTime()).as("it ends").isLessThan(until);
+      TimeUnit.MILLISECONDS.sleep(10);
     }
+  }
 
-    /** The door was open before the answer to the signal stood: what came through it then was lost with the process. */
-    @Test void whatCameWithTheFirstConnectionIsAnsweredThoughTheSignalComesRightBehind() throws Exception {
-        var self = new ScriptedPeer[1];
-        int port = freePort();
-        var address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-        try (ScriptedPeer database = database(self); var process = new PlatformProcess("first", address, configuration(port, freePort(), database), null, null)) {
-            var starting = new Thread(() -> {
+  /**
+   * The door was open before the answer to the signal stood: what came through it then was lost
+   * with the process.
+   */
+  @Test
+  void whatCameWithTheFirstConnectionIsAnsweredThoughTheSignalComesRightBehind() throws Exception {
+    var self = new ScriptedPeer[1];
+    int port = freePort();
+    var address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    try (ScriptedPeer database = database(self);
+        var process =
+            new PlatformProcess(
+                "first", address, configuration(port, freePort(), database), null, null)) {
+      var starting =
+          new Thread(
+              () -> {
                 try {
-                    process.start();
+                  process.start();
                 } catch (IOException | InterruptedException e) {
-                    // the test sees that it is gone
+                  // the test sees that it is gone
                 }
-            });
-            starting.start();
-            try (Wire wire = connected(address)) {
-                wire.send(greetingAndQuery("s1"));
-                process.signal("TERM");
-                assertThat(database.next()).contains("s1");
-                process.signal("TERM");       // a second one changes nothing
-                process.signal("HUP");        // nor does a reload
-                database.cue().countDown();
-                var pg = new Pg(wire, false);
-                pg.answer();                  // the welcome
-                assertThat(pg.answer()).hasSize(3);
-            }
-            starting.join(TimeUnit.SECONDS.toMillis(20));
-            ends(process);
-        }
+              });
+      starting.start();
+      try (Wire wire = connected(address)) {
+        wire.send(greetingAndQuery("s1"));
+        process.signal("TERM");
+        assertThat(database.next()).contains("s1");
+        process.signal("TERM"); // a second one changes nothing
+        process.signal("HUP"); // nor does a reload
+        database.cue().countDown();
+        var pg = new Pg(wire, false);
+        pg.answer(); // the welcome
+        assertThat(pg.answer()).hasSize(3);
+      }
+      starting.join(TimeUnit.SECONDS.toMillis(20));
+      ends(process);
     }
+  }
 
-    /** Operators' calls are heard before anything is warm and long before the door: in between a signal ended the process where it stood. */
-    @Test void aSignalThatComesWhileItStartsEndsItInOrder() throws Exception {
-        var self = new ScriptedPeer[1];
-        int mgmt = freePort();
-        var address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
-        try (ScriptedPeer database = database(self); var process = new PlatformProcess("early", address, configuration(address.getPort(), mgmt, database), null, null)) {
-            var starting = new Thread(() -> {
+  /**
+   * Operators' calls are heard before anything is warm and long before the door: in between a
+   * signal ended the process where it stood.
+   */
+  @Test
+  void aSignalThatComesWhileItStartsEndsItInOrder() throws Exception {
+    var self = new ScriptedPeer[1];
+    int mgmt = freePort();
+    var address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+    try (ScriptedPeer database = database(self);
+        var process =
+            new PlatformProcess(
+                "early", address, configuration(address.getPort(), mgmt, database), null, null)) {
+      var starting =
+          new Thread(
+              () -> {
                 try {
-                    process.start();
+                  process.start();
                 } catch (IOException | InterruptedException e) {
-                    // the test sees that it is gone
+                  // the test sees that it is gone
                 }
-            });
-            starting.start();
-            connected(new InetSocketAddress(InetAddress.getLoopbackAddress(), mgmt)).close();
-            process.signal("TERM");
-            ends(process);
-            assertThat(Files.readString(process.log())).as("its last words").contains("counters ");
-            starting.join(TimeUnit.SECONDS.toMillis(20));
-        }
+              });
+      starting.start();
+      connected(new InetSocketAddress(InetAddress.getLoopbackAddress(), mgmt)).close();
+      process.signal("TERM");
+      ends(process);
+      assertThat(Files.readString(process.log())).as("its last words").contains("counters ");
+      starting.join(TimeUnit.SECONDS.toMillis(20));
     }
+  }
 }
--- a/src/test/java/crankspar/net/ArrivalTimeTest.java
+++ b/src/test/java/crankspar/net/ArrivalTimeTest.java
@@ -19,7 +19,9 @@
     assertThat(arrival.earliest(15)).as("read since that poll").isEqualTo(20);
   }
 
-  /** What is left unread keeps the age that it had; the socket's long rest before does not count. */
+  /**
+   * What is left unread keeps the age that it had; the socket's long rest before does not count.
+   */
   @Test
   void whatIsLeftUnreadKeepsItsAge() {
     arrival.foundEmpty(20);
--- a/src/test/java/crankspar/net/PoolTest.java
+++ b/src/test/java/crankspar/net/PoolTest.java
@@ -15,106 +15,163 @@
 import org.junit.jupiter.api.Test;
 
 class PoolTest {
-    private EventLoop loop;
-
-    @BeforeEach void begin() throws Exception { loop = new EventLoop("pool-test"); }
-
-    @AfterEach void end() { loop.close(); }
-
-    /** Welcomed once its connection is up, after it has held up the loop for so long. */
-    private final class Slow implements ServerConnectionHandler<String, String> {
-        private final double holds;
-        private final AtomicInteger carried;
-        private Keeper keeper;
-
-        Slow(double holds, AtomicInteger carried) {
-            this.holds = holds;
-            this.carried = carried;
-        }
-
-        @Override public void keeper(Keeper keeper) { this.keeper = keeper; }
-        @Override public void carry(String query, double left, Ports.Hearer<String> hearer) {
-            carried.incrementAndGet();
-            hearer.ended(new AttemptEnd.Served<>("row", AttemptEnd.Note.NONE));
-        }
-        @Override public Reach reach() { return Reach.ANSWERED; }
-        @Override public boolean reusable() { return false; }
-        @Override public void settle() { }
-        @Override public void opened(Connection out) {
-            for (double until = loop.now() + holds; loop.now() < until; ) {
-                Thread.onSpinWait();
-            }
-            keeper.ready();
-        }
-        @Override public void received(ByteBuffer in) { in.position(in.limit()); }
-        @Override public void ended(String why) { keeper.gone(why); }
+  private EventLoop loop;
+
+  @BeforeEach
+  void begin() throws Exception {
+    loop = new EventLoop("pool-test");
+  }
+
+  @AfterEach
+  void end() {
+    loop.close();
+  }
+
+  /** Welcomed once its connection is up, after it has held up the loop for so long. */
+  private final class Slow implements ServerConnectionHandler<String, String> {
+    private final double holds;
+    private final AtomicInteger carried;
+    private Keeper keeper;
+
+    Slow(double holds, AtomicInteger carried) {
+      this.holds = holds;
+      this.carried = carried;
     }
 
-    private AttemptEnd<String> send(double holds, double within, AtomicInteger carried) throws Exception {
-        try (var server = new ScriptedPeer(wire -> wire.ends())) {
-            var told = new CompletableFuture<AttemptEnd<String>>();
-            loop.runAndWait(() -> {
-                var pool = new Pool<String, String>(loop, new Counters(), () -> new Slow(holds, carried), "probe", 250, 30_000, 8);
-                pool.locate("m", server.address());
-                pool.send("m", "query", 500, within, told::complete);
-            });
-            return told.get(5, TimeUnit.SECONDS);
-        }
+    @Override
+    public void keeper(Keeper keeper) {
+      this.keeper = keeper;
     }
 
-    /**
-     * Guards against a stale read: a loop held up, as by a processor that is taken away, ran the welcome before the timer
-     * that was to end the wait, and sent a bounded read whose data had aged past its bound.
-     */
-    @Test void aConnectionThatIsUpTooLateCarriesNothingThoughItsTimerIsLateToo() throws Exception {
-        var carried = new AtomicInteger();
-        AttemptEnd<String> end = send(80, 30, carried);
-        assertThat(end).as("its member is not to blame").isInstanceOf(AttemptEnd.Unsent.class);
-        assertThat(carried).hasValue(0);
+    @Override
+    public void carry(String query, double left, Ports.Hearer<String> hearer) {
+      carried.incrementAndGet();
+      hearer.ended(new AttemptEnd.Served<>("row", AttemptEnd.Note.NONE));
     }
 
-    /** Guards against handshakes paid for nothing: what came up too late for one is there for the next. */
-    @Test void aConnectionThatCameTooLateIsKeptForTheNext() throws Exception {
-        var carried = new AtomicInteger();
-        var opened = new AtomicInteger();
-        try (var server = new ScriptedPeer(wire -> {
-            opened.incrementAndGet();
-            wire.ends();
-        })) {
-            var first = new CompletableFuture<AttemptEnd<String>>();
-            var second = new CompletableFuture<AttemptEnd<String>>();
-            loop.runAndWait(() -> {
-                var pool = new Pool<String, String>(loop, new Counters(), () -> new Slow(60, carried), "probe", 250, 30_000, 8);
-                pool.locate("m", server.address());
-                pool.send("m", "one", 500, 30, first::complete);
-                first.thenRun(() -> loop.after(100, () -> pool.send("m", "two", 500, 30, second::complete)));
-            });
-            assertThat(first.get(5, TimeUnit.SECONDS)).isInstanceOf(AttemptEnd.Unsent.class);
-            assertThat(second.get(5, TimeUnit.SECONDS)).isInstanceOf(AttemptEnd.Served.class);
-            assertThat(opened).hasValue(1);
-        }
+    @Override
+    public Reach reach() {
+      return Reach.ANSWERED;
+    }
+
+    @Override
+    public boolean reusable() {
+      return false;
+    }
+
+    @Override
+    public void settle() {}
+
+    @Override
+    public void opened(Connection out) {
+      for (double until = loop.now() + holds; loop.now() < until; ) {
+        Thread.onSpinWait();
+      }
+      keeper.ready();
     }
 
-    @Test void oneThatIsUpInTimeCarries() throws Exception {
-        var carried = new AtomicInteger();
-        assertThat(send(0, 200, carried)).isInstanceOf(AttemptEnd.Served.class);
-        assertThat(carried).hasValue(1);
+    @Override
+    public void received(ByteBuffer in) {
+      in.position(in.limit());
     }
 
-    /** Guards against a send past a drain's grace: on a busy loop the connection came up long after the drain was heard. */
-    @Test void aConnectionOnItsWayToADatabaseThatDrainsCarriesNothing() throws Exception {
-        var carried = new AtomicInteger();
-        try (var server = new ScriptedPeer(wire -> wire.ends())) {
-            var told = new CompletableFuture<AttemptEnd<String>>();
-            loop.runAndWait(() -> {
-                var pool = new Pool<String, String>(loop, new Counters(), () -> new Slow(0, carried), "probe", 250, 30_000, 8);
-                pool.locate("m", server.address());
-                pool.send("m", "query", 500, 200, told::complete);
-                pool.forget("m");
-            });
-            assertThat(told.get(5, TimeUnit.SECONDS)).as("no effect, and nobody is to blame").isInstanceOf(AttemptEnd.Unsent.class);
-            loop.runAndWait(() -> { });
-            assertThat(carried).hasValue(0);
-        }
+    @Override
+    public void ended(String why) {
+      keeper.gone(why);
+    }
+  }
+
+  private AttemptEnd<String> send(double holds, double within, AtomicInteger carried)
+      throws Exception {
+    try (var server = new ScriptedPeer(wire -> wire.ends())) {
+      var told = new CompletableFuture<AttemptEnd<String>>();
+      loop.runAndWait(
+          () -> {
+            var pool =
+                new Pool<String, String>(
+                    loop, new Counters(), () -> new Slow(holds, carried), "probe", 250, 30_000, 8);
+            pool.locate("m", server.address());
+            pool.send("m", "query", 500, within, told::complete);
+          });
+      return told.get(5, TimeUnit.SECONDS);
+    }
+  }
+
+  /**
+   * Guards against a stale read: a loop held up, as by a processor that is taken away, ran the
+   * welcome before the timer that was to end the wait, and sent a bounded read whose data had aged
+   * past its bound.
+   */
+  @Test
+  void aConnectionThatIsUpTooLateCarriesNothingThoughItsTimerIsLateToo() throws Exception {
+    var carried = new AtomicInteger();
+    AttemptEnd<String> end = send(80, 30, carried);
+    assertThat(end).as("its member is not to blame").isInstanceOf(AttemptEnd.Unsent.class);
+    assertThat(carried).hasValue(0);
+  }
+
+  /**
+   * Guards against handshakes paid for nothing: what came up too late for one is there for the
+   * next.
+   */
+  @Test
+  void aConnectionThatCameTooLateIsKeptForTheNext() throws Exception {
+    var carried = new AtomicInteger();
+    var opened = new AtomicInteger();
+    try (var server =
+        new ScriptedPeer(
+            wire -> {
+              opened.incrementAndGet();
+              wire.ends();
+            })) {
+      var first = new CompletableFuture<AttemptEnd<String>>();
+      var second = new CompletableFuture<AttemptEnd<String>>();
+      loop.runAndWait(
+          () -> {
+            var pool =
+                new Pool<String, String>(
+                    loop, new Counters(), () -> new Slow(60, carried), "probe", 250, 30_000, 8);
+            pool.locate("m", server.address());
+            pool.send("m", "one", 500, 30, first::complete);
+            first.thenRun(
+                () -> loop.after(100, () -> pool.send("m", "two", 500, 30, second::complete)));
+          });
+      assertThat(first.get(5, TimeUnit.SECONDS)).isInstanceOf(AttemptEnd.Unsent.class);
+      assertThat(second.get(5, TimeUnit.SECONDS)).isInstanceOf(AttemptEnd.Served.class);
+      assertThat(opened).hasValue(1);
+    }
+  }
+
+  @Test
+  void oneThatIsUpInTimeCarries() throws Exception {
+    var carried = new AtomicInteger();
+    assertThat(send(0, 200, carried)).isInstanceOf(AttemptEnd.Served.class);
+    assertThat(carried).hasValue(1);
+  }
+
+  /**
+   * Guards against a send past a drain's grace: on a busy loop the connection came up long after
+   * the drain was heard.
+   */
+  @Test
+  void aConnectionOnItsWayToADatabaseThatDrainsCarriesNothing() throws Exception {
+    var carried = new AtomicInteger();
+    try (var server = new ScriptedPeer(wire -> wire.ends())) {
+      var told = new CompletableFuture<AttemptEnd<String>>();
+      loop.runAndWait(
+          () -> {
+            var pool =
+                new Pool<String, String>(
+                    loop, new Counters(), () -> new Slow(0, carried), "probe", 250, 30_000, 8);
+            pool.locate("m", server.address());
+            pool.send("m", "query", 500, 200, told::complete);
+            pool.forget("m");
+          });
+      assertThat(told.get(5, TimeUnit.SECONDS))
+          .as("no effect, and nobody is to blame")
+          .isInstanceOf(AttemptEnd.Unsent.class);
+      loop.runAndWait(() -> {});
+      assertThat(carried).hasValue(0);
     }
+  }
 }
--- a/src/test/java/crankspar/net/StallDetectorTest.java
+++ b/src/test/java/crankspar/net/StallDetectorTest.java
@@ -32,7 +32,9 @@
     }
   }
 
-  /** A signal that waited for the process to go on came at the stall's beginning, as far as known. */
+  /**
+   * A signal that waited for the process to go on came at the stall's beginning, as far as known.
+   */
   @Test
   void whatIsNoticedDuringOrRightAfterAStallMayHaveComeAtItsBeginning() {
     detector.step(100);
--- a/src/test/java/crankspar/net/TurnOrderTest.java
+++ b/src/test/java/crankspar/net/TurnOrderTest.java
@@ -16,7 +16,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** The order in which a loop that was late takes what came meanwhile, and how old it takes it for. */
+/**
+ * The order in which a loop that was late takes what came meanwhile, and how old it takes it for.
+ */
 class TurnOrderTest {
   private static final long STILL_MS = 120;
 
--- a/src/test/java/crankspar/pg/Pg.java
+++ b/src/test/java/crankspar/pg/Pg.java
@@ -9,81 +9,89 @@
 
 /** A wire with messages instead of bytes. */
 public final class Pg {
-    public final Wire wire;
-    private final PgDecoder decoder;
+  public final Wire wire;
+  private final PgDecoder decoder;
 
-    public Pg(Wire wire, boolean fromClient) {
-        this.wire = wire;
-        decoder = new PgDecoder(fromClient);
-    }
+  public Pg(Wire wire, boolean fromClient) {
+    this.wire = wire;
+    decoder = new PgDecoder(fromClient);
+  }
 
-    public void send(PgMessage... messages) throws IOException {
-        var e = new PgEncoder();
-        for (PgMessage m : messages) {
-            e.add(m);
-        }
-        wire.send(e.bytes());
+  public void send(PgMessage... messages) throws IOException {
+    var e = new PgEncoder();
+    for (PgMessage m : messages) {
+      e.add(m);
     }
+    wire.send(e.bytes());
+  }
 
-    public PgMessage next() throws IOException {
-        try {
-            for (PgMessage m = decoder.next(); ; m = decoder.next()) {
-                if (m != null) {
-                    return m;
-                }
-                decoder.feed(ByteBuffer.wrap(wire.read(1)));
-            }
-        } catch (PgDecoder.Malformed e) {
-            throw new IOException(e);
+  public PgMessage next() throws IOException {
+    try {
+      for (PgMessage m = decoder.next(); ; m = decoder.next()) {
+        if (m != null) {
+          return m;
         }
+        decoder.feed(ByteBuffer.wrap(wire.read(1)));
+      }
+    } catch (PgDecoder.Malformed e) {
+      throw new IOException(e);
     }
+  }
 
-    /** What comes before ReadyForQuery, without the notes. */
-    public List<PgMessage> answer() throws IOException {
-        var all = new ArrayList<PgMessage>();
-        for (PgMessage m = next(); !(m instanceof PgMessage.ReadyForQuery); m = next()) {
-            if (!(m instanceof PgMessage.ParameterStatus)) {
-                all.add(m);
-            }
-        }
-        return all;
+  /** What comes before ReadyForQuery, without the notes. */
+  public List<PgMessage> answer() throws IOException {
+    var all = new ArrayList<PgMessage>();
+    for (PgMessage m = next(); !(m instanceof PgMessage.ReadyForQuery); m = next()) {
+      if (!(m instanceof PgMessage.ParameterStatus)) {
+        all.add(m);
+      }
     }
+    return all;
+  }
 
-    public List<PgMessage> ask(String sql) throws IOException {
-        send(new PgMessage.Query(sql));
-        return answer();
-    }
+  public List<PgMessage> ask(String sql) throws IOException {
+    send(new PgMessage.Query(sql));
+    return answer();
+  }
 
-    /** A client's side, greeted. */
-    public static Pg welcomed(Wire wire) throws IOException {
-        var pg = new Pg(wire, false);
-        pg.send(new PgMessage.Startup(Map.of("user", "client", "database", "core")));
-        pg.answer();
-        return pg;
-    }
+  /** A client's side, greeted. */
+  public static Pg welcomed(Wire wire) throws IOException {
+    var pg = new Pg(wire, false);
+    pg.send(new PgMessage.Startup(Map.of("user", "client", "database", "core")));
+    pg.answer();
+    return pg;
+  }
 
-    /** A server's side of one connection: it welcomes, settles, and gives each other query to the script. */
-    public static void serve(Wire wire, Query script) throws IOException, InterruptedException {
-        var pg = new Pg(wire, true);
-        pg.next();
-        pg.send(new PgMessage.AuthenticationOk(), new PgMessage.ReadyForQuery());
-        while (true) {
-            String sql = ((PgMessage.Query) pg.next()).sql();
-            if (sql.isEmpty()) {
-                pg.send(new PgMessage.EmptyQueryResponse(), new PgMessage.ReadyForQuery());
-            } else {
-                script.play(pg, sql);
-            }
-        }
+  /**
+   * A server's side of one connection: it welcomes, settles, and gives each other query to the
+   * script.
+   */
+  public static void serve(Wire wire, Query script) throws IOException, InterruptedException {
+    var pg = new Pg(wire, true);
+    pg.next();
+    pg.send(new PgMessage.AuthenticationOk(), new PgMessage.ReadyForQuery());
+    while (true) {
+      String sql = ((PgMessage.Query) pg.next()).sql();
+      if (sql.isEmpty()) {
+        pg.send(new PgMessage.EmptyQueryResponse(), new PgMessage.ReadyForQuery());
+      } else {
+        script.play(pg, sql);
+      }
     }
+  }
 
-    public interface Query { void play(Pg pg, String sql) throws IOException, InterruptedException; }
+  public interface Query {
+    void play(Pg pg, String sql) throws IOException, InterruptedException;
+  }
 
-    /** A whole answer of one row, with the notes of a primary. */
-    public void row(String value, double now) throws IOException {
-        send(PgEncoder.textColumns("val"), new PgMessage.DataRow(List.of(value.getBytes())),
-                new PgMessage.CommandComplete("SELECT 1"), new PgMessage.ParameterStatus("role", "primary"),
-                new PgMessage.ParameterStatus("applied_ms", Long.toString((long) now)),
-                new PgMessage.ReadyForQuery());
-    }
+  /** A whole answer of one row, with the notes of a primary. */
+  public void row(String value, double now) throws IOException {
+    send(
+        PgEncoder.textColumns("val"),
+        new PgMessage.DataRow(List.of(value.getBytes())),
+        new PgMessage.CommandComplete("SELECT 1"),
+        new PgMessage.ParameterStatus("role", "primary"),
+        new PgMessage.ParameterStatus("applied_ms", Long.toString((long) now)),
+        new PgMessage.ReadyForQuery());
+  }
 }
--- a/src/test/java/crankspar/pooling/ProgressTest.java
+++ b/src/test/java/crankspar/pooling/ProgressTest.java
@@ -8,38 +8,57 @@
 
 /** What may follow a break, at every step of a transaction. */
 class ProgressTest {
-    /**
-     * A program: SQL goes out (and {@code !} its last byte has left; {@code ?} of several messages, some have),
-     * {@code I T E} the server is ready so, {@code =TAG} an answer, {@code >} something was shown.
-     */
-    @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "SELECT 1 | ELSEWHERE", "SELECT 1,! | ELSEWHERE", "SELECT 1,!,> | FAILED",
-        "INSERT 1 | ELSEWHERE", "INSERT 1,! | UNKNOWN", "INSERT 1,!,=INSERT 0 1,> | UNKNOWN", "INSERT 1,!,=INSERT 0 1,I | FAILED",
-        "?INSERT 1 | FAILED", "?SELECT 1 | ELSEWHERE",
-        "BEGIN | ELSEWHERE", "BEGIN,! | ELSEWHERE", "BEGIN,!,=BEGIN,T,> | FAILED",
-        "BEGIN,!,=BEGIN,T,>,INSERT 1,! | FAILED", "BEGIN,!,=BEGIN,T,>,INSERT 1,!,T,COMMIT | FAILED",
-        "BEGIN,!,=BEGIN,T,>,INSERT 1,!,T,COMMIT,! | UNKNOWN", "BEGIN,!,=BEGIN,T,>,INSERT 1,!,T,COMMIT,!,=COMMIT | FAILED",
-        "BEGIN,!,=BEGIN,T,>,INSERT 1,!,T,ROLLBACK,! | FAILED", "BEGIN,!,T,>,INSERT 1,!,E,COMMIT,!,=ROLLBACK,I | FAILED",
-        "BEGIN; INSERT 1; COMMIT | ELSEWHERE", "BEGIN; INSERT 1; COMMIT,! | UNKNOWN", "BEGIN; INSERT 1,! | FAILED",
-        "BEGIN; SELECT 1,! | ELSEWHERE", "SET a TO 1,! | ELSEWHERE", "EXECUTE p,! | UNKNOWN"})
-    void theVerdict(String program, Verdict verdict) {
-        var p = new Progress();
-        for (String step : program.strip().split(",")) {
-            switch (step.charAt(0)) {
-                case '!' -> p.sent();
-                case '>' -> p.shown();
-                case '=' -> p.decided(step.substring(1));
-                case '?' -> p.sending(Sql.split(step.substring(1)), false);
-                default -> {
-                    if (step.length() == 1) {
-                        p.ready(step.charAt(0));
-                    } else {
-                        p.sending(Sql.split(step), true);
-                    }
-                }
-            }
+  /**
+   * A program: SQL goes out (and {@code !} its last byte has left; {@code ?} of several messages,
+   * some have), {@code I T E} the server is ready so, {@code =TAG} an answer, {@code >} something
+   * was shown.
+   */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "SELECT 1 | ELSEWHERE",
+        "SELECT 1,! | ELSEWHERE",
+        "SELECT 1,!,> | FAILED",
+        "INSERT 1 | ELSEWHERE",
+        "INSERT 1,! | UNKNOWN",
+        "INSERT 1,!,=INSERT 0 1,> | UNKNOWN",
+        "INSERT 1,!,=INSERT 0 1,I | FAILED",
+        "?INSERT 1 | FAILED",
+        "?SELECT 1 | ELSEWHERE",
+        "BEGIN | ELSEWHERE",
+        "BEGIN,! | ELSEWHERE",
+        "BEGIN,!,=BEGIN,T,> | FAILED",
+        "BEGIN,!,=BEGIN,T,>,INSERT 1,! | FAILED",
+        "BEGIN,!,=BEGIN,T,>,INSERT 1,!,T,COMMIT | FAILED",
+        "BEGIN,!,=BEGIN,T,>,INSERT 1,!,T,COMMIT,! | UNKNOWN",
+        "BEGIN,!,=BEGIN,T,>,INSERT 1,!,T,COMMIT,!,=COMMIT | FAILED",
+        "BEGIN,!,=BEGIN,T,>,INSERT 1,!,T,ROLLBACK,! | FAILED",
+        "BEGIN,!,T,>,INSERT 1,!,E,COMMIT,!,=ROLLBACK,I | FAILED",
+        "BEGIN; INSERT 1; COMMIT | ELSEWHERE",
+        "BEGIN; INSERT 1; COMMIT,! | UNKNOWN",
+        "BEGIN; INSERT 1,! | FAILED",
+        "BEGIN; SELECT 1,! | ELSEWHERE",
+        "SET a TO 1,! | ELSEWHERE",
+        "EXECUTE p,! | UNKNOWN"
+      })
+  void theVerdict(String program, Verdict verdict) {
+    var p = new Progress();
+    for (String step : program.strip().split(",")) {
+      switch (step.charAt(0)) {
+        case '!' -> p.sent();
+        case '>' -> p.shown();
+        case '=' -> p.decided(step.substring(1));
+        case '?' -> p.sending(Sql.split(step.substring(1)), false);
+        default -> {
+          if (step.length() == 1) {
+            p.ready(step.charAt(0));
+          } else {
+            p.sending(Sql.split(step), true);
+          }
         }
-        assertThat(p.verdict()).isEqualTo(verdict);
+      }
     }
+    assertThat(p.verdict()).isEqualTo(verdict);
+  }
 }
