A bounded read is not written long after its decision, also on a connection that is up

Cause: the 40 ms that a bounded read's data may age between the module's judgement and the write were held for connections that come up only; a stop between the two on a connection that is up wrote it all the same. Found by asking the incident's question of the last check. Change: an attempt knows when the event began in which it was decided; the last check refuses a bounded read that is older than 40 ms. A place at the full door that came free by itself is not made twice. Measured: LastCheckTest, PoolerTest, RoomTest, ClosingTest, StructureTest pass; seen red without the check: not run.

--- a/src/main/java/crankspar/core/Attempt.java
+++ b/src/main/java/crankspar/core/Attempt.java
@@ -10,15 +10,26 @@
   final int number;
   final String member;
   final double sent;
+
+  /** When the decision to send began (ms). */
+  final double decided;
+
   Ports.Call call;
   boolean ended, written, told;
 
-  Attempt(Pooler<Q, A> core, String request, PendingRequest<Q, A> owed, String member, double now) {
+  Attempt(
+      Pooler<Q, A> core,
+      String request,
+      PendingRequest<Q, A> owed,
+      String member,
+      double now,
+      double decided) {
     this.core = core;
     this.request = request;
     this.owed = owed;
     this.member = member;
     sent = now;
+    this.decided = decided;
     number = owed.sent++;
   }
 
--- a/src/main/java/crankspar/core/PendingRequest.java
+++ b/src/main/java/crankspar/core/PendingRequest.java
@@ -75,6 +75,11 @@
         : kind.repeat() == Repeat.KEYED ? risk + kind.keyTtl() - now : Double.POSITIVE_INFINITY;
   }
 
+  /** Whether its data may have passed its bound since the decision to send it (ms). */
+  boolean aged(double decided, double now) {
+    return freshness() == Freshness.BOUNDED && now - decided > AGEING_MOST;
+  }
+
   /** Whether anything more may be sent for it now. */
   boolean open(double now) {
     return !over && !left && begun == null && now < deadline && within(now) > 0;
--- a/src/main/java/crankspar/core/Pooler.java
+++ b/src/main/java/crankspar/core/Pooler.java
@@ -72,7 +72,7 @@
         most = settings.limits().secondCopies() ? 2 : 1;
         figures = new Figures(settings.classes().size());
         notes = new Notes(time, counters);
-        turns = new Turns(counters);
+        turns = new Turns(time, counters);
         prober = new Prober<>(time, backends, counters, notes, settings.limits().dialTimeout());
         module = maker.apply(settings, this);
     }
@@ -193,7 +193,7 @@
                 gone(a.request);
             }
         }
-        return !a.ended && o.open(now());
+        return !a.ended && o.open(now()) && !o.aged(a.decided, now());
     }
 
     /** An attempt's last byte has left. */
@@ -210,7 +210,7 @@
         if (o == null) {
             return;
         }
-        var a = new Attempt<>(this, request, o, member, now());
+        var a = new Attempt<>(this, request, o, member, now(), turns.began());
         double left = Math.min(timeout > 0 ? timeout : Double.MAX_VALUE, o.deadline - now());
         if (!o.open(now()) || left <= 0 || o.out.size() >= most || a.number >= settings.limits().mostTries()) {
             end(a, Status.MOOT, AttemptEnd.Note.NONE);
--- a/src/main/java/crankspar/net/Clients.java
+++ b/src/main/java/crankspar/net/Clients.java
@@ -150,6 +150,9 @@
       }
       Standing before = least.standing();
       least.readNow();
+      if (places.size() < most) {
+        return true; // it has left by itself
+      }
       if (least.standing() == before) {
         makeRoom(least, before);
         return true;
--- /dev/null
+++ b/src/test/java/crankspar/core/LastCheckTest.java
@@ -0,0 +1,140 @@
+package crankspar.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import crankspar.Router;
+import crankspar.TestSettings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** What is asked right before a write, after time has gone by since the decision to send. */
+class LastCheckTest implements Ports.Time, Ports.Backends<String, String> {
+  private static final int BOUNDED = 0;
+  private static final int FRESH = 2;
+  private static final double DEADLINE_MS = 500;
+
+  private final List<FinalAnswer<String>> answers = new ArrayList<>();
+  private final Counters counters = new Counters();
+  private double now = 1000;
+  private double passes;
+  private boolean present = true;
+  private Ports.Hearer<String> hearer;
+  private boolean wanted;
+
+  private final Pooler<String, String> pooler =
+      new Pooler<>(
+          TestSettings.platform(),
+          this,
+          this,
+          on -> {},
+          counters,
+          (settings, actions) -> new Once(actions));
+
+  /** Sends each request once. */
+  private record Once(Actions actions) implements Router {
+    @Override
+    public void onStart(double now) {}
+
+    @Override
+    public void onMembers(double now, ListKind kind, List<Member> members) {}
+
+    @Override
+    public void onWatchLost(double now) {}
+
+    @Override
+    public void onRequest(double now, Request r) {
+      actions.send(r.id(), "m", 0);
+    }
+
+    @Override
+    public void onOutcome(double now, Outcome o) {}
+
+    @Override
+    public void onProbe(double now, ProbeResult r) {}
+
+    @Override
+    public void onGone(double now, String request) {}
+
+    @Override
+    public void onTimer(double now, long cookie) {}
+
+    @Override
+    public Set<String> avoided() {
+      return Set.of();
+    }
+  }
+
+  @Override
+  public double now() {
+    return now;
+  }
+
+  @Override
+  public void after(double ms, Runnable action) {}
+
+  @Override
+  public Ports.Call send(
+      String member, String query, double left, double within, Ports.Hearer<String> hearer) {
+    now += passes;
+    this.hearer = hearer;
+    wanted = hearer.wanted();
+    return () -> Reach.NOT_CONNECTED;
+  }
+
+  @Override
+  public Ports.Call probe(String member, Consumer<AttemptEnd<String>> end) {
+    throw new UnsupportedOperationException();
+  }
+
+  private void take(int requestClass, double passes) {
+    this.passes = passes;
+    pooler.take(
+        new Ports.Ask<>(requestClass, DEADLINE_MS, "s", Double.NaN, 2, "query"),
+        new Ports.Reply<>() {
+          @Override
+          public boolean present() {
+            return present;
+          }
+
+          @Override
+          public void answer(FinalAnswer<String> answer) {
+            answers.add(answer);
+          }
+        });
+  }
+
+  @Test
+  void whatIsWrittenAtOnceIsWanted() {
+    take(BOUNDED, 0);
+    assertThat(wanted).isTrue();
+  }
+
+  /** Guards against a stale read: the module judged a replica's position before the stop. */
+  @Test
+  void aBoundedReadIsNotWrittenLongAfterItWasDecided() {
+    take(BOUNDED, 60);
+    assertThat(wanted).isFalse();
+    take(FRESH, 60);
+    assertThat(wanted).isTrue();
+  }
+
+  @Test
+  void nothingIsWrittenBehindItsDeadline() {
+    take(FRESH, DEADLINE_MS + 1);
+    assertThat(wanted).isFalse();
+  }
+
+  @Test
+  void nothingIsWrittenForAClientThatHasLeftAndItsRequestIsOver() {
+    present = false;
+    take(FRESH, 0);
+    assertThat(wanted).isFalse();
+    assertThat(pooler.owing()).isZero();
+    assertThat(counters.get("gone")).isEqualTo(1);
+    hearer.ended(new AttemptEnd.Unsent<>("not wanted"));
+    assertThat(answers).isEmpty();
+  }
+}
