--- a/src/main/java/crankspar/daemon/Directory.java
+++ b/src/main/java/crankspar/daemon/Directory.java
@@ -6,7 +6,7 @@
 import crankspar.core.Pooler;
 import crankspar.core.Ports;
 import crankspar.discovery.MemberList;
-import crankspar.net.Addressed;
+import crankspar.net.MemberAddresses;
 import crankspar.store.Store;
 import crankspar.syslog.StructuredData;
 import java.io.IOException;
@@ -41,7 +41,7 @@
   private final double ramp;
   private final Store store;
   private final String key;
-  private final Addressed pool;
+  private final MemberAddresses pool;
   private final Pooler<?, ?> pooler;
   private final Map<String, Member> members = new LinkedHashMap<>();
   private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
@@ -60,7 +60,7 @@
       double ramp,
       Store store,
       String front,
-      Addressed pool,
+      MemberAddresses pool,
       Pooler<?, ?> pooler) {
     this.clock = clock;
     this.ramp = ramp;
--- a/src/main/java/crankspar/daemon/Fronts.java
+++ b/src/main/java/crankspar/daemon/Fronts.java
@@ -6,7 +6,7 @@
 import crankspar.core.Ports;
 import crankspar.discovery.MemberList;
 import crankspar.discovery.Watch;
-import crankspar.net.Addressed;
+import crankspar.net.MemberAddresses;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
@@ -31,7 +31,7 @@
   private static final double LOOK_ROUND = 300;
 
   /** What a front is made of, once it is known where its core hears of discovery. */
-  record Made(Front front, Pooler<?, ?> core, Addressed pool, Listening door) {}
+  record Made(Front front, Pooler<?, ?> core, MemberAddresses pool, Listening door) {}
 
   interface Listening {
     InetSocketAddress listen() throws IOException;
--- a/src/main/java/crankspar/daemon/Warmup.java
+++ b/src/main/java/crankspar/daemon/Warmup.java
@@ -192,8 +192,8 @@
       String member, Statement query, double left, double within, Ports.Hearer<PgAnswer> hearer) {
     boolean load = query.equals(PgFront.probe());
     ServerConnectionHandler<Statement, PgAnswer> carrier = PgFront.dial(counters);
-    carrier.keeper(
-        new ServerConnectionHandler.Keeper() {
+    carrier.owner(
+        new ServerConnectionHandler.Owner() {
           @Override
           public void ready() {}
 
--- a/src/main/java/crankspar/net/ClientConnectionHandler.java
+++ b/src/main/java/crankspar/net/ClientConnectionHandler.java
@@ -1,6 +1,6 @@
 package crankspar.net;
 
-/** A client's machine, as the keeper of all clients' connections sees it. */
+/** A client's connection handler, as {@link Clients} sees it. */
 public interface ClientConnectionHandler extends ConnectionHandler {
   /** What a connection is doing; the earlier ones are the first to go when there is no room. */
   enum Standing {
--- a/src/main/java/crankspar/net/Clients.java
+++ b/src/main/java/crankspar/net/Clients.java
@@ -89,7 +89,7 @@
     return loop == null ? 0 : loop.now();
   }
 
-  /** A machine for a client's connection, or null when all places are taken by requests. */
+  /** A handler for a client's connection, or null when all places are taken by requests. */
   public ConnectionHandler admit() {
     if (places.size() >= most && !makeRoom()) {
       counters.add("client_connections_refused");
--- a/src/main/java/crankspar/net/Addressed.java
+++ b/src/main/java/crankspar/net/MemberAddresses.java
@@ -2,8 +2,8 @@
 
 import java.net.InetSocketAddress;
 
-/** What holds connections to members, and is told where they are. */
-public interface Addressed {
+/** Holds connections to members; discovery's list says where they listen. */
+public interface MemberAddresses {
   /** Where a member listens; a new address makes its old connections useless. */
   void locate(String id, InetSocketAddress address);
 
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -18,7 +18,7 @@
  * Connections to the servers, kept between requests. It sends where it is told, once: a request that meets a
  * connection which will not come up, or one that ends, gets that as its outcome.
  */
-public final class Pool<Q, A> implements Ports.Backends<Q, A>, Addressed {
+public final class Pool<Q, A> implements Ports.Backends<Q, A>, MemberAddresses {
     /** Idle connections are closed after this share of the time at which the server may do so. */
     private static final double IDLE_SHARE = 0.5;
     private static final double SWEEP = 1000;
@@ -47,7 +47,7 @@
     }
 
     /** One connection with what it carries. */
-    private final class Link implements ServerConnectionHandler.Keeper, Ports.Call, Ports.Hearer<A> {
+    private final class Link implements ServerConnectionHandler.Owner, Ports.Call, Ports.Hearer<A> {
         final Member member;
         final InetSocketAddress address;
         final ServerConnectionHandler<Q, A> handler = dialect.get();
@@ -67,7 +67,7 @@
             open++;
             member.dialled.add(this);
             counters.add("server_connections_opened");
-            handler.keeper(this);
+            handler.owner(this);
             stream = loop.connect(address, handler);
             loop.after(dialTimeout, () -> {
                 if (!up) {
--- a/src/main/java/crankspar/net/ServerConnectionHandler.java
+++ b/src/main/java/crankspar/net/ServerConnectionHandler.java
@@ -4,21 +4,21 @@
 import crankspar.core.Reach;
 
 /**
- * A machine for one connection to a server, which carries one request at a time. Its end is told
- * exactly once; a connection that breaks while it carries nothing just ends.
+ * A protocol state machine for one connection to a server, which carries one request at a time. Its
+ * end is told exactly once; a connection that breaks while it carries nothing just ends.
  */
 public interface ServerConnectionHandler<Q, A> extends ConnectionHandler {
   /**
-   * What the pool wants to hear: that a request may be carried, and that the connection is gone.
+   * What its pool is notified of: that a request may be carried, and that the connection is gone.
    */
-  interface Keeper {
+  interface Owner {
     /** It is welcomed or, after a request, settled. */
     void ready();
 
     void gone(String why);
   }
 
-  void keeper(Keeper keeper);
+  void owner(Owner owner);
 
   /** Writes the request; called only when ready and idle. */
   void carry(Q query, double left, Ports.Hearer<A> hearer);
--- a/src/main/java/crankspar/pg/PgFront.java
+++ b/src/main/java/crankspar/pg/PgFront.java
@@ -72,7 +72,7 @@
     return clients.listen(address);
   }
 
-  /** A machine for a client's connection, or null when there are too many. */
+  /** A handler for a client's connection, or null when there are too many. */
   public ConnectionHandler session() {
     return clients.admit();
   }
--- a/src/main/java/crankspar/pg/ServerSession.java
+++ b/src/main/java/crankspar/pg/ServerSession.java
@@ -54,7 +54,7 @@
 
   private final PgDecoder decoder = new PgDecoder(false);
   private final Counters counters;
-  private Keeper keeper;
+  private Owner owner;
   private Connection out;
   private Phase phase = Phase.DIALLED;
   private Reach reach = Reach.NOT_CONNECTED;
@@ -74,8 +74,8 @@
   }
 
   @Override
-  public void keeper(Keeper keeper) {
-    this.keeper = keeper;
+  public void owner(Owner owner) {
+    this.owner = owner;
   }
 
   @Override
@@ -136,14 +136,14 @@
     } catch (PgDecoder.Malformed e) {
       counters.add(hearer == null ? "server_unasked_bytes" : "server_malformed");
       out.close();
-      keeper.gone("malformed: " + e.getMessage());
+      owner.gone("malformed: " + e.getMessage());
       return;
     }
     if (phase == Phase.IDLE && !decoder.empty()) {
       // A second copy, say: it must not be taken for the answer to the next request.
       counters.add("server_unasked_bytes");
       out.close();
-      keeper.gone("bytes that nothing asked for");
+      owner.gone("bytes that nothing asked for");
     }
   }
 
@@ -160,16 +160,16 @@
         && m instanceof PgMessage.ReadyForQuery
         && decoder.empty()) {
       phase = Phase.IDLE;
-      keeper.ready();
+      owner.ready();
     } else if (phase.compareTo(Phase.IDLE) < 0 && m instanceof PgMessage.Report r) {
       // Too many connections, say: told before anything was asked, so nothing was written.
       out.close();
-      keeper.gone("not welcome: " + r.code() + " " + r.message());
+      owner.gone("not welcome: " + r.code() + " " + r.message());
     } else if (phase == Phase.SETTLING && m instanceof PgMessage.EmptyQueryResponse) {
       phase = Phase.SETTLED;
     } else if (phase == Phase.SETTLED && m instanceof PgMessage.ReadyForQuery && decoder.empty()) {
       phase = Phase.IDLE;
-      keeper.ready();
+      owner.ready();
     } else if (phase == Phase.ASKED
         && m instanceof PgMessage.RowDescription d
         && d.columns() == 1) {
@@ -271,7 +271,7 @@
     if (phase == Phase.ERROR && decoder.empty()) {
       over();
     }
-    keeper.gone(why);
+    owner.gone(why);
   }
 
   /**
--- a/src/main/java/crankspar/pooling/PoolingFront.java
+++ b/src/main/java/crankspar/pooling/PoolingFront.java
@@ -5,7 +5,7 @@
 import crankspar.core.Front;
 import crankspar.core.Pooler;
 import crankspar.core.Ports;
-import crankspar.net.Addressed;
+import crankspar.net.MemberAddresses;
 import crankspar.net.Connection;
 import crankspar.net.ConnectionHandler;
 import crankspar.net.EventLoop;
@@ -66,7 +66,7 @@
     }
 
     /** A front with its core: the caller feeds both with members. */
-    public record Parts(PoolingFront front, Pooler<?, ?> core, Addressed connections) { }
+    public record Parts(PoolingFront front, Pooler<?, ?> core, MemberAddresses connections) { }
 
     /** Session marks are kept here, by client, and carried with each request; {@code servers} bounds connections to servers. */
     public static Parts build(EventLoop loop, Router.Settings settings, Counters counters, Ports.Discovery discovery,
@@ -105,7 +105,7 @@
         counters.add("pooling_reloads");
     }
 
-    /** A machine for a client's connection; beyond the bound one that only says so. */
+    /** A handler for a client's connection; beyond the bound one that only says so. */
     private ConnectionHandler admit() {
         if (clients.size() >= setup.limits().clients()) {
             counters.add("pooling_clients_refused");
--- a/src/main/java/crankspar/pooling/Servers.java
+++ b/src/main/java/crankspar/pooling/Servers.java
@@ -4,10 +4,10 @@
 import crankspar.core.Counters;
 import crankspar.core.Ports;
 import crankspar.core.Reach;
-import crankspar.net.Addressed;
 import crankspar.net.Connection;
 import crankspar.net.ConnectionHandler;
 import crankspar.net.EventLoop;
+import crankspar.net.MemberAddresses;
 import crankspar.net.Pool;
 import crankspar.net.SocketConnection;
 import crankspar.pg.PgAnswer;
@@ -31,7 +31,7 @@
  * which idle connection is used and which are closed {@link Keeping} decides. Probes have
  * connections of their own.
  */
-final class Servers implements Ports.Backends<Opening, Answer>, Addressed, Server.Keeper {
+final class Servers implements Ports.Backends<Opening, Answer>, MemberAddresses, Server.Keeper {
   private static final double SWEEP = 250;
 
   /** A member that is gone is forgotten after this long (ms), by when no attempt at it is out. */
--- a/src/main/java/crankspar/rest/RestServerSession.java
+++ b/src/main/java/crankspar/rest/RestServerSession.java
@@ -38,7 +38,7 @@
   private final Counters counters;
   private final Ports.Time clock;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-  private Keeper keeper;
+  private Owner owner;
   private Connection out;
   private Reach reach = Reach.NOT_CONNECTED;
   private RestQuery query;
@@ -54,8 +54,8 @@
   }
 
   @Override
-  public void keeper(Keeper keeper) {
-    this.keeper = keeper;
+  public void owner(Owner owner) {
+    this.owner = owner;
   }
 
   @Override
@@ -71,7 +71,7 @@
   @Override
   public void opened(Connection out) {
     this.out = out;
-    keeper.ready();
+    owner.ready();
   }
 
   @Override
@@ -113,7 +113,7 @@
         SETTLE,
         () -> {
           if (!surplus) {
-            keeper.ready();
+            owner.ready();
           }
         });
   }
@@ -161,7 +161,7 @@
     surplus = true;
     counters.add(counter);
     out.close();
-    keeper.gone(why);
+    owner.gone(why);
   }
 
   @Override
@@ -195,7 +195,7 @@
     told.ended(how);
     if (!keepAlive) {
       out.close();
-      keeper.gone("closed by the server's wish");
+      owner.gone("closed by the server's wish");
     }
   }
 
@@ -310,6 +310,6 @@
 
   @Override
   public void ended(String why) {
-    keeper.gone(why);
+    owner.gone(why);
   }
 }
--- a/src/test/java/crankspar/net/PoolTest.java
+++ b/src/test/java/crankspar/net/PoolTest.java
@@ -31,7 +31,7 @@
   private final class Slow implements ServerConnectionHandler<String, String> {
     private final double holds;
     private final AtomicInteger carried;
-    private Keeper keeper;
+    private Owner owner;
 
     Slow(double holds, AtomicInteger carried) {
       this.holds = holds;
@@ -39,8 +39,8 @@
     }
 
     @Override
-    public void keeper(Keeper keeper) {
-      this.keeper = keeper;
+    public void owner(Owner owner) {
+      this.owner = owner;
     }
 
     @Override
@@ -67,7 +67,7 @@
       for (double until = loop.now() + holds; loop.now() < until; ) {
         Thread.onSpinWait();
       }
-      keeper.ready();
+      owner.ready();
     }
 
     @Override
@@ -77,7 +77,7 @@
 
     @Override
     public void ended(String why) {
-      keeper.gone(why);
+      owner.gone(why);
     }
   }
 
--- a/src/test/java/crankspar/pg/PgFrontTest.java
+++ b/src/test/java/crankspar/pg/PgFrontTest.java
@@ -400,7 +400,7 @@
         for (String value : List.of("NaN", "1e300", "Infinity", "0x1p60", "-5", "9".repeat(15), "")) {
             var session = new ServerSession(counters);
             var told = new ArrayList<crankspar.core.AttemptEnd<PgAnswer>>();
-            session.keeper(new crankspar.net.ServerConnectionHandler.Keeper() {
+            session.owner(new crankspar.net.ServerConnectionHandler.Owner() {
                 @Override public void ready() { session.carry(Statement.probe(), 100, told::add); }
                 @Override public void gone(String why) { }
             });
