The first client of a listener that has rested is not as old as the listener

Cause: an age counts from the last time that a socket was found empty; a listener was first found empty behind its first accept, and a connection that was paused kept the pause's time until it was next read. A first request over 300 ms after the door was opened came to its turn with no time left and was refused. Found by reading the new log lines of a process started by hand ("5 ms since it was taken, -5 ms left"). Change: a listener accepts once when it is registered; a connection that is read again is read at once. Measured: two tests of TurnOrderTest, red before and green with it.

--- a/src/main/java/crankspar/net/Listener.java
+++ b/src/main/java/crankspar/net/Listener.java
@@ -53,9 +53,11 @@
     }
   }
 
+  /** Accepts what has come since the socket was bound; from then on the polls tell its age. */
   void begin() {
     try {
       key = loop.register(server, SelectionKey.OP_ACCEPT, this);
+      ready();
     } catch (IOException e) {
       LOG.fine("a listener that was closed before it began: " + e);
     }
--- a/src/main/java/crankspar/net/SocketConnection.java
+++ b/src/main/java/crankspar/net/SocketConnection.java
@@ -215,6 +215,9 @@
     paused = !on;
     arrival.leftUnread(loop.previousPoll());
     updateInterest();
+    if (on) {
+      loop.run(this::readNow); // what comes behind what waited is not as old
+    }
   }
 
   /** Bytes that the peer has sent so far. */
--- a/src/test/java/crankspar/net/TurnOrderTest.java
+++ b/src/test/java/crankspar/net/TurnOrderTest.java
@@ -180,6 +180,36 @@
     }
   }
 
+  /** Guards against a first client whose request counted from when the door was opened. */
+  @Test
+  void whatComesWithTheFirstConnectionIsYoungHoweverLongTheListenerHasRested() throws Exception {
+    InetSocketAddress clientsAt = listen("client", false);
+    TimeUnit.MILLISECONDS.sleep(300);
+    double written = loop.now();
+    try (var client = new Socket(clientsAt.getAddress(), clientsAt.getPort())) {
+      client.getOutputStream().write(1);
+      assertThat(next(2)).containsExactly("client opened", "client received");
+      assertThat(firstByteSince).isGreaterThan(written - 100);
+    }
+  }
+
+  /** The same for a connection that was not read for a while. */
+  @Test
+  void whatComesOnAConnectionThatWasPausedIsYoung() throws Exception {
+    var handler = new Noting("client", false);
+    var any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    InetSocketAddress clientsAt = loop.listen(any, () -> handler).address();
+    try (Socket client = connected(clientsAt, "client")) {
+      loop.runAndWait(() -> handler.connection.reading(false));
+      loop.runAndWait(() -> handler.connection.reading(true));
+      TimeUnit.MILLISECONDS.sleep(300);
+      double written = loop.now();
+      client.getOutputStream().write(1);
+      assertThat(next(1)).containsExactly("client received");
+      assertThat(firstByteSince).isGreaterThan(written - 100);
+    }
+  }
+
   /** Those that the system has accepted for a listener are let in before it closes. */
   @Test
   void aListenerThatClosesLetsInWhatWaitsAtItsDoor() throws Exception {
