--- a/review/src/SilentClients.java
+++ b/review/src/SilentClients.java
@@ -15,13 +15,13 @@
  */
 final class SilentClients {
   private static final int VALUE_BYTES = 64 * 1024;
-  private static final int CLIENTS = 120;
+  private static final int CLIENTS = 150;
 
   /** Commands of a client: some bursts fill what the system buffers, some do not. */
-  private static final int COMMANDS_LEAST = 50;
+  private static final int COMMANDS_LEAST = 66;
 
   private static final int COMMANDS_STEP = 8;
-  private static final int COMMANDS_STEPS = 7;
+  private static final int COMMANDS_STEPS = 5;
 
   private static final long BETWEEN_MS = 300;
   private static final long DEADLINE_MS = 2000;
