A batch cut off before its Sync is rolled back, not committed by the next client

After an error in such a batch the next client's simple query got 08007 after 3 s; after one in a block the places were used up for good; a silent client kept its place; a drain ended a client in the midst of its batch; a query sent behind a failing message waited for an answer that never comes.

Cause: Server judged by the last ReadyForQuery and by the answers owed. Neither knows of a batch without its Sync. Ruled out as a way to clean: a Sync (it commits), ROLLBACK (passed over after an error). The connection is closed, and the server rolls back.

Change: Exchange keeps for each side whether a batch is open; Release is the one way to become free and names all that must be so. Drains, idle-in-transaction and transaction ask the same question.

--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -56,6 +56,10 @@
     private int at;
     private char status = 'I';
     private boolean pausing, skipping, copying, passing, executed;
+    /** Whether the client has begun a batch of the extended protocol and not sent its Sync. */
+    private boolean clientBatchOpen;
+    /** Whether the server has got a part of such a batch, and no Sync behind it. */
+    private boolean serverBatchOpen;
     private long prepares, executions;
     private String dropped, error;
 
@@ -75,8 +79,20 @@
 
     boolean copying() { return copying; }
 
-    /** Whether nothing is out and the server is between transactions. */
-    boolean settled() { return out.isEmpty() && status == 'I' && !copying; }
+    /** Whether nothing is out and both sides are between transactions. */
+    boolean settled() { return quiet() && !inTransaction(); }
+
+    /**
+     * Whether a transaction is open: in a block, or in a batch without its Sync. The status that the server told last
+     * knows nothing of the latter.
+     */
+    boolean inTransaction() { return status != 'I' || clientBatchOpen || serverBatchOpen; }
+
+    /** Whether the server has got a part of a batch, and no Sync behind it. */
+    boolean serverBatchOpen() { return serverBatchOpen; }
+
+    /** Whether an error has been told after which nothing counts up to the client's Sync. */
+    boolean awaitsSync() { return skipping; }
 
     /** Whether nothing is out. */
     boolean quiet() { return out.isEmpty() && !copying; }
@@ -102,6 +118,7 @@
         while (!out.isEmpty()) {
             out.pollLast().client().run();
         }
+        clientBatchOpen = serverBatchOpen = false;
         skipping = pausing = copying = passing = false;
         for (int i = answered.size() - 1; i >= 0; i--) {
             answered.get(i).client().run();
@@ -117,6 +134,7 @@
         if (skipping && f.type() != 'S') {
             return moves();                   // the server would pass over it, and say nothing
         }
+        clientBatchOpen = f.beginsBatch() || clientBatchOpen && !f.endsBatch();
         switch (f.type()) {
             case 'P' -> parse(f);
             case 'B' -> bind(f);
@@ -179,6 +197,7 @@
     }
 
     private void go(Frame f, Out expected) {
+        serverBatchOpen = f.beginsBatch() || serverBatchOpen && !f.endsBatch();
         toServer.add(f);
         out.add(expected);
     }
@@ -489,6 +508,10 @@
             passedOver.get(i).server().run();
         }
         skipping = out.isEmpty();
+        if (skipping) {                       // a simple query behind the error is passed over, too: no ready follows
+            clientBatchOpen = serverBatchOpen = true;
+            pausing = false;
+        }
     }
 
     private void ready(Frame f) throws Frame.Malformed {
--- a/src/main/java/crankspar/pooling/Frame.java
+++ b/src/main/java/crankspar/pooling/Frame.java
@@ -137,6 +137,11 @@
     return new Reader(wire, type == PART ? 0 : type < ' ' ? 4 : HEAD);
   }
 
+  /** Whether it is a client's message of the extended protocol that a Sync has to follow. */
+  boolean beginsBatch() {
+    return type == 'P' || type == 'B' || type == 'D' || type == 'C' || type == 'E';
+  }
+
   /** Whether a batch of its client's ends with it: what comes next is another. */
   boolean endsBatch() {
     return type == 'S' || type == 'Q' || type == 'F';
--- a/src/main/java/crankspar/pooling/PoolingFront.java
+++ b/src/main/java/crankspar/pooling/PoolingFront.java
@@ -245,7 +245,7 @@
             if (now - s.quietSince() > limits.idleInTransaction()) {
                 counters.add("pooling_idle_in_transaction");
                 s.opening().client.fatal("25P03", "idle in transaction for longer than it may");
-            } else if (s.status() != 'I' && now - s.since() > limits.transaction() && s.opening().mode == Setup.Mode.TRANSACTION) {
+            } else if (s.inTransaction() && now - s.since() > limits.transaction() && s.opening().mode == Setup.Mode.TRANSACTION) {
                 counters.add("pooling_transactions_late");
                 s.opening().client.fatal("25P04", "the transaction takes longer than it may");
             }
--- a/src/main/java/crankspar/pooling/Server.java
+++ b/src/main/java/crankspar/pooling/Server.java
@@ -106,7 +106,9 @@
     int secret() { return secret; }
     double since() { return since; }
     /** Since when its client owes the next message of an open transaction, or infinity. */
-    double quietSince() { return kept && exchange.quiet() && exchange.status() != 'I' ? quietSince : Double.POSITIVE_INFINITY; }
+    double quietSince() { return kept && exchange.quiet() && exchange.inTransaction() ? quietSince : Double.POSITIVE_INFINITY; }
+    /** Whether its client's transaction is open, in a block or in a batch without its Sync. */
+    boolean inTransaction() { return exchange != null && exchange.inTransaction(); }
     /** Whether its client's next messages must wait. */
     boolean pausing() { return exchange == null || exchange.pausing(); }
     /** Whether the server is read: not while what it gives has nowhere to go. */
@@ -208,6 +210,7 @@
         var bytes = new ArrayList<Frame>(frames.size() + 2);
         var local = new ArrayList<Frame>();
         boolean ends = false;
+        quietSince = keeper.now();
         long prepares = exchange.prepares();
         long executions = exchange.executions();
         try {
@@ -215,7 +218,7 @@
                 Exchange.Moves moves = exchange.fromClient(f);
                 bytes.addAll(moves.toServer());
                 local.addAll(moves.toClient());
-                ends |= f.type() == 'S' || f.type() == 'Q' || f.type() == 'F';
+                ends |= f.endsBatch();
             }
         } catch (Frame.Malformed e) {
             opening.client.fatal("08P01", e.getMessage());
@@ -243,6 +246,14 @@
         if (bytes.isEmpty() && state == State.ACTIVE && exchange.settled() && !exchange.pausing() && (ends || !opening.whole)) {
             ready();                          // nothing of it was for the server
         }
+        showErrorBeforeSync();
+    }
+
+    /** After an error nothing more comes from the server until its client, who has to hear of it first, sends a Sync. */
+    private void showErrorBeforeSync() {
+        if (state == State.ACTIVE && !kept && exchange.awaitsSync()) {
+            keep(Note.NONE);
+        }
     }
 
     private void deliver(List<Frame> frames) {
@@ -293,7 +304,9 @@
             case IDLE -> idle(f);
             case CARRYING -> carrying(f);
             case ACTIVE -> {
+                quietSince = keeper.now();
                 deliver(exchange.fromServer(f).toClient());
+                showErrorBeforeSync();
                 if (f.type() == 'Z' && state == State.ACTIVE) {
                     ready();
                 }
@@ -337,7 +350,7 @@
                 if (opening != null) {
                     carry();
                 } else {
-                    rest();
+                    release(Release.Condition.clean(unwanted(), cancelling));
                 }
             }
             default -> throw new Frame.Malformed("message type " + f.type() + " before the welcome");
@@ -447,13 +460,9 @@
     /** The transaction is over, and the connection may go to another client. */
     private void finish(AttemptEnd<Answer> how) {
         Ports.Hearer<Answer> told = hearer;
-        boolean open = exchange.status() != 'I';
+        Release.Condition condition = condition(false);
         detach();
-        if (open) {
-            clean(false);
-        } else {
-            rest();
-        }
+        release(condition);
         told.ended(how);
     }
 
@@ -467,16 +476,29 @@
         out.reading(true);                    // a slow client's answer is in its own queue by now
     }
 
-    /** Between clients: kept apart while a cancel for the last one may still come, else free. */
-    private void rest() {
-        if (closing || doubted) {
-            lose("no longer wanted");
-        } else if (cancelling > 0) {
-            to(State.TESTED);
-            cleaning = 0;
-        } else {
-            to(State.IDLE);
-            keeper.free(this);
+    private boolean unwanted() { return closing || doubted; }
+
+    /** How its client leaves it; {@code sessionState} where more is left than a transaction leaves. */
+    private Release.Condition condition(boolean sessionState) {
+        boolean libraryLoaded = opening.client.session().pins().kinds().contains(Pins.Kind.LOAD);
+        return new Release.Condition(!exchange.quiet(), exchange.serverBatchOpen(), exchange.status(), sessionState, libraryLoaded,
+                unwanted(), cancelling);
+    }
+
+    /** The only way to become free; also called once it has been cleaned. */
+    private void release(Release.Condition condition) {
+        switch (Release.of(condition)) {
+            case CLOSE -> lose("not fit for another client: " + condition);
+            case RESET_SESSION -> clean(true);
+            case ROLL_BACK -> clean(false);
+            case AWAIT_CANCEL -> {
+                to(State.TESTED);
+                cleaning = 0;
+            }
+            case REUSE -> {
+                to(State.IDLE);
+                keeper.free(this);
+            }
         }
     }
 
@@ -498,7 +520,7 @@
             char at = f.read().code();
             if (cleaning > 0 && --cleaning == 0) {
                 if (at == 'I') {
-                    rest();
+                    release(Release.Condition.clean(unwanted(), cancelling));
                 } else {
                     lose("it does not come clean");
                 }
@@ -558,21 +580,15 @@
         }
         opening.verdict = progress == null ? Progress.Verdict.ELSEWHERE : progress.verdict();
         hearer = null;
-        if (state == State.ACTIVE && kept && exchange.quiet() && !closing) {
-            boolean all = opening.mode == Setup.Mode.SESSION || !opening.client.session().pins().none();
-            boolean lasting = opening.client.session().pins().kinds().contains(Pins.Kind.LOAD);
-            boolean open = exchange.status() != 'I';
-            detach();
-            if (lasting) {
-                lose("a library was loaded");
-            } else if (open || all) {
-                clean(all);
-            } else {
-                rest();
+        if (state == State.ACTIVE && kept) {
+            Release.Condition condition = condition(opening.mode == Setup.Mode.SESSION || !opening.client.session().pins().none());
+            if (Release.of(condition) != Release.CLOSE) {
+                detach();
+                release(condition);
+                return reach;
             }
-        } else {
-            lose("given up");
         }
+        lose("given up");
         return reach;
     }
 
--- /dev/null
+++ b/src/test/java/crankspar/pooling/CutOffBatchTest.java
@@ -0,0 +1,179 @@
+package crankspar.pooling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import crankspar.lab.PgWire;
+import crankspar.lab.Stand;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** A client of the extended protocol that goes, or falls silent, before its batch's Sync. */
+class CutOffBatchTest extends HardCasesFixture {
+  private static final String CUT_OFF = "INSERT INTO claims VALUES ('cut off')";
+  private static final String NEXT = "INSERT INTO claims VALUES ('next')";
+
+  /** How a client's connection ends. */
+  enum End {
+    RESET,
+    CLOSED,
+    TERMINATED;
+
+    void of(PgWire client) throws IOException {
+      if (this == RESET) {
+        client.socket.setSoLinger(true, 0);
+      } else if (this == TERMINATED) {
+        client.send(Frame.body().as('X'));
+      }
+      client.close();
+    }
+  }
+
+  private static Frame flush() {
+    return Frame.body().as('H');
+  }
+
+  /** Sends a statement without its Sync, and waits until it is done, or has failed. */
+  private static void execute(PgWire client, String sql) throws IOException {
+    client.send(PgWire.parse("", sql), PgWire.bind(""), PgWire.execute(), flush());
+    char type;
+    do {
+      type = client.next().type();
+    } while (type != 'C' && type != 'E');
+  }
+
+  private static String whole(PgWire client, String sql) throws IOException {
+    client.send(PgWire.parse("", sql), PgWire.bind(""), PgWire.execute(), PgWire.sync());
+    return PgWire.brief(client.untilReady());
+  }
+
+  private static void assertOnlyTheNextTookEffect(Stand stand) {
+    assertThat(stand.recording.committed(q -> q.equals(NEXT))).isEqualTo(1);
+    assertThat(stand.recording.committed(q -> q.equals(CUT_OFF))).isZero();
+  }
+
+  /** Guards against a claim that took effect by the Sync of the connection's next client. */
+  @ParameterizedTest
+  @EnumSource(End.class)
+  void aStatementWhoseClientLeftBeforeItsSyncTakesNoEffect(End end) throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire next = stand.wire()) {
+      PgWire client = stand.wire();
+      execute(client, CUT_OFF);
+      end.of(client);
+      assertThat(whole(next, NEXT)).isEqualTo("1 2 C:INSERT 0 1 Z:I");
+      assertOnlyTheNextTookEffect(stand);
+    }
+  }
+
+  /** The same behind a transaction that had ended well on the same connection. */
+  @Test
+  void aStatementBehindATransactionThatEndedWellTakesNoEffectWithoutItsSync() throws Exception {
+    try (var stand = new Stand(0, "databases { db { mode = session, places { most = 1 } } }")) {
+      PgWire client = stand.wire();
+      assertThat(whole(client, "SELECT 1")).isEqualTo("1 2 D:1 C:SELECT 1 Z:I");
+      execute(client, CUT_OFF);
+      client.close();
+      try (PgWire next = stand.wire()) {
+        assertThat(whole(next, NEXT)).isEqualTo("1 2 C:INSERT 0 1 Z:I");
+      }
+      assertOnlyTheNextTookEffect(stand);
+    }
+  }
+
+  /** Guards against a next client whose simple query the server passes over, waiting for a Sync. */
+  @Test
+  void aClientThatLeftAfterAnErrorDoesNotSilenceTheNext() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire next = stand.wire()) {
+      PgWire client = stand.wire();
+      execute(client, "SELECT raise('22012')");
+      client.close();
+      assertThat(next.ask(NEXT)).isEqualTo("C:INSERT 0 1 Z:I");
+    }
+  }
+
+  /** Guards against places that are never free again: a ROLLBACK was passed over, too. */
+  @Test
+  void clientsThatLeaveAfterAnErrorInABlockUseUpNoPlaces() throws Exception {
+    try (var stand = new Stand(0, places(2));
+        PgWire next = stand.wire()) {
+      for (int i = 0; i < 5; i++) {
+        PgWire client = stand.wire();
+        client.ask("BEGIN");
+        execute(client, "SELECT raise('22012')");
+        client.close();
+      }
+      assertThat(next.ask(NEXT)).isEqualTo("C:INSERT 0 1 Z:I");
+    }
+  }
+
+  /** Guards against a silent client that keeps its place for good. */
+  @Test
+  void aSilentClientIsEndedAsIdleInTransactionWithoutABlockToo() throws Exception {
+    try (var stand = new Stand(0, "limits { idle-in-transaction = 300ms }\n" + places(2));
+        PgWire executed = stand.wire();
+        PgWire prepared = stand.wire();
+        PgWire next = stand.wire()) {
+      execute(executed, CUT_OFF);
+      prepared.send(PgWire.parse("s", "SELECT 1"), flush());
+      assertThat(prepared.next().type()).isEqualTo('1');
+      for (PgWire silent : List.of(executed, prepared)) {
+        assertThat(PgWire.brief(List.of(silent.next()))).isEqualTo("E:25P03");
+        assertThat(silent.ends()).isTrue();
+      }
+      assertThat(whole(next, NEXT)).isEqualTo("1 2 C:INSERT 0 1 Z:I");
+      assertOnlyTheNextTookEffect(stand);
+    }
+  }
+
+  /** Guards against an end that a drain takes for one between two transactions. */
+  @Test
+  void aDrainDoesNotTakeAnOpenBatchForTheTimeBetweenTransactions() throws Exception {
+    try (var stand = new Stand(0, places(2));
+        PgWire client = stand.wire()) {
+      execute(client, NEXT);
+      assertThat(call(stand, "/-/league-databases/p/disable")).contains("200");
+      client.send(PgWire.sync());
+      assertThat(PgWire.brief(List.of(client.next()))).isEqualTo("Z:I");
+      assertThat(stand.recording.committed(q -> q.equals(NEXT))).isEqualTo(1);
+    }
+  }
+
+  /** Guards against a wait without end: behind an error the server passes over a query, too. */
+  @Test
+  void aQueryBehindAFailedMessageIsPassedOverUpToTheSync() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire client = stand.wire()) {
+      client.send(PgWire.parse("", "SELECT no_such_table"), Frame.query(CUT_OFF));
+      assertThat(PgWire.brief(List.of(client.next()))).isEqualTo("E:42P01");
+      client.send(PgWire.sync());
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("Z:I");
+      assertThat(whole(client, NEXT)).isEqualTo("1 2 C:INSERT 0 1 Z:I");
+      assertOnlyTheNextTookEffect(stand);
+    }
+  }
+
+  /** A crowd of such clients costs a connection each, and no claim. */
+  @Test
+  void aCrowdOfCutOffClientsLeavesNoTrace() throws Exception {
+    try (var stand = new Stand(0, places(4));
+        PgWire next = stand.wire()) {
+      var clients = new ArrayList<PgWire>();
+      for (int i = 0; i < 4; i++) {
+        clients.add(stand.wire());
+        execute(clients.get(i), CUT_OFF);
+      }
+      for (PgWire client : clients) {
+        End.RESET.of(client);
+      }
+      for (int i = 0; i < 8; i++) {
+        assertThat(whole(next, "SELECT 1")).isEqualTo("1 2 D:1 C:SELECT 1 Z:I");
+      }
+      assertThat(stand.recording.committed(q -> q.equals(CUT_OFF))).isZero();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/crankspar/pooling/ReleaseTest.java
@@ -0,0 +1,55 @@
+package crankspar.pooling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** What must be so before a connection may be another client's, over all conditions. */
+class ReleaseTest {
+  private static final boolean[] EITHER = {false, true};
+
+  private interface Each {
+    void take(Release.Condition condition);
+  }
+
+  private static void forEach(Each each) {
+    for (boolean owed : EITHER) {
+      for (boolean batch : EITHER) {
+        for (char status : new char[] {'I', 'T', 'E'}) {
+          for (boolean session : EITHER) {
+            for (boolean library : EITHER) {
+              for (boolean unwanted : EITHER) {
+                for (int cancels = 0; cancels < 2; cancels++) {
+                  each.take(
+                      new Release.Condition(
+                          owed, batch, status, session, library, unwanted, cancels));
+                }
+              }
+            }
+          }
+        }
+      }
+    }
+  }
+
+  /** Guards against any state of its last client's on a connection that is free. */
+  @Test
+  void onlyACleanConnectionIsReused() {
+    forEach(
+        condition ->
+            assertThat(Release.of(condition) == Release.REUSE)
+                .as(condition.toString())
+                .isEqualTo(condition.equals(Release.Condition.clean(false, 0))));
+  }
+
+  /** Guards against a ROLLBACK that commits a batch, or that the server passes over. */
+  @Test
+  void nothingIsSentIntoAnOpenBatchOrAnAnswer() {
+    forEach(
+        condition -> {
+          if (condition.batchOpen() || condition.answersOwed()) {
+            assertThat(Release.of(condition)).as(condition.toString()).isEqualTo(Release.CLOSE);
+          }
+        });
+  }
+}
