pooling.Server and pooling.Exchange split, by what each part decides

Exchange (536) is what goes on of a client's messages, 353 lines; StatementNames has the names on servers, ServerReplies what a server's messages amount to, BatchState where either side is in the order of the protocol, PendingReply and PendingReplies what is owed. Keeping is IdleList now, and Keeper, Out, rest, lose, bring, there and luck have the names of the field.

No behaviour changes.

--- /dev/null
+++ b/src/main/java/crankspar/pooling/BatchState.java
@@ -0,0 +1,120 @@
+package crankspar.pooling;
+
+/**
+ * Where a client and its server connection are in the order of the protocol: in a block, in a batch
+ * without its Sync, behind an error, in a COPY. The two sides may differ, as a message may be
+ * spared the server.
+ */
+final class BatchState {
+  private char status = 'I';
+
+  /** After a Sync or a simple query, up to ReadyForQuery. */
+  private boolean awaitsReady;
+
+  /** After an error, up to the client's Sync. */
+  private boolean skipping;
+
+  private boolean copying;
+
+  /** Within a message of a COPY that comes in parts. */
+  private boolean inParts;
+
+  /** Whether the client has begun a batch of the extended protocol and not sent its Sync. */
+  private boolean clientBatchOpen;
+
+  /** Whether the server has got a part of such a batch, and no Sync behind it. */
+  private boolean serverBatchOpen;
+
+  /** As the server said last: I, T or E. */
+  char status() {
+    return status;
+  }
+
+  /** Whether the client's next messages must wait for the server to be ready. */
+  boolean pausing() {
+    return awaitsReady && !copying;
+  }
+
+  boolean skipping() {
+    return skipping;
+  }
+
+  boolean copying() {
+    return copying;
+  }
+
+  boolean serverBatchOpen() {
+    return serverBatchOpen;
+  }
+
+  /**
+   * Whether a transaction is open: in a block, or in a batch without its Sync. The status that the
+   * server told last knows nothing of the latter.
+   */
+  boolean inTransaction() {
+    return status != 'I' || clientBatchOpen || serverBatchOpen;
+  }
+
+  /** A message has come from the client. */
+  void fromClient(Frame f) {
+    clientBatchOpen = f.beginsBatch() || clientBatchOpen && !f.endsBatch();
+    if (f.type() == 'S') {
+      skipping = false;
+    }
+  }
+
+  /** A message goes to the server. */
+  void toServer(Frame f) {
+    serverBatchOpen = f.beginsBatch() || serverBatchOpen && !f.endsBatch();
+    awaitsReady |= f.endsBatch();
+  }
+
+  /** Whether a part of a COPY's data belongs to a message that goes on. */
+  boolean passes(Frame f) {
+    boolean goesOn = f.type() == Frame.PART ? inParts : copying;
+    inParts = goesOn && !f.whole();
+    return goesOn;
+  }
+
+  void copyBegins() {
+    copying = true;
+  }
+
+  void copyEnds() {
+    copying = false;
+  }
+
+  /** A message was refused before it reached the server: the rest of its batch is passed over. */
+  void refused() {
+    skipping = true;
+  }
+
+  /** A refused simple query needs no Sync. */
+  void refusedQuery() {
+    skipping = false;
+  }
+
+  /**
+   * An error has come with no Sync behind it; the server passes over a simple query, too, so that
+   * no ReadyForQuery follows before the client's Sync.
+   */
+  void failedBeforeSync() {
+    skipping = true;
+    clientBatchOpen = serverBatchOpen = true;
+    awaitsReady = false;
+  }
+
+  void ready(char now) throws Frame.Malformed {
+    if (now != 'I' && now != 'T' && now != 'E') {
+      throw new Frame.Malformed("ready in no known state");
+    }
+    status = now;
+    awaitsReady = copying = false;
+  }
+
+  /** The batch is begun anew, or given up. */
+  void rewind() {
+    clientBatchOpen = serverBatchOpen = false;
+    skipping = awaitsReady = copying = inParts = false;
+  }
+}
--- a/src/main/java/crankspar/pooling/Client.java
+++ b/src/main/java/crankspar/pooling/Client.java
@@ -24,7 +24,7 @@
     private Connection out;
     private ClientState state = ClientState.LOGIN;
     private double since, arrived, askedAt;
-    private Server.Key key;
+    private ServerKey key;
     private String databaseName;
     private String user;
     private SessionState session;
@@ -37,7 +37,7 @@
     /** Null but for a client of the console. */
     private ConsoleSession console;
     private Opening opening;
-    private Server lease;
+    private Lease lease;
     private Flow toClient;
     long ticket;
     /** The core's name of its request, once it has one. */
@@ -58,12 +58,12 @@
     ClientState state() { return state; }
     double since() { return since; }
     double connectedAt() { return connectedAt; }
-    Server.Key key() { return key; }
+    ServerKey key() { return key; }
     String user() { return user; }
     String databaseName() { return databaseName; }
     SessionState session() { return session; }
     Opening opening() { return opening; }
-    Server lease() { return lease; }
+    Lease lease() { return lease; }
     long transactions() { return transactions; }
     /** The earliest time at which its opening may have come, or at which it came to its turn (ms). */
     double askedAt() { return askedAt; }
@@ -114,7 +114,7 @@
         this.databaseName = databaseName;
     }
 
-    void session(SessionState session, Server.Key key) {
+    void session(SessionState session, ServerKey key) {
         this.session = session;
         this.key = key;
     }
@@ -139,7 +139,7 @@
             while (!held.isEmpty() && state != ClientState.LEAVING && may()) {
                 Frame f = held.poll();
                 if (lease != null && f.type() != 'X') {
-                    lease.fromClient(held.pollBatch(f));
+                    lease.forward(held.pollBatch(f));
                 } else {
                     on(f);
                 }
@@ -252,10 +252,10 @@
         if (state == ClientState.LOGIN) {
             return;
         }
-        lease = answer.server();
+        lease = answer.lease();
         toClient = new Flow(on -> {
             if (lease != null) {
-                lease.reading(on);
+                lease.readServer(on);
             }
         });
         fromServer(answer.frames());
--- a/src/main/java/crankspar/pooling/ClientDesk.java
+++ b/src/main/java/crankspar/pooling/ClientDesk.java
@@ -13,7 +13,7 @@
   Route route();
 
   /** What a client with this key is told at its start, or null while no server has said it. */
-  PMap<String, String> reported(Server.Key key);
+  PMap<String, String> reported(ServerKey key);
 
   /** Asks for a place and then the module; the answer comes to the client. */
   void ask(Client client, Opening opening);
--- a/src/main/java/crankspar/pooling/Console.java
+++ b/src/main/java/crankspar/pooling/Console.java
@@ -81,10 +81,10 @@
                   .filter(c -> name.equals(c.databaseName()) && c.user() != null)
                   .forEach(c -> users.add(c.user()));
               for (String user : users) {
-                var key = new Server.Key(name, d.serverName(), user);
+                var key = new ServerKey(name, d.serverName(), user);
                 long idle =
                     front.servers().connections().stream()
-                        .filter(s -> s.key().equals(key) && s.state() == Server.State.IDLE)
+                        .filter(s -> s.key().equals(key) && s.state() == ConnectionState.IDLE)
                         .count();
                 long mine =
                     front.clients().stream()
@@ -170,9 +170,9 @@
               text(s.state()).toLowerCase(Locale.ROOT),
               ms(now - s.since()),
               ms(now - s.openedAt()),
-              text(s.there().statements()),
-              text(s.there().options().size()),
-              text(s.status()),
+              text(s.sessionState().statements()),
+              text(s.sessionState().options().size()),
+              text(s.lease() == null ? 'I' : s.lease().status()),
               s.opening() == null ? "" : text(s.opening().client.process())));
     }
     return table(
@@ -196,7 +196,7 @@
     var on = new TreeMap<String, int[]>();
     var texts = new TreeMap<String, String>();
     for (Server s : front.servers().connections()) {
-      s.there()
+      s.sessionState()
           .all()
           .values()
           .forEach(
--- a/src/main/java/crankspar/pooling/Keeping.java
+++ b/src/main/java/crankspar/pooling/IdleList.java
@@ -8,16 +8,17 @@
  * Which idle connection is used next, and which are kept: without sockets, clocks or chance of its
  * own.
  */
-final class Keeping {
+final class IdleList {
   /**
-   * One idle connection: since when it is open, since when idle (ms), and its own luck from 0 to 1.
+   * One idle connection: since when it is open, since when idle (ms), and its own jitter from 0 to
+   * 1.
    */
   interface Idle {
     double openedAt();
 
     double idleSince();
 
-    double luck();
+    double jitter();
   }
 
   /**
@@ -26,7 +27,7 @@
    */
   static final double JITTER = 0.1;
 
-  private Keeping() {}
+  private IdleList() {}
 
   /**
    * The one nearest to a client's state, of these the one used last: its caches are warm and the
@@ -63,6 +64,6 @@
 
   /** Whether a connection is past its lifetime, which is its own. */
   static boolean old(Idle one, Setup.Places places, double now) {
-    return now - one.openedAt() > places.lifetime() * (1 - JITTER + 2 * JITTER * one.luck());
+    return now - one.openedAt() > places.lifetime() * (1 - JITTER + 2 * JITTER * one.jitter());
   }
 }
--- a/src/main/java/crankspar/pooling/Login.java
+++ b/src/main/java/crankspar/pooling/Login.java
@@ -105,7 +105,7 @@
   }
 
   private void start(Setup.Database database, String user, Map<String, String> parameters) {
-    var key = new Server.Key(database.name(), database.serverName(), user);
+    var key = new ServerKey(database.name(), database.serverName(), user);
     client.session(SessionState.of(parameters), key);
     PMap<String, String> reported = desk.reported(key);
     if (reported != null) {
--- a/src/main/java/crankspar/pooling/PoolingFront.java
+++ b/src/main/java/crankspar/pooling/PoolingFront.java
@@ -135,7 +135,7 @@
     @Override public Setup setup() { return setup; }
     @Override public Setup.Database database(String name) { return setup.databases().get(name); }
     @Override public Route route() { return route; }
-    @Override public PMap<String, String> reported(Server.Key key) { return servers.reported(key); }
+    @Override public PMap<String, String> reported(ServerKey key) { return servers.reported(key); }
     @Override public boolean draining() { return draining; }
     @Override public void count(String name) { counters.add(name); }
     @Override public double now() { return loop.now(); }
@@ -239,15 +239,18 @@
             }
         }
         for (Server s : servers.connections()) {
-            if (!s.kept()) {
+            Lease lease = s.lease();
+            if (lease == null || !lease.kept()) {
                 continue;
             }
-            if (now - s.quietSince() > limits.idleInTransaction()) {
+            Client client = lease.opening().client;
+            boolean bounded = lease.opening().mode == Setup.Mode.TRANSACTION;
+            if (now - lease.quietSince() > limits.idleInTransaction()) {
                 counters.add("pooling_idle_in_transaction");
-                s.opening().client.fatal("25P03", "idle in transaction for longer than it may");
-            } else if (s.inTransaction() && now - s.since() > limits.transaction() && s.opening().mode == Setup.Mode.TRANSACTION) {
+                client.fatal("25P03", "idle in transaction for longer than it may");
+            } else if (bounded && lease.inTransaction() && now - s.since() > limits.transaction()) {
                 counters.add("pooling_transactions_late");
-                s.opening().client.fatal("25P04", "the transaction takes longer than it may");
+                client.fatal("25P04", "the transaction takes longer than it may");
             }
         }
         loop.after(SWEEP, this::sweep);
@@ -266,7 +269,7 @@
         all.put("pooling_clients_waiting", places.values().stream().mapToLong(Places::waiting).sum());
         all.put("pooling_places_held", places.values().stream().mapToLong(Places::held).sum());
         all.put("pooling_servers", (long) servers.connections().size());
-        all.put("pooling_servers_idle", servers.connections().stream().filter(s -> s.state() == Server.State.IDLE).count());
+        all.put("pooling_servers_idle", servers.connections().stream().filter(s -> s.state() == ConnectionState.IDLE).count());
         all.put("pooling_buffers_bytes", held);
         return all;
     }
--- a/src/main/java/crankspar/pooling/ServerNotes.java
+++ b/src/main/java/crankspar/pooling/ServerNotes.java
@@ -14,6 +14,20 @@
   private Role role = Role.UNKNOWN;
   private double position = Double.NaN;
 
+  /**
+   * Takes a parameter that the server reports; one of a session's goes to {@code sessionState}, or
+   * nowhere where that is null.
+   */
+  void read(Frame f, ServerState sessionState) throws Frame.Malformed {
+    Frame.Reader r = f.read();
+    String name = r.text();
+    String value = r.text();
+    read(name, value);
+    if (sessionState != null && !NAMES.contains(name)) {
+      sessionState.report(name, value);
+    }
+  }
+
   /** Other parameters change nothing. */
   void read(String name, String value) {
     switch (name) {
--- /dev/null
+++ b/src/main/java/crankspar/pooling/ServerReplies.java
@@ -0,0 +1,195 @@
+package crankspar.pooling;
+
+import crankspar.pooling.PendingReply.Step;
+import crankspar.pooling.Sql.Statement;
+import java.util.List;
+
+/**
+ * What a server's messages amount to: which of them its client hears, what its session and its
+ * connection hold from then on, and what is known of the present batch.
+ */
+final class ServerReplies {
+  /** SQLSTATE of a statement that the server does not know. */
+  private static final String STATEMENT_LOST = "26000";
+
+  /** SQLSTATE of a statement whose plan no longer fits, among others. */
+  private static final String STATEMENT_STALE = "0A000";
+
+  private final SessionState client;
+  private final ServerState server;
+  private final PendingReplies replies;
+  private final BatchState batch;
+  private Progress progress;
+
+  /** How many statements of the present simple query have been done. */
+  private int doneOfQuery;
+
+  private boolean executed;
+  private boolean statementLost;
+  private String error;
+
+  ServerReplies(
+      SessionState client,
+      ServerState server,
+      PendingReplies replies,
+      BatchState batch,
+      Progress progress) {
+    this.client = client;
+    this.server = server;
+    this.replies = replies;
+    this.batch = batch;
+    this.progress = progress;
+  }
+
+  /** Another transaction begins. */
+  void transaction(Progress next) {
+    progress = next;
+  }
+
+  /** The next batch begins: what is known of the last one's errors is over. */
+  void nextBatch() {
+    replies.batch();
+    executed = false;
+    forgetErrors();
+  }
+
+  void forgetErrors() {
+    statementLost = false;
+    error = null;
+  }
+
+  /** A simple query has been sent. */
+  void querySent() {
+    doneOfQuery = 0;
+  }
+
+  /** The SQLSTATE of a batch's first error, or null; known until the next batch begins. */
+  String error() {
+    return error;
+  }
+
+  /** Whether any statement of it has been executed, in whole or in part. */
+  boolean executed() {
+    return executed;
+  }
+
+  /** Whether it failed for a statement that the server had lost or whose plan no longer fitted. */
+  boolean statementLost() {
+    return statementLost;
+  }
+
+  /** Takes one message, and adds what the client hears of it. */
+  void take(Frame f, List<Frame> toClient) throws Frame.Malformed {
+    switch (f.type()) {
+      case 'N', 'A', 'd', Frame.PART -> toClient.add(f);
+      case 'S' -> parameter(f, toClient);
+      case 'E' -> {
+        toClient.add(f);
+        failed(f);
+      }
+      case 'Z' -> {
+        ready(f);
+        toClient.add(f);
+      }
+      default -> answer(f, toClient);
+    }
+  }
+
+  private void parameter(Frame f, List<Frame> toClient) throws Frame.Malformed {
+    Frame.Reader r = f.read();
+    String name = r.text();
+    String value = r.text();
+    if (ServerNotes.NAMES.contains(name)) {
+      return; // they change with every answer: kept, each lease would compare all anew
+    }
+    server.report(name, value);
+    if (!value.equals(client.told().get(name))) {
+      client.told(client.told().plus(name, value));
+      toClient.add(f);
+    }
+  }
+
+  private void answer(Frame f, List<Frame> toClient) throws Frame.Malformed {
+    PendingReply expected = replies.expected();
+    Step step = expected.step();
+    if (!step.answeredBy(f.type())) {
+      throw new Frame.Malformed("message type " + f.type() + " in answer to " + step);
+    }
+    if (step == Step.INTERNAL) {
+      replies.answered();
+      return;
+    }
+    executed |= step == Step.EXECUTE || step == Step.QUERY || step == Step.CALL;
+    Frame said = f.type() == 'I' && expected.answer() != null ? expected.answer() : f;
+    toClient.add(said);
+    switch (f.type()) {
+      case 'G', 'W' -> batch.copyBegins();
+      case 'C', 'I' -> done(expected, said);
+      case 'D', 'H', 'c', 'V', 't' -> {}
+      case 'T' -> {
+        if (step != Step.QUERY) {
+          replies.answered();
+        }
+      }
+      default -> {
+        if (step == Step.CLOSE) {
+          expected.statements().forEach(s -> both(s, ""));
+        }
+        replies.answered();
+      }
+    }
+  }
+
+  /** A statement is done: what it did to the session counts from now on, on both sides. */
+  private void done(PendingReply reply, Frame said) throws Frame.Malformed {
+    List<Statement> statements = reply.statements();
+    int i = reply.step() == Step.QUERY ? doneOfQuery++ : 0;
+    if (i < statements.size() && said.type() == 'C') {
+      String tag = said.read().text();
+      both(statements.get(i), tag);
+      progress.decided(tag);
+    }
+    if (reply.step() == Step.EXECUTE) {
+      replies.answered();
+    }
+  }
+
+  private void both(Statement s, String tag) {
+    client.done(s, tag);
+    server.done(s, tag);
+  }
+
+  private void failed(Frame f) throws Frame.Malformed {
+    PendingReply reply = replies.next();
+    String code = f.fields().getOrDefault('C', "");
+    error = error == null ? code : error;
+    batch.copyEnds();
+    client.failed();
+    server.failed();
+    if (reply == null || reply.step().endsBatch()) {
+      return;
+    }
+    boolean lost = code.equals(STATEMENT_LOST) || code.equals(STATEMENT_STALE);
+    if (lost && reply.prepared() != null && reply.step() != Step.PARSE) {
+      statementLost = true;
+      server.drop(reply.prepared()); // it is prepared anew when next used
+    }
+    replies.passOver();
+    if (replies.isEmpty()) {
+      batch.failedBeforeSync();
+    }
+  }
+
+  private void ready(Frame f) throws Frame.Malformed {
+    Step step = replies.expected().step();
+    if (!step.endsBatch()) {
+      throw new Frame.Malformed("ready before the answer to " + step);
+    }
+    replies.ready();
+    char status = f.read().code();
+    batch.ready(status);
+    client.ready(status);
+    server.ready(status);
+    progress.ready(status);
+  }
+}
--- a/src/main/java/crankspar/pooling/Servers.java
+++ b/src/main/java/crankspar/pooling/Servers.java
@@ -28,10 +28,10 @@
 
 /**
  * Connections to servers, by database, user and member. It sends where the core tells it, once;
- * which idle connection is used and which are closed {@link Keeping} decides. Probes have
+ * which idle connection is used and which are closed {@link IdleList} decides. Probes have
  * connections of their own.
  */
-final class Servers implements Ports.Backends<Opening, Answer>, MemberAddresses, Server.Keeper {
+final class Servers implements Ports.Backends<Opening, Answer>, MemberAddresses, ServerPool {
   private static final double SWEEP = 250;
 
   /** A member that is gone is forgotten after this long (ms), by when no attempt at it is out. */
@@ -50,10 +50,10 @@
   private final int most;
   private final RandomGenerator chance;
   private final Map<String, Member> members = new HashMap<>();
-  private final Map<Server.Key, Integer> open = new HashMap<>();
+  private final Map<ServerKey, Integer> open = new HashMap<>();
 
   /** What a server said of itself at the last login, by key: for the clients that log in next. */
-  private final Map<Server.Key, PMap<String, String>> reported = new LinkedHashMap<>();
+  private final Map<ServerKey, PMap<String, String>> reported = new LinkedHashMap<>();
 
   private Setup setup;
   private int all;
@@ -101,7 +101,7 @@
   }
 
   /** What clients of this key are told at their start, or null while no server has said it. */
-  PMap<String, String> reported(Server.Key key) {
+  PMap<String, String> reported(ServerKey key) {
     return reported.get(key);
   }
 
@@ -111,7 +111,7 @@
     return list;
   }
 
-  int open(Server.Key key) {
+  int open(ServerKey key) {
     return open.getOrDefault(key, 0);
   }
 
@@ -146,14 +146,14 @@
         () -> {
           if (m.goneAt < loop.now()) {
             for (Server s : there) {
-              if (s.state() == Server.State.ACTIVE && s.opening() != null) {
+              if (s.state() == ConnectionState.ACTIVE && s.opening() != null) {
                 counters.add("pooling_drain_ended", 1);
                 s.opening()
                     .client
                     .fatal(
                         "57P01", "the server drains, and this transaction took longer than it may");
               }
-              s.lose("its member drains");
+              s.fail("its member drains");
             }
           }
         });
@@ -172,9 +172,10 @@
     if (m == null) {
       return refuse(hearer, "no address is known");
     }
-    Server.Key key = opening.client.key();
+    ServerKey key = opening.client.key();
     Server server =
-        Keeping.choose(idle(m, key), s -> Carry.distance(s.there(), opening.client.session()));
+        IdleList.choose(
+            idle(m, key), s -> Carry.distance(s.sessionState(), opening.client.session()));
     if (server != null) {
       server.serve(opening, within, hearer);
       return server;
@@ -189,14 +190,14 @@
     loop.after(
         Math.min(dialTimeout, within),
         () -> {
-          if (dialled.state() == Server.State.LOGIN) {
-            dialled.lose("no connection in time");
+          if (dialled.state() == ConnectionState.LOGIN) {
+            dialled.fail("no connection in time");
           }
         });
     return dialled;
   }
 
-  private Server dial(String member, Member m, Server.Key key) {
+  private Server dial(String member, Member m, ServerKey key) {
     var server = new Server(this, key, member, chance.nextDouble());
     m.connections.add(server);
     open.merge(key, 1, Integer::sum);
@@ -211,10 +212,10 @@
     return () -> Reach.NOT_CONNECTED;
   }
 
-  private static List<Server> idle(Member m, Server.Key key) {
+  private static List<Server> idle(Member m, ServerKey key) {
     var list = new ArrayList<Server>();
     for (Server s : m.connections) {
-      if (s.state() == Server.State.IDLE
+      if (s.state() == ConnectionState.IDLE
           && s.opening() == null
           && (key == null || s.key().equals(key))) {
         list.add(s);
@@ -227,7 +228,7 @@
    * Makes room for a connection elsewhere: the longest idle one goes, of this key or, where null,
    * of any.
    */
-  private boolean closeOldest(Server.Key key) {
+  private boolean closeOldest(ServerKey key) {
     Server oldest = null;
     for (Member m : members.values()) {
       for (Server s : idle(m, key)) {
@@ -235,7 +236,7 @@
       }
     }
     if (oldest != null) {
-      oldest.lose("room is made");
+      oldest.fail("room is made");
     }
     return oldest != null;
   }
@@ -254,7 +255,7 @@
   // ---- What connections tell.
   @Override
   public void up(Server server) {
-    reported.put(server.key(), server.there().reported());
+    reported.put(server.key(), server.sessionState().reported());
     if (reported.size() > 10_000) { // one a key: users may be any
       reported.remove(reported.keySet().iterator().next());
     }
@@ -263,8 +264,8 @@
   @Override
   public void free(Server server) {
     Setup.Database database = setup.databases().get(server.key().pool());
-    if (database != null && Keeping.old(server, database.places(), loop.now())) {
-      server.lose("its lifetime is over");
+    if (database != null && IdleList.old(server, database.places(), loop.now())) {
+      server.fail("its lifetime is over");
     }
   }
 
@@ -283,7 +284,7 @@
    */
   void cancel(Server server) {
     Member m = members.get(server.member());
-    if (m == null || server.process() == 0) {
+    if (m == null || server.login().process() == 0) {
       return;
     }
     counters.add("pooling_cancels", 1);
@@ -296,7 +297,7 @@
               @Override
               public void opened(Connection out) {
                 over[1] = true;
-                byte[] bytes = Frame.cancel(server.process(), server.secret());
+                byte[] bytes = Frame.cancel(server.login().process(), server.login().secret());
                 out.write(bytes, bytes.length, null);
               }
 
@@ -329,7 +330,7 @@
     double now = loop.now();
     members.values().removeIf(m -> now - m.goneAt > FORGET && m.connections.isEmpty());
     for (Setup.Database d : setup.databases().values()) {
-      var byKey = new HashMap<Server.Key, List<Server>>();
+      var byKey = new HashMap<ServerKey, List<Server>>();
       for (Member m : members.values()) {
         for (Server s : idle(m, null)) {
           if (s.key().pool().equals(d.name())) {
@@ -339,8 +340,8 @@
       }
       byKey.forEach(
           (key, idle) ->
-              Keeping.expired(idle, d.places(), open(key), now)
-                  .forEach(s -> s.lose("its time is over")));
+              IdleList.expired(idle, d.places(), open(key), now)
+                  .forEach(s -> s.fail("its time is over")));
     }
     loop.after(SWEEP, this::sweep);
   }
--- a/src/main/java/crankspar/pooling/package-info.java
+++ b/src/main/java/crankspar/pooling/package-info.java
@@ -16,9 +16,10 @@
  * free.
  *
  * <p>Classes that decide, without sockets, clocks or chance of their own: {@code Sql}, {@code
- * SessionState}, {@code Carry}, {@code Pins}, {@code Places}, {@code Progress}, {@code Exchange},
- * {@code Route}, {@code Keeping}. Classes that drive: {@code Client} and {@code Server} (state
- * machines of one connection each), {@code Servers}, {@code PoolingFront}. {@code Console} words
- * what operators ask.
+ * SessionState}, {@code Carry}, {@code Pins}, {@code Places}, {@code Progress}, {@code Exchange}
+ * with {@code StatementNames}, {@code BatchState} and {@code ServerReplies}, {@code Release},
+ * {@code Route}, {@code IdleList}. Classes that drive: {@code Client} and {@code Server} (state
+ * machines of one connection each), {@code Lease} (a client's use of one), {@code Servers}, {@code
+ * PoolingFront}. {@code Console} words what operators ask.
  */
 package crankspar.pooling;
