A prepared statement is shared only between clients whose options read it alike

Cause: a server reads a text's constants at Parse, under the options of that moment; Prepared, and its name on servers, held text and types alone. The same on related paths: a SET and the same words anew, SET LOCAL, a SET that is rolled back, SET and Parse in one batch, a statement that lands on another connection after its client's SET, SQL's PREPARE. Ruled out: pooling by options (places), a list of the options that count (a gap is a silent wrong answer).

Change: StatementOptions is a part of Prepared and SqlPrepared; all options count but a short list. SessionOptions knows SET LOCAL and settings that nobody knows, ProjectedOptions what holds once all that was sent is done; OptionsChange prepares under the options of the Parse elsewhere. The lab's database reads constants at Parse and PREPARE, and takes SET LOCAL outside a block as PostgreSQL does (up to the implicit transaction's end): before, no test could see this.

--- a/src/main/java/crankspar/lab/MiniSql.java
+++ b/src/main/java/crankspar/lab/MiniSql.java
@@ -344,9 +344,7 @@
         if (value.toUpperCase(Locale.ROOT).contains("NO SUCH")) {
             throw new PgFailed("22023", "invalid value for parameter \"" + name + "\"");
         }
-        if (!local || b.transaction.inBlock()) {
-            b.settings.set(name, value.replaceAll("^E?'(.*)'$", "$1").replace("''", "'"), local);
-        }
+        b.settings.set(name, value.replaceAll("^E?'(.*)'$", "$1").replace("''", "'"), local);
     }
 
     private static Result select(PgBackend b, String bare, List<String> parameters) throws PgFailed {
--- a/src/main/java/crankspar/lab/PgExecution.java
+++ b/src/main/java/crankspar/lab/PgExecution.java
@@ -83,7 +83,9 @@
   private boolean runNext(String sql) {
     boolean[] inline = {true, false};
     try {
-      var portal = new PgPortal(sql, List.of());
+      boolean prepares = MiniSql.first(MiniSql.bare(sql)).equals("PREPARE");
+      String analysed = prepares ? sql : PgConstants.read(sql, backend.settings);
+      var portal = new PgPortal(analysed, List.of());
       run(portal, () -> simpleRows(portal, inline));
     } catch (PgFailed e) {
       backend.fail(e);
--- a/src/main/java/crankspar/lab/PgStatements.java
+++ b/src/main/java/crankspar/lab/PgStatements.java
@@ -12,12 +12,14 @@
   record Prepared(String sql, int[] types) {}
 
   private final Recording recording;
+  private final Settings settings;
   private final Map<String, Prepared> byProtocol = new LinkedHashMap<>();
   private final Map<String, String> bySql = new HashMap<>();
   private final Set<String> stale = new HashSet<>();
 
-  PgStatements(Recording recording) {
+  PgStatements(Recording recording, Settings settings) {
     this.recording = recording;
+    this.settings = settings;
   }
 
   void prepare(String name, String sql, int[] types) throws PgFailed {
@@ -28,14 +30,14 @@
       throw new PgFailed("42P01", "relation \"no_such_table\" does not exist");
     }
     recording.prepares.incrementAndGet();
-    byProtocol.put(name, new Prepared(sql, types));
+    byProtocol.put(name, new Prepared(PgConstants.read(sql, settings), types));
     stale.remove(name);
   }
 
   void prepareSql(String name, String sql) throws PgFailed {
     checkNew(name);
     recording.prepares.incrementAndGet();
-    bySql.put(name, sql);
+    bySql.put(name, PgConstants.read(sql, settings));
   }
 
   private void checkNew(String name) throws PgFailed {
@@ -44,6 +46,11 @@
     }
   }
 
+  /** How many the protocol's messages have prepared here. */
+  int count() {
+    return byProtocol.size();
+  }
+
   Prepared get(String name) throws PgFailed {
     Prepared prepared = byProtocol.get(name);
     if (prepared == null) {
--- a/src/main/java/crankspar/lab/PoolingBench.java
+++ b/src/main/java/crankspar/lab/PoolingBench.java
@@ -22,6 +22,8 @@
 final class PoolingBench {
     private static final int CLIENTS = 2000;
     private static final int PLACES = 40;
+    private static final List<String> ZONES = List.of("UTC", "Asia/Tokyo", "America/Vancouver", "Europe/Riga");
+    private static final int ZONE_ROUNDS = 50;
     private static final int CLAIMS = 10_000;
     private static final int CUTS = 200;
     private static final String CLAIM = "INSERT INTO claims VALUES ($1)";
@@ -151,6 +153,7 @@
             double[] medians = latencies(List.of(direct.get(0), first.get(0), sessions.get(0)), 6000, 3000);
             latency(medians);
             memory(transaction);
+            timeZones(transaction);
             List<PgClient> pooled = clients(transaction.pooling(), CLIENTS);
             each(pooled, PREPARE);
             each(pooled, READ);
@@ -190,6 +193,31 @@
         });
     }
 
+    /** Reads by clients of several time zones, which cannot share a statement: Parses for each, and statements held. */
+    private void timeZones(PoolerProcess pooler) throws InterruptedException {
+        List<PgClient> all = clients(pooler.pooling(), ZONES.size() * PLACES);
+        var set = new CountDownLatch(all.size());
+        load.run(() -> {
+            for (int i = 0; i < all.size(); i++) {
+                all.get(i).play(script(simple("SET TIME ZONE '" + ZONES.get(i % ZONES.size()) + "'")), o -> set.countDown());
+            }
+        });
+        await(set, "time zones");
+        each(all, PREPARE);
+        Recording recording = server.recording();
+        long prepares = recording.prepares.get();
+        long executions = recording.executions.get();
+        for (int i = 0; i < ZONE_ROUNDS; i++) {
+            each(all, READ);
+        }
+        double share = (recording.prepares.get() - prepares) / (double) (recording.executions.get() - executions);
+        int[] held = new int[1];
+        server.loop.runAndWait(() -> server.backends.values().forEach(b -> held[0] = Math.max(held[0], b.statements.count())));
+        promises.put("zones_prepares_by_execution", Promises.round(share));
+        promises.put("zones_statements_on_a_server", held[0]);
+        load.runAndWait(() -> all.forEach(PgClient::close));
+    }
+
     private void rates(List<PgClient> direct, List<PgClient> sessions, List<PgClient> pooled) throws InterruptedException {
         List<byte[]> work = script(simple("BEGIN"), new Frame[] {bind("claim", "rate"), EXECUTE, SYNC}, simple("COMMIT"));
         rate(pooled, work, 1500);
--- a/src/main/java/crankspar/pooling/BatchStatements.java
+++ b/src/main/java/crankspar/pooling/BatchStatements.java
@@ -46,7 +46,8 @@
       }
       case 'P' -> {
         String name = r.text();
-        Prepared prepared = Prepared.of(r.text(), r.rest());
+        Prepared prepared =
+            Prepared.of(r.text(), r.rest()).under(session.sessionOptions().statementOptions());
         fresh.put(name, prepared);
         return Part.of(prepared);
       }
--- a/src/main/java/crankspar/pooling/Carry.java
+++ b/src/main/java/crankspar/pooling/Carry.java
@@ -30,48 +30,70 @@
     if (server.options() == client.options() && server.sqlPrepared() == client.sqlPrepared()) {
       return null;
     }
-    var sql = new StringBuilder();
-    PMap<String, String> want = client.options();
-    for (String name : new TreeMap<>(server.options()).keySet()) {
-      if (!want.containsKey(name)) {
-        say(sql, "RESET " + name(name));
+    var sql = new ArrayList<String>(changes(server.options(), client.options()));
+    for (Map.Entry<String, SqlPrepared> e : new TreeMap<>(server.sqlPrepared()).entrySet()) {
+      if (!e.getValue().equals(client.sqlPrepared().get(e.getKey()))) {
+        sql.add("DEALLOCATE " + Sql.identifier(e.getKey()));
       }
     }
-    String role = null;
-    for (Map.Entry<String, String> e : new TreeMap<>(want).entrySet()) {
-      if (!e.getValue().equals(server.options().get(e.getKey()))) {
-        if (e.getKey().equals("role")) {
-          role = set(e.getKey(), e.getValue());
-        } else {
-          say(sql, set(e.getKey(), e.getValue()));
-        }
+    for (Map.Entry<String, SqlPrepared> e : new TreeMap<>(client.sqlPrepared()).entrySet()) {
+      if (!e.getValue().equals(server.sqlPrepared().get(e.getKey()))) {
+        sql.addAll(prepare(e.getValue(), client.options()));
       }
     }
-    if (role != null) {
-      say(sql, role);
+    return sql.isEmpty() ? null : String.join("; ", sql);
+  }
+
+  /** A PREPARE under the options that it was first done under, and those in force after it. */
+  private static List<String> prepare(SqlPrepared statement, PMap<String, String> inForce) {
+    PMap<String, String> under = statement.options().values();
+    PMap<String, String> now = StatementOptions.of(inForce).values();
+    var sql = new ArrayList<String>(changes(now, under));
+    sql.add(statement.text());
+    sql.addAll(changes(under, now));
+    return sql;
+  }
+
+  /** The statements that make these options those, the role last. */
+  static List<String> changes(PMap<String, String> from, PMap<String, String> to) {
+    if (from == to) {
+      return List.of();
     }
-    for (Map.Entry<String, String> e : new TreeMap<>(server.sqlPrepared()).entrySet()) {
-      if (!e.getValue().equals(client.sqlPrepared().get(e.getKey()))) {
-        say(sql, "DEALLOCATE " + Sql.identifier(e.getKey()));
+    var sql = new ArrayList<String>();
+    for (String name : new TreeMap<>(from).keySet()) {
+      if (!to.containsKey(name)) {
+        sql.add("RESET " + name(name));
       }
     }
-    for (Map.Entry<String, String> e : new TreeMap<>(client.sqlPrepared()).entrySet()) {
-      if (!e.getValue().equals(server.sqlPrepared().get(e.getKey()))) {
-        say(sql, e.getValue());
+    String role = null;
+    for (Map.Entry<String, String> e : new TreeMap<>(to).entrySet()) {
+      if (e.getValue().equals(from.get(e.getKey()))) {
+        continue;
+      }
+      if (e.getKey().equals("role")) {
+        role = set(e.getKey(), e.getValue());
+      } else {
+        sql.add(set(e.getKey(), e.getValue()));
       }
     }
-    return sql.isEmpty() ? null : sql.toString();
+    if (role != null) {
+      sql.add(role);
+    }
+    return sql;
   }
 
-  private static void say(StringBuilder sql, String statement) {
-    sql.append(sql.isEmpty() ? "" : "; ").append(statement);
+  private static String set(String name, String value) {
+    return "SET " + assignment(name, value);
+  }
+
+  /** The same up to the transaction's end. */
+  static String setLocal(String name, String value) {
+    return "SET LOCAL " + assignment(name, value);
   }
 
   /** {@code SET TIME ZONE} also takes an interval, which {@code SET timezone TO} does not. */
-  private static String set(String name, String value) {
-    return name.equals("timezone")
-        ? "SET TIME ZONE " + value
-        : "SET " + name(name) + " TO " + value;
+  private static String assignment(String name, String value) {
+    return name.equals("timezone") ? "TIME ZONE " + value : name(name) + " TO " + value;
   }
 
   private static String name(String option) {
--- a/src/main/java/crankspar/pooling/Console.java
+++ b/src/main/java/crankspar/pooling/Console.java
@@ -191,10 +191,10 @@
         rows);
   }
 
-  /** By content: on how many server connections, and for how many clients. */
+  /** By text and options: on how many server connections, and for how many clients. */
   private List<Frame> statements() {
     var on = new TreeMap<String, int[]>();
-    var texts = new TreeMap<String, String>();
+    var known = new TreeMap<String, Prepared>();
     for (Server s : front.servers().connections()) {
       s.sessionState()
           .all()
@@ -202,7 +202,7 @@
           .forEach(
               p -> {
                 on.computeIfAbsent(p.name(), k -> new int[2])[0]++;
-                texts.put(p.name(), p.sql());
+                known.put(p.name(), p);
               });
     }
     for (Client c : front.clients()) {
@@ -213,13 +213,17 @@
             .forEach(
                 p -> {
                   on.computeIfAbsent(p.name(), k -> new int[2])[1]++;
-                  texts.put(p.name(), p.sql());
+                  known.put(p.name(), p);
                 });
       }
     }
     var rows = new ArrayList<List<String>>();
-    on.forEach((name, n) -> rows.add(List.of(name, text(n[0]), text(n[1]), texts.get(name))));
-    return table("SHOW", List.of("name", "servers", "clients", "text"), rows);
+    on.forEach(
+        (name, n) -> {
+          Prepared p = known.get(name);
+          rows.add(List.of(name, text(n[0]), text(n[1]), p.sql(), p.options().toString()));
+        });
+    return table("SHOW", List.of("name", "servers", "clients", "text", "options"), rows);
   }
 
   private List<Frame> databases() {
--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -32,6 +32,7 @@
   private Progress progress;
   private final Setup.Limits limits;
   private final Set<Pins.Kind> refused;
+  private final ProjectedOptions projected;
   private final StatementNames names;
   private final PendingReplies replies = new PendingReplies();
   private final BatchState batch = new BatchState();
@@ -53,8 +54,9 @@
     this.progress = progress;
     this.limits = limits;
     this.refused = refused;
-    names = new StatementNames(client, server, limits.serverStatements(), this::send);
-    serverReplies = new ServerReplies(client, server, replies, batch, progress);
+    projected = new ProjectedOptions(client.sessionOptions());
+    names = new StatementNames(client, server, projected, limits.serverStatements(), this::send);
+    serverReplies = new ServerReplies(client, server, replies, batch, projected, progress);
   }
 
   /** As the server said last: I, T or E. */
@@ -101,6 +103,11 @@
     return names.prepares();
   }
 
+  /** Statements that were prepared under options that their client has changed since. */
+  long preparedUnderOtherOptions() {
+    return names.preparedUnderOtherOptions();
+  }
+
   long executions() {
     return executions;
   }
@@ -126,6 +133,7 @@
   /** Takes back what the client has prepared and closed since the batch began, to begin it anew. */
   void rewind() {
     replies.rewind();
+    projected.forget();
     batch.rewind();
     serverReplies.forgetErrors();
   }
@@ -201,7 +209,7 @@
   private void parse(Frame f) throws Frame.Malformed {
     Frame.Reader r = f.read();
     String name = r.text();
-    Prepared statement = Prepared.of(r.text(), r.rest());
+    Prepared statement = Prepared.of(r.text(), r.rest()).under(projected.now().statementOptions());
     if (refuse(statement.statements())) {
       return;
     }
@@ -306,6 +314,7 @@
     List<Statement> statements = portals.getOrDefault(f.read().text(), List.of());
     progress.sending(statements, false);
     executions++;
+    projected.sent(statements, batch.status());
     send(f, PendingReply.to(Step.EXECUTE, statements));
   }
 
--- a/src/main/java/crankspar/pooling/Lease.java
+++ b/src/main/java/crankspar/pooling/Lease.java
@@ -164,6 +164,7 @@
     lastMessageAt = server.pool().now();
     long prepares = exchange.prepares();
     long executions = exchange.executions();
+    long underOtherOptions = exchange.preparedUnderOtherOptions();
     try {
       for (Frame f : frames) {
         Exchange.Moves moves = exchange.fromClient(f);
@@ -177,6 +178,10 @@
     }
     server.pool().count("pooling_prepares", exchange.prepares() - prepares);
     server.pool().count("pooling_executions", exchange.executions() - executions);
+    long more = exchange.preparedUnderOtherOptions() - underOtherOptions;
+    if (more > 0) {
+      server.pool().count("pooling_prepares_under_other_options", more);
+    }
     if (!toServer.isEmpty()) {
       write(toServer, ends);
     }
--- /dev/null
+++ b/src/main/java/crankspar/pooling/OptionsChange.java
@@ -0,0 +1,34 @@
+package crankspar.pooling;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.pcollections.PMap;
+
+/**
+ * The statements around a Parse that has to be read under other options than its session's present
+ * ones. They run in the client's own transaction: where that is rolled back, so are they.
+ *
+ * @param before bring about the options of the Parse
+ * @param after restore the session's, and those local to its transaction
+ */
+record OptionsChange(List<String> before, List<String> after) {
+
+  static OptionsChange around(StatementOptions under, SessionOptions present) {
+    PMap<String, String> parse = under.values();
+    PMap<String, String> all = present.statementOptions().values();
+    PMap<String, String> session = StatementOptions.of(present.session()).values();
+    var after = new ArrayList<String>(Carry.changes(parse, session));
+    for (Map.Entry<String, String> e : new TreeMap<>(present.local()).entrySet()) {
+      String name = e.getKey();
+      boolean counts = all.containsKey(name);
+      boolean touched =
+          !e.getValue().equals(parse.get(name)) || !e.getValue().equals(session.get(name));
+      if (counts && touched) {
+        after.add(Carry.setLocal(name, e.getValue()));
+      }
+    }
+    return new OptionsChange(Carry.changes(all, parse), after);
+  }
+}
--- a/src/main/java/crankspar/pooling/PendingReply.java
+++ b/src/main/java/crankspar/pooling/PendingReply.java
@@ -40,12 +40,13 @@
     boolean answeredBy(char type) {
       return switch (type) {
         case '1' -> this == PARSE || this == INTERNAL;
-        case '2' -> this == BIND;
+        case '2' -> this == BIND || this == INTERNAL;
         case '3' -> this == CLOSE || this == INTERNAL;
         case 't' -> this == DESCRIBE_STATEMENT;
         case 'T' -> this == DESCRIBE_STATEMENT || this == DESCRIBE_PORTAL || this == QUERY;
         case 'n' -> this == DESCRIBE_STATEMENT || this == DESCRIBE_PORTAL;
-        case 'D', 'C', 'I', 'G', 'H', 'W' -> this == QUERY || this == EXECUTE;
+        case 'C' -> this == QUERY || this == EXECUTE || this == INTERNAL;
+        case 'D', 'I', 'G', 'H', 'W' -> this == QUERY || this == EXECUTE;
         case 's' -> this == EXECUTE;
         case 'c' -> true;
         case 'V' -> this == CALL;
--- a/src/main/java/crankspar/pooling/Prepared.java
+++ b/src/main/java/crankspar/pooling/Prepared.java
@@ -11,9 +11,10 @@
 import java.util.WeakHashMap;
 
 /**
- * A prepared statement by its content: text and parameter types. Clients that prepare the same
- * content share one object and, on each server connection, one statement, whose name is a hash of
- * the content. Two clients that give one name to two texts never meet.
+ * A prepared statement by its content: text, parameter types and the options under which its text
+ * is read. Clients that prepare the same content share one object and, on each server connection,
+ * one statement, whose name is a hash of the content. Two clients that give one name to two texts,
+ * or prepare one text under two time zones, never meet.
  */
 final class Prepared {
   /** Before names that are made here; a client's own never reach a server through Parse. */
@@ -29,6 +30,11 @@
 
   private final String sql;
   private final byte[] types;
+  private final StatementOptions options;
+
+  /** The same text and types under no options, or this one: what is read of the text is there. */
+  private final Prepared plain;
+
   private final int hash;
   private String name;
   private List<Sql.Statement> statements;
@@ -36,14 +42,40 @@
   private Prepared(String sql, byte[] types) {
     this.sql = sql;
     this.types = types;
+    options = StatementOptions.NONE;
+    plain = this;
     hash = 31 * sql.hashCode() + Arrays.hashCode(types);
   }
 
+  private Prepared(Prepared plain, StatementOptions options) {
+    sql = plain.sql;
+    types = plain.types;
+    this.options = options;
+    this.plain = plain;
+    hash = 31 * plain.hash + options.hashCode();
+  }
+
   /**
-   * The one object for this content; {@code types} is the rest of a Parse message behind its text.
+   * The one object for this content under no options; {@code types} is the rest of a Parse message
+   * behind its text.
    */
-  static synchronized Prepared of(String sql, byte[] types) {
-    var asked = new Prepared(sql, types);
+  static Prepared of(String sql, byte[] types) {
+    return known(new Prepared(sql, types));
+  }
+
+  /** The same text, prepared under these options. */
+  Prepared under(StatementOptions options) {
+    boolean same = options.equals(this.options) || options() == StatementOptions.ANY;
+    return same ? this : known(new Prepared(plain, options));
+  }
+
+  /** Those under which its text is read. */
+  StatementOptions options() {
+    boolean meansTheSame = statements().stream().allMatch(Sql.Statement::control);
+    return meansTheSame ? StatementOptions.ANY : options;
+  }
+
+  private static synchronized Prepared known(Prepared asked) {
     WeakReference<Prepared> known = KNOWN.get(asked);
     Prepared found = known == null ? null : known.get();
     if (found == null) {
@@ -69,7 +101,9 @@
         MessageDigest digest = MessageDigest.getInstance("SHA-256");
         digest.update(sql.getBytes(StandardCharsets.UTF_8));
         digest.update((byte) 0);
-        byte[] all = digest.digest(types);
+        digest.update(types);
+        digest.update(options.key().getBytes(StandardCharsets.UTF_8));
+        byte[] all = digest.digest();
         name = PREFIX + HexFormat.of().formatHex(all, 0, NAME_BYTES);
       } catch (NoSuchAlgorithmException e) {
         throw new IllegalStateException(e); // every runtime has it
@@ -83,6 +117,9 @@
   }
 
   List<Sql.Statement> statements() {
+    if (plain != this) {
+      return plain.statements();
+    }
     if (statements == null) {
       statements = Sql.split(sql);
     }
@@ -95,7 +132,8 @@
         || other instanceof Prepared p
             && hash == p.hash
             && sql.equals(p.sql)
-            && Arrays.equals(types, p.types);
+            && Arrays.equals(types, p.types)
+            && options.equals(p.options);
   }
 
   @Override
--- a/src/main/java/crankspar/pooling/Server.java
+++ b/src/main/java/crankspar/pooling/Server.java
@@ -112,11 +112,6 @@
     out.reading(on);
   }
 
-  /** Whether it is between two transactions of the client that keeps it. */
-  boolean between() {
-    return state == ConnectionState.ACTIVE && lease.between();
-  }
-
   @Override
   public double openedAt() {
     return openedAt;
@@ -301,7 +296,7 @@
     pool.count("pooling_cleaned", 1);
     for (Sql.Statement query : cleaning.begin(session)) {
       out.write(Frame.query(query.text()).wire());
-      sessionState.done(query, query.text());
+      sessionState.done(query, query.text(), StatementOptions.NONE);
     }
   }
 
--- a/src/main/java/crankspar/pooling/ServerReplies.java
+++ b/src/main/java/crankspar/pooling/ServerReplies.java
@@ -19,6 +19,7 @@
   private final ServerState server;
   private final PendingReplies replies;
   private final BatchState batch;
+  private final ProjectedOptions projected;
   private Progress progress;
 
   /** How many statements of the present simple query have been done. */
@@ -33,11 +34,13 @@
       ServerState server,
       PendingReplies replies,
       BatchState batch,
+      ProjectedOptions projected,
       Progress progress) {
     this.client = client;
     this.server = server;
     this.replies = replies;
     this.batch = batch;
+    this.projected = projected;
     this.progress = progress;
   }
 
@@ -81,7 +84,12 @@
   /** Takes one message, and adds what the client hears of it. */
   void take(Frame f, List<Frame> toClient) throws Frame.Malformed {
     switch (f.type()) {
-      case 'N', 'A', 'd', Frame.PART -> toClient.add(f);
+      case 'N' -> {
+        if (!answersInternal()) {
+          toClient.add(f);
+        }
+      }
+      case 'A', 'd', Frame.PART -> toClient.add(f);
       case 'S' -> parameter(f, toClient);
       case 'E' -> {
         toClient.add(f);
@@ -103,12 +111,17 @@
       return; // they change with every answer: kept, each lease would compare all anew
     }
     server.report(name, value);
-    if (!value.equals(client.told().get(name))) {
+    if (!answersInternal() && !value.equals(client.told().get(name))) {
       client.told(client.told().plus(name, value));
       toClient.add(f);
     }
   }
 
+  /** Whether what comes now is on account of a message of the pooler's own. */
+  private boolean answersInternal() {
+    return !replies.isEmpty() && replies.next().step() == Step.INTERNAL;
+  }
+
   private void answer(Frame f, List<Frame> toClient) throws Frame.Malformed {
     PendingReply expected = replies.expected();
     Step step = expected.step();
@@ -135,7 +148,7 @@
         if (step == Step.CLOSE) {
           expected.statements().forEach(s -> both(s, ""));
         }
-        replies.answered();
+        answered();
       }
     }
   }
@@ -150,13 +163,20 @@
       progress.decided(tag);
     }
     if (reply.step() == Step.EXECUTE) {
-      replies.answered();
+      answered();
+    }
+  }
+
+  private void answered() {
+    PendingReply reply = replies.answered();
+    if (reply.step() == Step.EXECUTE) {
+      projected.answered(reply.statements());
     }
   }
 
   private void both(Statement s, String tag) {
     client.done(s, tag);
-    server.done(s, tag);
+    server.done(s, tag, client.sessionOptions().statementOptions());
   }
 
   private void failed(Frame f) throws Frame.Malformed {
@@ -175,6 +195,7 @@
       server.drop(reply.prepared()); // it is prepared anew when next used
     }
     replies.passOver();
+    projected.forget();
     if (replies.isEmpty()) {
       batch.failedBeforeSync();
     }
@@ -186,6 +207,7 @@
       throw new Frame.Malformed("ready before the answer to " + step);
     }
     replies.ready();
+    projected.forget();
     char status = f.read().code();
     batch.ready(status);
     client.ready(status);
--- a/src/main/java/crankspar/pooling/ServerState.java
+++ b/src/main/java/crankspar/pooling/ServerState.java
@@ -20,7 +20,7 @@
   /** Statements by name, the least recently used first. */
   private final LinkedHashMap<String, Prepared> statements = new LinkedHashMap<>(16, 0.75f, true);
 
-  private PMap<String, String> sqlPrepared = HashTreePMap.empty();
+  private PMap<String, SqlPrepared> sqlPrepared = HashTreePMap.empty();
   private Prepared unnamed;
 
   /**
@@ -34,7 +34,7 @@
     return options.now();
   }
 
-  PMap<String, String> sqlPrepared() {
+  PMap<String, SqlPrepared> sqlPrepared() {
     return sqlPrepared;
   }
 
@@ -100,10 +100,10 @@
   }
 
   /**
-   * A statement has been done here; RESET goes back to what this connection began with, which is
-   * nothing set.
+   * A statement has been done here, under these options; RESET goes back to what this connection
+   * began with, which is nothing set.
    */
-  void done(Statement s, String tag) {
+  void done(Statement s, String tag, StatementOptions under) {
     PMap<String, String> now = options.now();
     switch (s.kind()) {
       case SET -> options.change(now.plus(s.name(), s.value()));
@@ -113,7 +113,7 @@
         options.replace(HashTreePMap.empty());
         forgetStatements();
       }
-      case PREPARE -> sqlPrepared = sqlPrepared.plus(s.name(), s.text());
+      case PREPARE -> sqlPrepared = sqlPrepared.plus(s.name(), new SqlPrepared(s.text(), under));
       case DEALLOCATE -> {
         sqlPrepared = sqlPrepared.minus(s.name());
         statements.remove(s.name());
@@ -149,7 +149,7 @@
   }
 
   /** What was brought here by a carry, in one go. */
-  void carried(PMap<String, String> asIt, PMap<String, String> prepared) {
+  void carried(PMap<String, String> asIt, PMap<String, SqlPrepared> prepared) {
     options.replace(asIt);
     sqlPrepared = prepared;
   }
--- a/src/main/java/crankspar/pooling/SessionState.java
+++ b/src/main/java/crankspar/pooling/SessionState.java
@@ -14,15 +14,9 @@
  * client's state is a few references to shared values.
  */
 final class SessionState {
-  /** Options by name as SQL text, and what pins the client. */
-  private record Kept(PMap<String, String> options, Pins pins) {}
-
-  /** What the client asked for at its start, to which RESET returns. */
-  private final PMap<String, String> base;
-
-  private final Transactional<Kept> kept;
+  private final SessionOptions options;
   private Map<String, Prepared> prepared = Map.of();
-  private PMap<String, String> sqlPrepared = HashTreePMap.empty();
+  private PMap<String, SqlPrepared> sqlPrepared = HashTreePMap.empty();
   private int bytes;
   private Prepared unnamed;
 
@@ -32,12 +26,7 @@
   private double mark = Double.NaN;
 
   SessionState(PMap<String, String> base) {
-    this.base = base;
-    kept =
-        new Transactional<>(
-            new Kept(base, Pins.NONE),
-            (before, after) ->
-                new Kept(before.options(), Pins.undone(before.pins(), after.pins())));
+    options = new SessionOptions(base);
   }
 
   /** The state of a client that starts with these parameters; what is no option is left out. */
@@ -84,16 +73,23 @@
     return all;
   }
 
+  /** Those of the session, by name as SQL text. */
   PMap<String, String> options() {
-    return kept.now().options();
+    return options.session();
+  }
+
+  /** With what is local to a transaction, and how they come about. */
+  SessionOptions sessionOptions() {
+    return options;
   }
 
-  PMap<String, String> sqlPrepared() {
+  /** Statements of SQL's PREPARE by name. */
+  PMap<String, SqlPrepared> sqlPrepared() {
     return sqlPrepared;
   }
 
   Pins pins() {
-    return kept.now().pins();
+    return options.pins();
   }
 
   PMap<String, String> told() {
@@ -164,48 +160,26 @@
   // ---- What happens, in the order in which the server says so.
   /** A statement has been done; the tag tells a COMMIT that was none. */
   void done(Statement s, String tag) {
-    Kept now = kept.now();
     switch (s.kind()) {
-      case SET -> kept.change(new Kept(now.options().plus(s.name(), s.value()), now.pins()));
-      case RESET -> kept.change(new Kept(reset(now.options(), s.name()), now.pins()));
-      case RESET_ALL -> kept.change(new Kept(base, now.pins()));
-      case DISCARD_ALL -> {
-        kept.replace(new Kept(base, now.pins().done(s)));
-        forgetStatements();
-      }
       case PREPARE -> {
         bytes += s.text().length();
-        sqlPrepared = sqlPrepared.plus(s.name(), s.text());
+        sqlPrepared =
+            sqlPrepared.plus(s.name(), new SqlPrepared(s.text(), options.statementOptions()));
       }
       case DEALLOCATE -> deallocate(s.name());
       case DEALLOCATE_ALL -> forgetStatements();
-      case COMMIT, ROLLBACK -> {
-        if (tag.equals("COMMIT")) {
-          kept.commit();
-        } else {
-          kept.rollback();
-        }
-      }
-      case SAVEPOINT -> kept.savepoint(s.name());
-      case RELEASE -> kept.release(s.name());
-      case ROLLBACK_TO -> kept.rollbackTo(s.name());
-      default -> {
-        Pins pins = now.pins().done(s);
-        if (pins != now.pins()) {
-          kept.change(new Kept(now.options(), pins));
-        }
+      case DISCARD_ALL -> {
+        options.done(s, tag);
+        forgetStatements();
       }
+      default -> options.done(s, tag);
     }
   }
 
-  private PMap<String, String> reset(PMap<String, String> options, String name) {
-    return base.containsKey(name) ? options.plus(name, base.get(name)) : options.minus(name);
-  }
-
   private void deallocate(String name) {
-    String text = sqlPrepared.get(name);
-    if (text != null) {
-      bytes -= text.length();
+    SqlPrepared statement = sqlPrepared.get(name);
+    if (statement != null) {
+      bytes -= statement.text().length();
       sqlPrepared = sqlPrepared.minus(name);
     } else {
       close(name);
@@ -220,19 +194,15 @@
   }
 
   void failed() {
-    kept.fail();
+    options.failed();
   }
 
   void ready(char status) {
-    kept.ready(status);
+    options.ready(status);
   }
 
-  /**
-   * The connection is lost, and the transaction with it: what it changed is as before, and nothing
-   * pins any more.
-   */
+  /** The connection is lost, and the transaction with it: what it changed is as before. */
   void lost() {
-    kept.rollback();
-    kept.replace(new Kept(kept.now().options(), Pins.NONE));
+    options.lost();
   }
 }
--- a/src/main/java/crankspar/pooling/Sql.java
+++ b/src/main/java/crankspar/pooling/Sql.java
@@ -32,7 +32,7 @@
     PREPARE_TRANSACTION,
     /** SET of the session's; name and value are told. */
     SET,
-    /** SET LOCAL and SET TRANSACTION: gone with the transaction. */
+    /** SET LOCAL, its name and value told, and SET TRANSACTION: gone with the transaction. */
     SET_LOCAL,
     RESET,
     RESET_ALL,
@@ -59,7 +59,9 @@
      * A setting changed in a way that its words do not tell: set_config with anything but two
      * literals.
      */
-    SET_UNKNOWN
+    SET_UNKNOWN,
+    /** The same, but gone with the transaction. */
+    SET_LOCAL_UNKNOWN
   }
 
   /**
@@ -82,7 +84,16 @@
     /** Whether running it twice is the same as once, as far as its words tell. */
     boolean harmless() {
       return switch (kind) {
-        case READ, BEGIN, SAVEPOINT, ROLLBACK, SET_LOCAL, SET, RESET, RESET_ALL -> true;
+        case READ,
+                BEGIN,
+                SAVEPOINT,
+                ROLLBACK,
+                SET_LOCAL,
+                SET_LOCAL_UNKNOWN,
+                SET,
+                RESET,
+                RESET_ALL ->
+            true;
         default -> false;
       };
     }
@@ -224,7 +235,7 @@
       }
       boolean call = i + 1 < t.size() && t.get(i + 1).sort() == '(';
       if (call && token.is("set_config")) {
-        return SqlSettings.config(t, i, text);
+        return SqlSettings.config(t, text);
       }
       if (call && SESSION_LOCKS.contains(token.text())) {
         return of(Kind.LOCK_SESSION, text, arguments(t, i + 1, text));
--- a/src/main/java/crankspar/pooling/SqlSettings.java
+++ b/src/main/java/crankspar/pooling/SqlSettings.java
@@ -5,16 +5,42 @@
 
 import crankspar.pooling.Sql.Kind;
 import crankspar.pooling.Sql.Statement;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 
 /** Reads statements that change settings: SET, RESET and {@code set_config}. */
 final class SqlSettings {
+  /** The value that goes back to what the session began with. */
+  static final String DEFAULT = "DEFAULT";
+
+  /** A setting's name as a literal that needs no reading. */
+  private static final String PLAIN_NAME = "'[A-Za-z_][A-Za-z0-9_.]*'";
+
   private SqlSettings() {}
 
-  /** {@code set_config('name', 'value', false)}: two literals are a SET, all else is not known. */
-  static Statement config(List<SqlToken> t, int at, String text) {
-    boolean plain =
+  /**
+   * {@code set_config('name', 'value', false)}: two literals are a SET, or a SET LOCAL. Of several
+   * that are all local it is known that they end with the transaction; all else is not known.
+   */
+  static Statement config(List<SqlToken> t, String text) {
+    var calls = new ArrayList<Statement>(1);
+    for (int i = 0; i + 1 < t.size(); i++) {
+      if (t.get(i).is("set_config") && t.get(i + 1).sort() == '(') {
+        calls.add(configCall(t, i, text));
+      }
+    }
+    if (calls.size() == 1) {
+      return calls.get(0);
+    }
+    boolean allLocal =
+        calls.stream()
+            .allMatch(c -> c.kind() == Kind.SET_LOCAL || c.kind() == Kind.SET_LOCAL_UNKNOWN);
+    return Sql.of(allLocal ? Kind.SET_LOCAL_UNKNOWN : Kind.SET_UNKNOWN, text);
+  }
+
+  private static Statement configCall(List<SqlToken> t, int at, String text) {
+    boolean literals =
         t.size() >= at + 8
             && t.get(at + 2).sort() == 's'
             && t.get(at + 4).sort() == 's'
@@ -22,19 +48,16 @@
             && t.get(at + 5).sort() == ','
             && t.get(at + 7).sort() == ')';
     String local = word(t, at + 6);
-    if (plain && local.equals("true")) {
-      return Sql.of(Kind.SET_LOCAL, text);
+    if (!literals || !local.equals("true") && !local.equals("false")) {
+      return Sql.of(Kind.SET_UNKNOWN, text);
     }
-    if (plain && local.equals("false") && t.get(at + 2).text().matches("'[A-Za-z_.]+'")) {
-      String name = t.get(at + 2).text();
-      return new Statement(
-          Kind.SET,
-          text,
-          name.substring(1, name.length() - 1).toLowerCase(Locale.ROOT),
-          t.get(at + 4).text(),
-          false);
+    String name = t.get(at + 2).text();
+    if (!name.matches(PLAIN_NAME)) {
+      return Sql.of(local.equals("true") ? Kind.SET_LOCAL_UNKNOWN : Kind.SET_UNKNOWN, text);
     }
-    return Sql.of(Kind.SET_UNKNOWN, text);
+    Kind kind = local.equals("true") ? Kind.SET_LOCAL : Kind.SET;
+    String bare = name.substring(1, name.length() - 1).toLowerCase(Locale.ROOT);
+    return new Statement(kind, text, bare, t.get(at + 4).text(), false);
   }
 
   static Statement reset(List<SqlToken> t, String text) {
@@ -63,7 +86,7 @@
   static Statement set(List<SqlToken> t, String text) {
     int at = 1;
     if (word(t, at).equals("local")) {
-      return Sql.of(Kind.SET_LOCAL, text);
+      return local(assignment(t, at + 1, text), text);
     }
     if (word(t, at).equals("session") && word(t, at + 1).equals("characteristics")) {
       return characteristics(t, text);
@@ -71,6 +94,21 @@
     if (word(t, at).equals("session") && !word(t, at + 1).equals("authorization")) {
       at++;
     }
+    return assignment(t, at, text);
+  }
+
+  /** The same up to the transaction's end; DEFAULT is a value like others there. */
+  private static Statement local(Statement set, String text) {
+    return switch (set.kind()) {
+      case SET -> new Statement(Kind.SET_LOCAL, text, set.name(), set.value(), false);
+      case RESET -> new Statement(Kind.SET_LOCAL, text, set.name(), DEFAULT, false);
+      case SET_LOCAL -> set;
+      default -> Sql.of(Kind.SET_LOCAL_UNKNOWN, text);
+    };
+  }
+
+  /** What stands behind SET, SET SESSION and SET LOCAL. */
+  private static Statement assignment(List<SqlToken> t, int at, String text) {
     String first = word(t, at);
     int base = t.get(0).from();
     return switch (first) {
--- a/src/main/java/crankspar/pooling/StatementNames.java
+++ b/src/main/java/crankspar/pooling/StatementNames.java
@@ -9,19 +9,27 @@
  * the answer that it will have; a null message is spared the server.
  */
 final class StatementNames {
+  /** Before the names of portals of the pooler's own. */
+  private static final String OWN_PORTAL = Prepared.PREFIX + "options_";
+
   private final SessionState client;
   private final ServerState server;
+  private final ProjectedOptions options;
   private final int mostOnServer;
   private final BiConsumer<Frame, PendingReply> send;
   private long prepares;
+  private long preparedUnderOtherOptions;
+  private long portals;
 
   StatementNames(
       SessionState client,
       ServerState server,
+      ProjectedOptions options,
       int mostOnServer,
       BiConsumer<Frame, PendingReply> send) {
     this.client = client;
     this.server = server;
+    this.options = options;
     this.mostOnServer = mostOnServer;
     this.send = send;
   }
@@ -31,6 +39,11 @@
     return prepares;
   }
 
+  /** Those of them that were prepared under options that their client has changed since. */
+  long preparedUnderOtherOptions() {
+    return preparedUnderOtherOptions;
+  }
+
   /** The client prepares its unnamed statement, in place of the one before. */
   void parseUnnamed(Prepared statement) {
     Prepared before = client.prepared("");
@@ -99,10 +112,15 @@
       ensurePrepared(statement);
       return statement.name();
     }
-    if (!statement.equals(server.unnamed())) {
-      server.unnamed(statement);
-      parse("", statement, PendingReply.internal(statement, () -> server.unnamed(null)));
+    if (statement.equals(server.unnamed())) {
+      return "";
+    }
+    if (!readNowAs(statement)) { // options cannot be changed back behind it without losing it
+      ensurePrepared(statement);
+      return statement.name();
     }
+    server.unnamed(statement);
+    parse("", statement, PendingReply.internal(statement, () -> server.unnamed(null)));
     return "";
   }
 
@@ -112,10 +130,35 @@
     }
     evictFor(statement);
     server.add(statement);
-    parse(
-        statement.name(),
-        statement,
-        PendingReply.internal(statement, () -> server.remove(statement)));
+    PendingReply reply = PendingReply.internal(statement, () -> server.remove(statement));
+    if (readNowAs(statement)) {
+      parse(statement.name(), statement, reply);
+    } else {
+      preparedUnderOtherOptions++;
+      var change = OptionsChange.around(statement.options(), options.now());
+      change.before().forEach(this::execute);
+      parse(statement.name(), statement, reply);
+      change.after().forEach(this::execute);
+    }
+  }
+
+  /** Whether the server would read its text now as when its client prepared it. */
+  private boolean readNowAs(Prepared statement) {
+    StatementOptions under = statement.options();
+    return under == StatementOptions.ANY || under.equals(options.now().statementOptions());
+  }
+
+  /** Runs a statement of the pooler's own within the client's transaction. */
+  private void execute(String sql) {
+    String portal = OWN_PORTAL + ++portals;
+    server.unnamed(null);
+    sendInternal(Frame.body().text("").text(sql).int16(0).as('P'));
+    sendInternal(Frame.body().text(portal).text("").int16(0).int16(0).int16(0).as('B'));
+    sendInternal(Frame.body().text(portal).int32(0).as('E'));
+  }
+
+  private void sendInternal(Frame f) {
+    send.accept(f, PendingReply.internal(null, () -> {}));
   }
 
   /** Makes room for a statement: the least recently used ones are closed on the server. */
--- a/src/main/java/crankspar/pooling/Transactional.java
+++ b/src/main/java/crankspar/pooling/Transactional.java
@@ -36,6 +36,15 @@
     this(value, (before, after) -> before);
   }
 
+  /** One that goes on from here by itself. */
+  Transactional<T> copy() {
+    var copy = new Transactional<>(committed, undone);
+    copy.current = current;
+    copy.savepoints = savepoints == null ? null : savepoints.clone();
+    copy.failed = failed;
+    return copy;
+  }
+
   T now() {
     return current;
   }
--- a/src/test/java/crankspar/pooling/StateTest.java
+++ b/src/test/java/crankspar/pooling/StateTest.java
@@ -129,6 +129,51 @@
             "RESET role; RESET search_path; RESET timezone; DEALLOCATE \"p\"; PREPARE p AS SELECT 2");
   }
 
+  /** Guards against a statement that is shared though its options are known to nobody. */
+  @Test
+  void settingsThatNobodyKnowsAreUnlikeAnyOthers() {
+    SessionState one = state("TimeZone", "UTC");
+    SessionState other = state("TimeZone", "UTC");
+    assertThat(read(one)).isEqualTo(read(other));
+    for (String sql :
+        List.of(
+            "SELECT set_config(x, y, false)",
+            "SELECT set_config('a', '1', true), set_config('b', '2', true)",
+            "SET LOCAL timezone TO 'UTC'",
+            "RESET timezone")) {
+      one = state("TimeZone", "UTC");
+      other = state("TimeZone", "UTC");
+      done(one, sql);
+      done(other, sql);
+      assertThat(read(one)).as(sql).isNotEqualTo(read(other));
+    }
+    other.ready('I');
+    assertThat(read(other)).isEqualTo(read(state("TimeZone", "UTC")));
+    done(other, "BEGIN", "SET LOCAL timezone TO 'Asia/Tokyo'");
+    assertThat(read(other)).isEqualTo(read(state("TimeZone", "Asia/Tokyo")));
+  }
+
+  private static StatementOptions read(SessionState session) {
+    return session.sessionOptions().statementOptions();
+  }
+
+  @Test
+  void theOptionsAroundAParseLeaveThoseOfSessionAndTransactionAsTheyWere() {
+    SessionState client = state("TimeZone", "UTC", "application_name", "a");
+    StatementOptions then = read(client);
+    done(client, "SET timezone TO 'Asia/Tokyo'", "SET search_path TO b");
+    client.ready('I');
+    done(client, "BEGIN", "SET LOCAL timezone TO 'America/Vancouver'");
+    assertThat(OptionsChange.around(then, client.sessionOptions()))
+        .isEqualTo(
+            new OptionsChange(
+                List.of("RESET search_path", "SET TIME ZONE 'UTC'"),
+                List.of(
+                    "SET search_path TO b",
+                    "SET TIME ZONE 'Asia/Tokyo'",
+                    "SET LOCAL TIME ZONE 'America/Vancouver'")));
+  }
+
   @Test
   void theLeastRecentlyUsedStatementMakesRoom() {
     var server = new ServerState();
