A client without an unnamed statement no longer runs another client's

Callers saw (pooling front): Bind to the unnamed statement, by a client that has none or whose simple query had done away with it, ran what another client had left on that connection, in place of 26000. Found by comparing drawn programs with connections of their own (the test follows).

Cause: a name that the client does not know goes on as it is, and the unnamed statement's name is the same for all. Change: the server's unnamed statement is closed first, so that the server says 26000.

Evidence: SparedParseTest's first case got the other client's row on the code before, 26000 now.

--- a/src/main/java/crankspar/pooling/StatementNames.java
+++ b/src/main/java/crankspar/pooling/StatementNames.java
@@ -106,6 +106,9 @@
   String onServer(String name) {
     Prepared statement = client.prepared(name);
     if (statement == null) {
+      if (name.isEmpty()) {
+        closeUnnamed();
+      }
       return name;
     }
     if (!name.isEmpty()) {
@@ -124,6 +127,12 @@
     return "";
   }
 
+  /** The client has none: what another one left there is not to answer for it. */
+  private void closeUnnamed() {
+    server.unnamed(null);
+    sendInternal(Frame.close('S', ""));
+  }
+
   private void ensurePrepared(Prepared statement) {
     if (server.has(statement)) {
       return;
--- /dev/null
+++ b/src/test/java/crankspar/pooling/SparedParseTest.java
@@ -0,0 +1,22 @@
+package crankspar.pooling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import crankspar.lab.PgWire;
+import crankspar.lab.Stand;
+import org.junit.jupiter.api.Test;
+
+/** Clients that share a connection, and the statements that the server has from one of them. */
+class SparedParseTest extends HardCasesFixture {
+  /** Guards against an answer by the unnamed statement of another client. */
+  @Test
+  void aClientWithoutAnUnnamedStatementDoesNotRunAnothersOne() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire first = stand.wire();
+        PgWire second = stand.wire()) {
+      prepare(first, "", "SELECT 'of first'");
+      assertThat(use(second, "")).isEqualTo("E:26000 Z:I");
+      assertThat(use(first, "")).isEqualTo("2 D:of first C:SELECT 1 Z:I");
+    }
+  }
+}
