A Parse is not spared behind the pooler's own query, which undid the unnamed statement

Callers saw (pooling front): Parse of the unnamed statement, Bind, Execute and Flush got 26000 where the connection had been brought from another client's options, or rolled back, by a simple query of the pooler's; behind a statement that had run in the same batch, too. A whole batch of which nothing had run was begun anew, which hid it.

Cause: any simple query does away with the unnamed statement; ServerState kept it. Change: Server has one way to send its own queries, which forgets it.

Evidence: SparedParseTest's second case heard 1E on the code before, 12DC now.

--- a/src/main/java/crankspar/pooling/Server.java
+++ b/src/main/java/crankspar/pooling/Server.java
@@ -166,10 +166,16 @@
       to(ConnectionState.CARRYING);
       carryError = null;
       pool.count("pooling_carries", 1);
-      out.write(Frame.query(sql).wire());
+      query(sql);
     }
   }
 
+  /** A simple query of its own; it does away with the unnamed statement, as any does. */
+  private void query(String sql) {
+    sessionState.unnamed(null);
+    out.write(Frame.query(sql).wire());
+  }
+
   /** Writes for its client, who is held back while too much waits. */
   void writeForClient(byte[] bytes, Runnable written) {
     fromClient.queued(bytes.length);
@@ -295,7 +301,7 @@
     to(ConnectionState.TESTED);
     pool.count("pooling_cleaned", 1);
     for (Sql.Statement query : cleaning.begin(session)) {
-      out.write(Frame.query(query.text()).wire());
+      query(query.text());
       sessionState.done(query, query.text(), StatementOptions.NONE);
     }
   }
@@ -321,7 +327,7 @@
       if (cleaning.doubted()) {
         fail("a cancel may still come");
       } else {
-        out.write(Frame.query("").wire());
+        query("");
       }
     }
   }
--- a/src/test/java/crankspar/pooling/SparedParseTest.java
+++ b/src/test/java/crankspar/pooling/SparedParseTest.java
@@ -19,4 +19,25 @@
       assertThat(use(first, "")).isEqualTo("2 D:of first C:SELECT 1 Z:I");
     }
   }
+
+  /** Guards against a Parse that is spared though a query of the pooler's undid what was there. */
+  @Test
+  void anUnnamedStatementIsPreparedAnewBehindAChangeOfOptions() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire first = PgWire.to(stand.address(), "app", "db", "application_name", "a");
+        PgWire second = PgWire.to(stand.address(), "app", "db", "application_name", "b")) {
+      prepare(first, "", "SELECT 1");
+      second.send(
+          Frame.body().text("").text("SELECT 1").int16(0).as('P'),
+          PgWire.bind(""),
+          PgWire.execute(),
+          Frame.body().as('H'));
+      var heard = new StringBuilder();
+      for (char type = 0; type != 'C' && type != 'E'; ) {
+        type = second.next().type();
+        heard.append(type == 'S' ? "" : type);
+      }
+      assertThat(heard.toString()).isEqualTo("12DC");
+    }
+  }
 }
