A Parse in a failed block is refused though the server has the statement

Callers saw (pooling front): in a block that had failed, Parse of a text that the server had already was answered ParseComplete, and the statement stood; a connection of their own answers 25P02.

Cause: what the server has is spared it, whatever the state of the block. Change: in a failed block the server is asked, by its unnamed statement, which is never taken; ROLLBACK and the like it accepts.

Evidence: SparedParseTest's third case heard '1 Z:E' on the code before, 'E:25P02 Z:E' now.

--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -55,7 +55,8 @@
     this.limits = limits;
     this.refused = refused;
     projected = new ProjectedOptions(client.sessionOptions());
-    names = new StatementNames(client, server, projected, limits.serverStatements(), this::send);
+    names =
+        new StatementNames(client, server, projected, batch, limits.serverStatements(), this::send);
     serverReplies = new ServerReplies(client, server, replies, batch, projected, progress);
   }
 
--- a/src/main/java/crankspar/pooling/StatementNames.java
+++ b/src/main/java/crankspar/pooling/StatementNames.java
@@ -15,6 +15,7 @@
   private final SessionState client;
   private final ServerState server;
   private final ProjectedOptions options;
+  private final BatchState batch;
   private final int mostOnServer;
   private final BiConsumer<Frame, PendingReply> send;
   private long prepares;
@@ -25,11 +26,13 @@
       SessionState client,
       ServerState server,
       ProjectedOptions options,
+      BatchState batch,
       int mostOnServer,
       BiConsumer<Frame, PendingReply> send) {
     this.client = client;
     this.server = server;
     this.options = options;
+    this.batch = batch;
     this.mostOnServer = mostOnServer;
     this.send = send;
   }
@@ -89,7 +92,21 @@
     }
   }
 
+  /**
+   * The server has it. In a block that has failed it would refuse it all the same; it is asked by
+   * the unnamed statement, which is never taken.
+   */
   private void spare(Prepared statement, Runnable undo) {
+    if (batch.status() == 'E') {
+      server.unnamed(statement);
+      parse(
+          "",
+          statement,
+          PendingReply.to(Step.PARSE, statement)
+              .undoneAtClient(undo)
+              .undoneAtServer(() -> server.unnamed(null)));
+      return;
+    }
     send.accept(
         null,
         PendingReply.to(Step.LOCAL, statement)
--- a/src/test/java/crankspar/pooling/SparedParseTest.java
+++ b/src/test/java/crankspar/pooling/SparedParseTest.java
@@ -40,4 +40,22 @@
       assertThat(heard.toString()).isEqualTo("12DC");
     }
   }
+
+  /** Guards against a Parse that a failed block accepts as the server is not asked. */
+  @Test
+  void aParseInAFailedBlockIsRefusedThoughTheServerHasTheStatement() throws Exception {
+    try (var stand = new Stand(0, places(2));
+        PgWire client = stand.wire()) {
+      prepare(client, "a", "SELECT 1");
+      prepare(client, "end", "ROLLBACK");
+      client.ask("BEGIN");
+      client.ask("SELECT raise('22012')");
+      client.send(PgWire.parse("b", "SELECT 1"), PgWire.sync());
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("E:25P02 Z:E");
+      client.send(PgWire.parse("end again", "ROLLBACK"), PgWire.sync());
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("1 Z:E");
+      assertThat(use(client, "end again")).isEqualTo("2 C:ROLLBACK Z:I");
+      assertThat(use(client, "b")).isEqualTo("E:26000 Z:I");
+    }
+  }
 }
