A refusal in the midst of a batch undoes what ran before it in the batch

Callers saw (pooling front): a claim followed, in one batch, by a statement that the pooler refuses (LISTEN under pins { listen = refuse }, or one statement more than limits.statements) was answered with the error, and took effect: who begins the batch anew has it twice. With a refused simple query behind such messages the pooler waited for an answer that never comes: 08007 after 3 s.

Cause: the same as of the cut-off batch, a Sync commits what it ends; the pooler said the error and passed the Sync on. Change: where the batch has executed something, the error is brought about at the server, by a Bind of a statement that nobody has, and said in the pooler's words.

Evidence: RefusedBatchTest, its three cases red on the code before, green now.

--- a/src/main/java/crankspar/pooling/BatchState.java
+++ b/src/main/java/crankspar/pooling/BatchState.java
@@ -25,6 +25,9 @@
   /** Whether the server has got a part of such a batch, and no Sync behind it. */
   private boolean serverBatchOpen;
 
+  /** Whether a statement has been executed in that batch. */
+  private boolean serverBatchExecuted;
+
   /** As the server said last: I, T or E. */
   char status() {
     return status;
@@ -47,6 +50,11 @@
     return serverBatchOpen;
   }
 
+  /** Whether a statement has been executed in that batch: its Sync would commit it. */
+  boolean serverBatchExecuted() {
+    return serverBatchExecuted;
+  }
+
   /**
    * Whether a transaction is open: in a block, or in a batch without its Sync. The status that the
    * server told last knows nothing of the latter.
@@ -66,6 +74,7 @@
   /** A message goes to the server. */
   void toServer(Frame f) {
     serverBatchOpen = f.beginsBatch() || serverBatchOpen && !f.endsBatch();
+    serverBatchExecuted = f.type() == 'E' || serverBatchExecuted && !f.endsBatch();
     awaitsReady |= f.endsBatch();
   }
 
@@ -114,7 +123,7 @@
 
   /** The batch is begun anew, or given up. */
   void rewind() {
-    clientBatchOpen = serverBatchOpen = false;
+    clientBatchOpen = serverBatchOpen = serverBatchExecuted = false;
     skipping = awaitsReady = copying = inParts = false;
   }
 }
--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -24,6 +24,9 @@
   /** What goes where after one step. */
   record Moves(List<Frame> toServer, List<Frame> toClient) {}
 
+  /** A name that no statement has on a server. */
+  private static final String UNKNOWN_NAME = Prepared.PREFIX + "unknown";
+
   /** A statement of which nothing is known. */
   private static final Statement UNKNOWN = new Statement(Kind.WRITE, "", null, null, false);
 
@@ -253,9 +256,19 @@
     return over;
   }
 
-  /** An error of ours, after the answers to all before it; the rest of its batch is passed over. */
+  /**
+   * An error of ours, after the answers to all before it; the rest of its batch is passed over.
+   * What the server has executed of the batch must not be committed by its Sync: there the error is
+   * the server's, brought about by a statement that nobody has.
+   */
   private void refuse(String code, String why) {
-    send(null, PendingReply.local(Frame.error("ERROR", code, why, null)));
+    Frame error = Frame.error("ERROR", code, why, null);
+    if (batch.serverBatchExecuted()) {
+      Frame fails = Frame.body().text("").text(UNKNOWN_NAME).int16(0).int16(0).int16(0).as('B');
+      send(fails, PendingReply.to(Step.INTERNAL, List.of()).answeredAs(error));
+    } else {
+      send(null, PendingReply.local(error));
+    }
     batch.refused();
   }
 
@@ -327,7 +340,11 @@
     }
     if (not) {
       batch.refusedQuery();
-      send(null, PendingReply.local(Frame.ready(batch.status())));
+      if (batch.serverBatchOpen()) {
+        send(Frame.body().as('S'), PendingReply.to(Step.SYNC, List.of()));
+      } else {
+        send(null, PendingReply.local(Frame.ready(batch.status())));
+      }
       return;
     }
     serverReplies.querySent();
--- a/src/main/java/crankspar/pooling/ServerReplies.java
+++ b/src/main/java/crankspar/pooling/ServerReplies.java
@@ -92,8 +92,10 @@
       case 'A', 'd', Frame.PART -> toClient.add(f);
       case 'S' -> parameter(f, toClient);
       case 'E' -> {
-        toClient.add(f);
-        failed(f);
+        boolean refused = answersInternal() && replies.next().answer() != null;
+        Frame said = refused ? replies.next().answer() : f;
+        toClient.add(said);
+        failed(said);
       }
       case 'Z' -> {
         ready(f);
