A pinned client's block has the whole of limits.transaction

Callers saw (pooling front, mode transaction): a client that LISTEN or a temporary table had pinned for longer than limits.transaction got FATAL 25P04 at its next BEGIN.

Cause: the bound was counted from when the client had got its connection, which a pinned client keeps from one transaction to the next. Change: Lease counts from the message that begins the transaction.

Evidence: CutOffBatchTest.aPinnedClientsNextBlockHasTheWholeTime, red on the code before (25P04 in place of COMMIT), green now; the last of its blocks, which stands still, is still ended.

--- a/src/main/java/crankspar/pooling/Lease.java
+++ b/src/main/java/crankspar/pooling/Lease.java
@@ -71,7 +71,7 @@
     return exchange.inTransaction();
   }
 
-  /** Since when its present transaction is under way (ms). */
+  /** Since when its present transaction is under way, or its last one was begun (ms). */
   double transactionSince() {
     return transactionSince;
   }
@@ -110,7 +110,6 @@
   // ---- From the client.
   /** The connection is up and in its client's state. */
   void start() {
-    transactionSince = server.pool().now();
     if (opening.empty()) {
       server.finish(new AttemptEnd.Served<>(new Answer(List.of(), this), note()));
       return;
@@ -162,6 +161,9 @@
     var toClient = new ArrayList<Frame>();
     boolean ends = false;
     lastMessageAt = server.pool().now();
+    if (!exchange.inTransaction()) {
+      transactionSince = lastMessageAt;
+    }
     long prepares = exchange.prepares();
     long executions = exchange.executions();
     long underOtherOptions = exchange.preparedUnderOtherOptions();
@@ -281,7 +283,6 @@
     exchange.batch();
     if (transactionOver) {
       progress = exchange.next();
-      transactionSince = server.pool().now();
     }
     if (!kept) {
       keep(note());
--- a/src/main/java/crankspar/pooling/PoolingFront.java
+++ b/src/main/java/crankspar/pooling/PoolingFront.java
@@ -248,7 +248,7 @@
             if (now - lease.quietSince() > limits.idleInTransaction()) {
                 counters.add("pooling_idle_in_transaction");
                 client.fatal("25P03", "idle in transaction for longer than it may");
-            } else if (bounded && lease.inTransaction() && now - s.since() > limits.transaction()) {
+            } else if (bounded && lease.inTransaction() && now - lease.transactionSince() > limits.transaction()) {
                 counters.add("pooling_transactions_late");
                 client.fatal("25P04", "the transaction takes longer than it may");
             }
--- a/src/test/java/crankspar/pooling/CutOffBatchTest.java
+++ b/src/test/java/crankspar/pooling/CutOffBatchTest.java
@@ -166,6 +166,21 @@
     }
   }
 
+  /** Guards against a pinned client's next block that is ended for the age of its connection. */
+  @Test
+  void aPinnedClientsNextBlockHasTheWholeTime() throws Exception {
+    try (var stand = new Stand(0, "limits { transaction = 500ms }\n" + places(1));
+        PgWire client = stand.wire()) {
+      client.ask("LISTEN news");
+      Thread.sleep(700); // longer than a transaction may take
+      assertThat(client.ask("BEGIN")).isEqualTo("C:BEGIN Z:T");
+      Thread.sleep(150); // some sweeps
+      assertThat(client.ask("COMMIT")).isEqualTo("C:COMMIT Z:I");
+      assertThat(client.ask("BEGIN")).isEqualTo("C:BEGIN Z:T");
+      assertThat(PgWire.brief(List.of(client.next()))).isEqualTo("E:25P04");
+    }
+  }
+
   /** Guards against an end that a drain takes for one between two transactions. */
   @Test
   void aDrainDoesNotTakeAnOpenBatchForTheTimeBetweenTransactions() throws Exception {
