Drawn programs of clients that share connections answer as on connections of their own

OwnConnectionTest plays drawn messages of four clients (Parse, Bind, Execute, Close, Flush, Sync, simple queries, SET, SET LOCAL, set_config, blocks, savepoints, PREPARE, errors, ends of three kinds, cut connections) through the pooler and, each client on a connection of its own, at a second stand-in; answers, and which inserts have taken effect, have to be the same.

It draws no drains, time-outs or kills of the pooler, and no session mode.

--- /dev/null
+++ b/src/test/java/crankspar/pooling/OwnConnectionTest.java
@@ -0,0 +1,227 @@
+package crankspar.pooling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import crankspar.lab.PgServer;
+import crankspar.lab.PgWire;
+import crankspar.lab.Recording;
+import crankspar.lab.Recording.Executed;
+import crankspar.lab.Stand;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What a client is owed is what a connection of its own would have given it: drawn programs of
+ * clients that share few connections are played through the pooler and, each client on a connection
+ * of its own, straight at a second stand-in. Answers and effects have to be the same.
+ */
+class OwnConnectionTest extends HardCasesFixture {
+  /** More by hand: {@code mvn test -Dtest=OwnConnectionTest -Dpooling.seeds=2000}. */
+  private static final int SEEDS = Integer.getInteger("pooling.seeds", 100);
+
+  private static final int CLIENTS = 4;
+  private static final int STEPS = 60;
+  private static final String[] ZONES = {"UTC", "Asia/Tokyo", "America/Vancouver"};
+  private static final String[] NAMES = {"", "a", "b"};
+
+  /** One client, and how far into a batch it is. */
+  private static final class Client {
+    final String zone;
+    PgWire pooled;
+    PgWire own;
+    boolean batchOpen;
+    boolean failed;
+
+    /** As the last ReadyForQuery told it. */
+    boolean inBlock;
+
+    Client(String zone) {
+      this.zone = zone;
+    }
+  }
+
+  private final List<String> program = new ArrayList<>();
+  private SplittableRandom random;
+  private InetSocketAddress pooler;
+  private InetSocketAddress database;
+  private int claims;
+
+  private void connect(Client client) throws IOException {
+    client.pooled = PgWire.to(pooler, "app", "db", "TimeZone", client.zone);
+    client.own = PgWire.to(database, "app", "db", "TimeZone", client.zone);
+    client.batchOpen = client.failed = client.inBlock = false;
+  }
+
+  private <T> T any(T[] all) {
+    return all[random.nextInt(all.length)];
+  }
+
+  private String statement() {
+    return switch (random.nextInt(12)) {
+      case 0 -> "SET TIME ZONE '" + any(ZONES) + "'";
+      case 1 -> "SET LOCAL TIME ZONE '" + any(ZONES) + "'";
+      case 2 -> "RESET application_name";
+      case 3 -> "SELECT raise('22012')";
+      case 4, 5 -> "INSERT INTO claims VALUES (" + ++claims + ")";
+      case 6 -> "SELECT current_setting('TimeZone')";
+      case 7 -> "SAVEPOINT s";
+      case 8 -> "ROLLBACK TO s";
+      case 9 -> "SELECT set_config('TimeZone', '" + any(ZONES) + "', false)";
+      default -> "SELECT '2026-12-04 10:00:0" + random.nextInt(2) + "'::timestamptz";
+    };
+  }
+
+  private String control() {
+    return switch (random.nextInt(9)) {
+      case 0, 1 -> "BEGIN";
+      case 2, 3 -> "COMMIT";
+      case 4 -> "ROLLBACK";
+      case 5 -> "DEALLOCATE ALL";
+      case 6 -> "PREPARE p AS SELECT '2026-12-04 10:00:00'::timestamptz";
+      case 7 -> "DEALLOCATE p";
+      default -> "EXECUTE p";
+    };
+  }
+
+  /** A message that a batch of the extended protocol consists of. */
+  private Frame[] extended() {
+    String name = any(NAMES);
+    return switch (random.nextInt(4)) {
+      case 0 -> new Frame[] {PgWire.parse(name, statement())};
+      case 1 -> new Frame[] {Frame.close('S', name)};
+      case 2 -> new Frame[] {PgWire.parse("", statement()), PgWire.bind(""), PgWire.execute()};
+      default -> new Frame[] {PgWire.bind(name), PgWire.execute()};
+    };
+  }
+
+  private static String text(Frame f) throws Frame.Malformed {
+    Frame.Reader r = f.read();
+    return switch (f.type()) {
+      case 'Q' -> "Q " + r.text();
+      case 'P' -> "P " + r.text() + ": " + r.text();
+      case 'B' -> "B " + r.text() + r.text();
+      default -> String.valueOf(f.type());
+    };
+  }
+
+  private void step(Client client, int who) throws Exception {
+    var frames = new ArrayList<Frame>();
+    boolean ends = true;
+    int kind = random.nextInt(10);
+    if (!client.batchOpen && kind < 4) {
+      frames.add(Frame.query(kind < 2 ? control() : statement()));
+    } else {
+      for (int n = 1 + random.nextInt(3); n > 0; n--) {
+        frames.addAll(List.of(extended()));
+      }
+      ends = random.nextInt(4) > 0;
+      frames.add(ends ? PgWire.sync() : Frame.body().as('H'));
+    }
+    for (Frame f : frames) {
+      program.add(who + ": " + text(f));
+    }
+    Frame[] sent = frames.toArray(new Frame[0]);
+    client.pooled.send(sent);
+    client.own.send(sent);
+    int answers = ends || client.failed ? 0 : answers(frames);
+    String expected = ends ? PgWire.brief(client.own.untilReady()) : some(client.own, answers);
+    String heard = ends ? PgWire.brief(client.pooled.untilReady()) : some(client.pooled, answers);
+    assertThat(heard).as(String.join("\n", program)).isEqualTo(expected);
+    client.batchOpen = !ends;
+    client.inBlock = ends ? !heard.endsWith("Z:I") : client.inBlock;
+    client.failed = !ends && (client.failed || expected.contains("E:"));
+  }
+
+  /** Whole answers to these, one for each message but the Flush. */
+  private static int answers(List<Frame> frames) {
+    return frames.size() - 1;
+  }
+
+  /** So many answers, or all up to an error. */
+  private static String some(PgWire wire, int answers) throws IOException {
+    var all = new ArrayList<Frame>();
+    for (int left = answers; left > 0; ) {
+      Frame f = wire.next();
+      all.add(f);
+      if (f.type() == 'E') {
+        break;
+      }
+      left -= f.type() == 'D' || f.type() == 'S' || f.type() == 'N' ? 0 : 1;
+    }
+    return PgWire.brief(all);
+  }
+
+  private void end(Client client) throws IOException {
+    for (PgWire wire : new PgWire[] {client.pooled, client.own}) {
+      switch (claims % 3) {
+        case 0 -> wire.socket.setSoLinger(true, 0);
+        case 1 -> wire.send(Frame.body().as('X'));
+        default -> {}
+      }
+      wire.close();
+    }
+  }
+
+  private static List<String> effects(Recording recording) {
+    return recording.executed().stream()
+        .filter(e -> e.fate == Recording.Fate.COMMITTED && e.sql.startsWith("INSERT"))
+        .map(e -> e.sql)
+        .sorted()
+        .toList();
+  }
+
+  private static boolean over(Recording recording) {
+    return recording.executed().stream()
+        .map((Executed e) -> e.fate)
+        .noneMatch(fate -> fate == Recording.Fate.OPEN);
+  }
+
+  private void play(Stand stand, Recording own) throws Exception {
+    var clients = new ArrayList<Client>();
+    for (int i = 0; i < CLIENTS; i++) {
+      clients.add(new Client(ZONES[i % ZONES.length]));
+      connect(clients.get(i));
+    }
+    for (int i = 0; i < STEPS; i++) {
+      int who = random.nextInt(CLIENTS);
+      if (random.nextInt(15) == 0) {
+        program.add(who + ": ends");
+        end(clients.get(who));
+        connect(clients.get(who));
+      } else if (random.nextInt(15) == 0
+          && clients.stream().noneMatch(c -> c.batchOpen || c.inBlock)) {
+        program.add("connections are cut");
+        stand.primary.cutAll();
+      } else {
+        step(clients.get(who), who);
+      }
+    }
+    for (Client client : clients) {
+      end(client);
+    }
+    until(() -> over(stand.recording) && over(own));
+    assertThat(effects(stand.recording)).as(String.join("\n", program)).isEqualTo(effects(own));
+  }
+
+  /** Guards against a session, a statement or a transaction that is any other client's. */
+  @Test
+  void sharedConnectionsAnswerAsConnectionsOfTheirOwn() throws Exception {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      random = new SplittableRandom(seed);
+      program.clear();
+      program.add("seed " + seed);
+      var own = new PgServer("own");
+      try (var stand = new Stand(0, places(CLIENTS))) {
+        pooler = stand.address();
+        database = own.listen(new InetSocketAddress("127.0.0.1", 0)).address();
+        play(stand, own.recording());
+      } finally {
+        own.close();
+      }
+    }
+  }
+}
