Cut-off batches are counted; a linter finding and a doubled passage in pooling mended

Counter pooling_batches_cut_off: clients that left between a message of the extended protocol and its Sync, each of which costs a connection. PendingReply keeps no lambda in a constant (Error Prone, UnnecessaryLambda); StatementNames prepares the unnamed statement in one place. The pooling tests and StructureTest pass, the linter has no finding.

--- a/src/main/java/crankspar/pooling/Lease.java
+++ b/src/main/java/crankspar/pooling/Lease.java
@@ -346,6 +346,9 @@
 
   /** Nobody hears of it any more: its client has gone, or the core has given it up. */
   void abandon() {
+    if (kept && exchange.serverBatchOpen()) {
+      server.pool().count("pooling_batches_cut_off", 1);
+    }
     opening.verdict = progress.verdict();
     listener = null;
   }
--- a/src/main/java/crankspar/pooling/PendingReply.java
+++ b/src/main/java/crankspar/pooling/PendingReply.java
@@ -60,24 +60,28 @@
     }
   }
 
-  private static final Runnable NOTHING = () -> {};
+  private static void nothing() {}
 
   static PendingReply to(Step step, Prepared prepared) {
-    return new PendingReply(step, List.of(), prepared, null, NOTHING, NOTHING);
+    return new PendingReply(
+        step, List.of(), prepared, null, PendingReply::nothing, PendingReply::nothing);
   }
 
   static PendingReply to(Step step, List<Statement> statements) {
-    return new PendingReply(step, statements, null, null, NOTHING, NOTHING);
+    return new PendingReply(
+        step, statements, null, null, PendingReply::nothing, PendingReply::nothing);
   }
 
   /** One of the pooler's own, about this statement. */
   static PendingReply internal(Prepared prepared, Runnable undoAtServer) {
-    return new PendingReply(Step.INTERNAL, List.of(), prepared, null, NOTHING, undoAtServer);
+    return new PendingReply(
+        Step.INTERNAL, List.of(), prepared, null, PendingReply::nothing, undoAtServer);
   }
 
   /** An answer that needs no server. */
   static PendingReply local(Frame answer) {
-    return new PendingReply(Step.LOCAL, List.of(), null, answer, NOTHING, NOTHING);
+    return new PendingReply(
+        Step.LOCAL, List.of(), null, answer, PendingReply::nothing, PendingReply::nothing);
   }
 
   PendingReply answeredAs(Frame frame) {
--- a/src/main/java/crankspar/pooling/StatementNames.java
+++ b/src/main/java/crankspar/pooling/StatementNames.java
@@ -55,13 +55,7 @@
     if (statement.equals(server.unnamed())) {
       spare(statement, undo);
     } else {
-      server.unnamed(statement);
-      parse(
-          "",
-          statement,
-          PendingReply.to(Step.PARSE, statement)
-              .undoneAtClient(undo)
-              .undoneAtServer(() -> server.unnamed(null)));
+      parseAsUnnamed(statement, undo);
     }
   }
 
@@ -98,13 +92,7 @@
    */
   private void spare(Prepared statement, Runnable undo) {
     if (batch.status() == 'E') {
-      server.unnamed(statement);
-      parse(
-          "",
-          statement,
-          PendingReply.to(Step.PARSE, statement)
-              .undoneAtClient(undo)
-              .undoneAtServer(() -> server.unnamed(null)));
+      parseAsUnnamed(statement, undo);
       return;
     }
     send.accept(
@@ -114,6 +102,16 @@
             .undoneAtClient(undo));
   }
 
+  private void parseAsUnnamed(Prepared statement, Runnable undo) {
+    server.unnamed(statement);
+    parse(
+        "",
+        statement,
+        PendingReply.to(Step.PARSE, statement)
+            .undoneAtClient(undo)
+            .undoneAtServer(() -> server.unnamed(null)));
+  }
+
   private void parse(String as, Prepared statement, PendingReply reply) {
     prepares++;
     send.accept(statement.parse(as), reply);
