--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -336,7 +336,7 @@
     List<Statement> statements = Sql.split(f.read().text());
     boolean not = refuse(statements);
     for (Statement s : statements) {
-      not = not || s.kind() == Kind.PREPARE && tooMany(s.text().length());
+      not = not || s.kind() == Kind.PREPARE && tooMany(sqlPrepared(s).bytes());
     }
     if (not) {
       batch.refusedQuery();
@@ -364,6 +364,10 @@
     send(f, PendingReply.to(Step.QUERY, statements));
   }
 
+  private SqlPrepared sqlPrepared(Statement prepare) {
+    return new SqlPrepared(prepare.text(), projected.now().statementOptions());
+  }
+
   // ---- From the server.
   /**
    * Steps with one of its frames; one that nothing asked for is malformed, and the connection of no
--- a/src/main/java/crankspar/pooling/Prepared.java
+++ b/src/main/java/crankspar/pooling/Prepared.java
@@ -22,6 +22,9 @@
 
   private static final int NAME_BYTES = 16;
 
+  /** What one takes beside its text. */
+  private static final int OBJECT_BYTES = 64;
+
   /**
    * All that are in use anywhere; what no client and no connection holds is forgotten by the
    * collector.
@@ -91,7 +94,7 @@
 
   /** What it counts against a client's bound. */
   int bytes() {
-    return sql.length() + types.length + 64;
+    return sql.length() + types.length + options.bytes() + OBJECT_BYTES;
   }
 
   /** Its name on servers. */
--- a/src/main/java/crankspar/pooling/SessionState.java
+++ b/src/main/java/crankspar/pooling/SessionState.java
@@ -162,9 +162,9 @@
   void done(Statement s, String tag) {
     switch (s.kind()) {
       case PREPARE -> {
-        bytes += s.text().length();
-        sqlPrepared =
-            sqlPrepared.plus(s.name(), new SqlPrepared(s.text(), options.statementOptions()));
+        var statement = new SqlPrepared(s.text(), options.statementOptions());
+        bytes += statement.bytes();
+        sqlPrepared = sqlPrepared.plus(s.name(), statement);
       }
       case DEALLOCATE -> deallocate(s.name());
       case DEALLOCATE_ALL -> forgetStatements();
@@ -179,7 +179,7 @@
   private void deallocate(String name) {
     SqlPrepared statement = sqlPrepared.get(name);
     if (statement != null) {
-      bytes -= statement.text().length();
+      bytes -= statement.bytes();
       sqlPrepared = sqlPrepared.minus(name);
     } else {
       close(name);
--- a/src/main/java/crankspar/pooling/SqlPrepared.java
+++ b/src/main/java/crankspar/pooling/SqlPrepared.java
@@ -6,4 +6,9 @@
  * @param text the whole PREPARE
  * @param options those under which it was prepared
  */
-record SqlPrepared(String text, StatementOptions options) {}
+record SqlPrepared(String text, StatementOptions options) {
+  /** What it counts against a client's bound. */
+  int bytes() {
+    return text.length() + options.bytes();
+  }
+}
--- a/src/main/java/crankspar/pooling/StatementOptions.java
+++ b/src/main/java/crankspar/pooling/StatementOptions.java
@@ -62,6 +62,15 @@
     return values.minus(UNKNOWN);
   }
 
+  /** What it counts against a client's bound: a statement holds it for as long as it lives. */
+  int bytes() {
+    int bytes = 0;
+    for (Map.Entry<String, String> e : values.entrySet()) {
+      bytes += e.getKey().length() + e.getValue().length();
+    }
+    return bytes;
+  }
+
   /** What tells it from others, for a name that is a hash. */
   String key() {
     var key = new StringBuilder();
--- a/src/test/java/crankspar/pooling/StateTest.java
+++ b/src/test/java/crankspar/pooling/StateTest.java
@@ -157,6 +157,19 @@
     return session.sessionOptions().statementOptions();
   }
 
+  /** Guards against a heap full of options that only statements still hold. */
+  @Test
+  void theOptionsThatAStatementHoldsCountAgainstItsClientsBound() {
+    SessionState s = state();
+    done(s, "SET x.y TO '" + "z".repeat(10_000) + "'");
+    s.prepare("a", Prepared.of("SELECT 'a'", new byte[2]).under(read(s)));
+    assertThat(s.bytes()).isBetween(10_000, 10_200);
+    done(s, "PREPARE b AS SELECT 'b'");
+    assertThat(s.bytes()).isBetween(20_000, 20_300);
+    done(s, "DEALLOCATE b", "DEALLOCATE a");
+    assertThat(s.bytes()).isZero();
+  }
+
   @Test
   void theOptionsAroundAParseLeaveThoseOfSessionAndTransactionAsTheyWere() {
     SessionState client = state("TimeZone", "UTC", "application_name", "a");
