A log that grew during its compaction is compacted again at once

Callers would see a key log that stays up to 1 MiB plus all that was appended during a slow compaction, and a start that reads all of it.

Cause: finishCompaction took the new file's length for compacted, though what was appended meanwhile is copied as it is, and LogWriter looked whether to compact after an append only. Ruled out: a compaction that fails (none was logged), the lock (the same thread). Evidence: the test's own loop beside 16 busy processes and three writers, with the size in its message: 13 of 60 red, the file at 5,522,968 or 4,474,108 bytes, which is the tail since the compaction began; cold, alone, it is red too.

Change: what was read for a compaction counts as compacted, and after one it is looked at once more. The new test holds the compaction until all is appended: red before, green now; the old one stays as it was.

--- a/src/main/java/crankspar/wal/LogWriter.java
+++ b/src/main/java/crankspar/wal/LogWriter.java
@@ -134,11 +134,12 @@
   private void finish(RecordLog.Compacted compacted) throws IOException {
     try {
       log.finishCompaction(compacted, this::tellOthers);
-      compacting = false;
     } catch (IOException | RuntimeException e) {
       failed(compacted.of());
       throw e;
     }
+    compacting = false;
+    compactIfLong(); // it may have grown meanwhile, and no append need follow
   }
 
   private void failed(RecordLog.Prefix prefix) {
--- a/src/main/java/crankspar/wal/RecordLog.java
+++ b/src/main/java/crankspar/wal/RecordLog.java
@@ -76,6 +76,8 @@
 
   private long unreadable;
   private double unreadableUntil = Double.NEGATIVE_INFINITY;
+
+  /** How long the log was (bytes) when all of it was last compacted; 0 where that is not known. */
   private long compactedBytes;
 
   /** The time of the last frame by the log's clock, and by this process's when it was here. */
@@ -107,7 +109,7 @@
   public void recover(Consumer<Logged> records) throws IOException {
     try {
       open(records);
-      compactedBytes = 0; // not known
+      compactedBytes = 0;
       syncRecovered();
     } catch (NoSuchFileException e) {
       // a first start
@@ -332,6 +334,7 @@
       disk.rename(compacted.temporary(), name);
       open(known -> {}); // from now on this is the log, whether or not its name is on disk yet
       synced = end;
+      compactedBytes = compacted.end(); // what was appended meanwhile is not compacted yet
       return true;
     } catch (IOException e) {
       disk.discard(compacted.temporary(), e);
--- a/src/test/java/crankspar/wal/LogWriterTest.java
+++ b/src/test/java/crankspar/wal/LogWriterTest.java
@@ -22,25 +22,49 @@
   @TempDir Path dir;
   private final Counters counters = new Counters();
 
-  private RecordLog log() {
+  /** A log whose compactions go on once this latch is open. */
+  private RecordLog log(CountDownLatch compact) {
     return new RecordLog(
         new FolderDisk(dir),
         "log",
         () -> System.nanoTime() / 1e6,
         1000,
-        records -> records.subList(Math.max(0, records.size() - 2), records.size()));
+        records -> {
+          awaitOpen(compact);
+          return records.subList(Math.max(0, records.size() - 2), records.size());
+        });
+  }
+
+  private static void awaitOpen(CountDownLatch latch) {
+    try {
+      assertThat(latch.await((long) PATIENCE_MS, TimeUnit.MILLISECONDS)).isTrue();
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
   }
 
   /** Six MiB, of which the last two records are worth keeping; what waits shares a sync. */
   @Test
   void aLongLogIsCompactedBesideItsAppendsAndAcknowledgesThemTogether() throws Exception {
-    var bounds = new CommitQueue.Bounds(0, 256, 1 << 20, RECORDS);
+    aLongLogIsCompacted(new CountDownLatch(RECORDS), new CountDownLatch(0));
+  }
+
+  /** Guards against a log that stays as long as a slow compaction found it when it was done. */
+  @Test
+  void whatIsAppendedDuringACompactionIsCompactedByTheNextOne() throws Exception {
     var written = new CountDownLatch(RECORDS);
+    aLongLogIsCompacted(written, written);
+  }
+
+  private void aLongLogIsCompacted(CountDownLatch written, CountDownLatch compact)
+      throws Exception {
+    var bounds = new CommitQueue.Bounds(0, 256, 1 << 20, RECORDS);
     List<LogWriter.Result> failed = new ArrayList<>();
     try (var loop = new EventLoop("test")) {
       var opened = new LogWriter[1];
       loop.runAndWait(
-          () -> opened[0] = new LogWriter(loop, counters, "log", bounds, log(), others -> {}));
+          () ->
+              opened[0] = new LogWriter(loop, counters, "log", bounds, log(compact), others -> {}));
       try (LogWriter writer = opened[0]) {
         loop.run(
             () -> {
@@ -69,7 +93,7 @@
     assertThat(failed).isEmpty();
     assertThat(counters.get("log_writes")).as("syncs").isLessThan(RECORDS / 10);
     var records = new ArrayList<RecordLog.Logged>();
-    log().recover(records::add);
+    log(compact).recover(records::add);
     var last = records.get(records.size() - 1).record();
     assertThat(last.get(last.position())).isEqualTo((byte) (RECORDS - 1));
   }
