What a SELECT with a bound on its rows did to its session counts

Callers saw (pooling front): an option that SELECT set_config(...) had set, executed with a limit on its rows, was in force for the next client on that connection, and lost to its own client elsewhere; a session lock taken so pinned nobody.

Cause: a statement counted with CommandComplete only; a server that has given as many rows as were asked for says PortalSuspended, and its work is done. Ruled out: counting at each Execute (a lock that is fetched to its end would count twice).

Change: PortalSuspended counts as done; Portal has a bound statement count with its first Execute only. The lab's database says PortalSuspended at the last row, too, as PostgreSQL does.

--- a/src/main/java/crankspar/lab/PgExecution.java
+++ b/src/main/java/crankspar/lab/PgExecution.java
@@ -206,12 +206,12 @@
       return copy(result, extended);
     }
     if (result.columns() != null) {
-      for (int n = 0; portal.at < result.count(); n++) {
-        if (limit > 0 && n == limit) {
+      for (int given = 1; portal.at < result.count(); given++) {
+        backend.say(result.row(portal.at++));
+        if (given == limit) { // the last row, too: that no other follows is seen by the next fetch
           backend.say(Frame.body().as('s'));
           return true;
         }
-        backend.say(result.row(portal.at++));
       }
     }
     if (backend.goes(
--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -40,7 +40,7 @@
   private final PendingReplies replies = new PendingReplies();
   private final BatchState batch = new BatchState();
   private final ServerReplies serverReplies;
-  private final Map<String, List<Statement>> portals = new HashMap<>(2);
+  private final Map<String, Portal> portals = new HashMap<>(2);
   private List<Frame> toServer = new ArrayList<>(4);
   private List<Frame> toClient = new ArrayList<>(4);
 
@@ -278,7 +278,7 @@
     String name = r.text();
     Prepared statement = client.prepared(name);
     String onServer = names.onServer(name);
-    portals.put(portal, statement == null ? List.of(UNKNOWN) : statement.statements());
+    portals.put(portal, new Portal(statement == null ? List.of(UNKNOWN) : statement.statements()));
     Frame sent =
         onServer.equals(name)
             ? f
@@ -325,11 +325,12 @@
   }
 
   private void execute(Frame f) throws Frame.Malformed {
-    List<Statement> statements = portals.getOrDefault(f.read().text(), List.of());
-    progress.sending(statements, false);
+    Portal portal = portals.getOrDefault(f.read().text(), new Portal(List.of()));
+    progress.sending(portal.statements(), false);
     executions++;
-    projected.sent(statements, batch.status());
-    send(f, PendingReply.to(Step.EXECUTE, statements));
+    List<Statement> run = portal.execute();
+    projected.sent(run, batch.status());
+    send(f, PendingReply.to(Step.EXECUTE, run).undoneAtClient(() -> portal.passedOver(run)));
   }
 
   private void query(Frame f) throws Frame.Malformed {
--- a/src/main/java/crankspar/pooling/ServerReplies.java
+++ b/src/main/java/crankspar/pooling/ServerReplies.java
@@ -140,6 +140,10 @@
     switch (f.type()) {
       case 'G', 'W' -> batch.copyBegins();
       case 'C', 'I' -> done(expected, said);
+      case 's' -> { // it has run up to a row, whether or not the rest is ever fetched
+        expected.statements().forEach(s -> both(s, ""));
+        answered();
+      }
       case 'D', 'H', 'c', 'V', 't' -> {}
       case 'T' -> {
         if (step != Step.QUERY) {
