A taken name in a failed block is refused as taken, whatever the connection holds

Callers saw (pooling front): in a block that had failed, Parse of ROLLBACK under a name of theirs that this connection had not got yet was refused with 25P02; a connection of their own says 42P05.

Cause: the name is refused by preparing the statement that is there once more; where the connection lacks it, it was prepared first, which a failed block does not take. Change: there the text goes as the unnamed statement, and the name's error is brought about behind it (failAtServer, which refusals in a batch use, too).

--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -24,9 +24,6 @@
   /** What goes where after one step. */
   record Moves(List<Frame> toServer, List<Frame> toClient) {}
 
-  /** A name that no statement has on a server. */
-  private static final String UNKNOWN_NAME = Prepared.PREFIX + "unknown";
-
   /** A statement of which nothing is known. */
   private static final Statement UNKNOWN = new Statement(Kind.WRITE, "", null, null, false);
 
@@ -221,7 +218,7 @@
     if (name.isEmpty()) {
       names.parseUnnamed(statement);
     } else if (taken != null) {
-      names.parseTaken(taken, statement);
+      names.parseTaken(name, taken, statement);
     } else if (!tooMany(statement.bytes())) {
       names.parseNamed(name, statement);
     }
@@ -259,13 +256,12 @@
   /**
    * An error of ours, after the answers to all before it; the rest of its batch is passed over.
    * What the server has executed of the batch must not be committed by its Sync: there the error is
-   * the server's, brought about by a statement that nobody has.
+   * the server's.
    */
   private void refuse(String code, String why) {
     Frame error = Frame.error("ERROR", code, why, null);
     if (batch.serverBatchExecuted()) {
-      Frame fails = Frame.body().text("").text(UNKNOWN_NAME).int16(0).int16(0).int16(0).as('B');
-      send(fails, PendingReply.to(Step.INTERNAL, List.of()).answeredAs(error));
+      names.failAtServer(error);
     } else {
       send(null, PendingReply.local(error));
     }
--- a/src/main/java/crankspar/pooling/StatementNames.java
+++ b/src/main/java/crankspar/pooling/StatementNames.java
@@ -9,6 +9,12 @@
  * the answer that it will have; a null message is spared the server.
  */
 final class StatementNames {
+  /** A name that no statement has on a server. */
+  private static final String UNKNOWN_NAME = Prepared.PREFIX + "unknown";
+
+  /** SQLSTATE of a name that is taken. */
+  private static final String NAME_TAKEN = "42P05";
+
   /** Before the names of portals of the pooler's own. */
   private static final String OWN_PORTAL = Prepared.PREFIX + "options_";
 
@@ -61,9 +67,18 @@
 
   /**
    * A name that is taken is an error of the server's, inside a block one that fails it; so it is
-   * asked to prepare the statement that is there once more, which it refuses as it would have.
+   * asked to prepare the statement that is there once more, which it refuses as it would have. In a
+   * block that has failed it takes some texts and not others, and the one that is there may have to
+   * be prepared first, which it would not take.
    */
-  void parseTaken(Prepared taken, Prepared statement) {
+  void parseTaken(String name, Prepared taken, Prepared statement) {
+    if (batch.status() == 'E' && !server.has(taken)) {
+      server.unnamed(null);
+      parse("", statement, PendingReply.internal(statement, () -> {}));
+      String why = "prepared statement " + Sql.identifier(name) + " already exists";
+      failAtServer(Frame.error("ERROR", NAME_TAKEN, why, null));
+      return;
+    }
     ensurePrepared(taken);
     parse(taken.name(), statement, PendingReply.to(Step.PARSE, (Prepared) null));
   }
@@ -172,6 +187,15 @@
     return under == StatementOptions.ANY || under.equals(options.now().statementOptions());
   }
 
+  /**
+   * Has the server fail what it is in the midst of, by a statement that nobody has; the client
+   * hears this error in its turn.
+   */
+  void failAtServer(Frame error) {
+    Frame bind = Frame.body().text("").text(UNKNOWN_NAME).int16(0).int16(0).int16(0).as('B');
+    send.accept(bind, PendingReply.internal(null, () -> {}).answeredAs(error));
+  }
+
   /** Runs a statement of the pooler's own within the client's transaction. */
   private void execute(String sql) {
     String portal = OWN_PORTAL + ++portals;
--- a/src/test/java/crankspar/pooling/OwnConnectionTest.java
+++ b/src/test/java/crankspar/pooling/OwnConnectionTest.java
@@ -27,6 +27,7 @@
   private static final int STEPS = 60;
   private static final String[] ZONES = {"UTC", "Asia/Tokyo", "America/Vancouver"};
   private static final String[] NAMES = {"", "a", "b"};
+  private static final Frame FETCH_ONE = Frame.body().text("").int32(1).as('E');
 
   /** One client, and how far into a batch it is. */
   private static final class Client {
@@ -90,10 +91,11 @@
   /** A message that a batch of the extended protocol consists of. */
   private Frame[] extended() {
     String name = any(NAMES);
-    return switch (random.nextInt(4)) {
+    return switch (random.nextInt(5)) {
       case 0 -> new Frame[] {PgWire.parse(name, statement())};
       case 1 -> new Frame[] {Frame.close('S', name)};
       case 2 -> new Frame[] {PgWire.parse("", statement()), PgWire.bind(""), PgWire.execute()};
+      case 3 -> new Frame[] {PgWire.bind(name), FETCH_ONE, FETCH_ONE};
       default -> new Frame[] {PgWire.bind(name), PgWire.execute()};
     };
   }
--- a/src/test/java/crankspar/pooling/SparedParseTest.java
+++ b/src/test/java/crankspar/pooling/SparedParseTest.java
@@ -58,4 +58,22 @@
       assertThat(use(client, "b")).isEqualTo("E:26000 Z:I");
     }
   }
+
+  /** Guards against another error than a connection of its own would have told. */
+  @Test
+  void aTakenNameInAFailedBlockIsRefusedAsTaken() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire client = stand.wire()) {
+      prepare(client, "a", "SELECT 1");
+      stand.primary.cutAll();
+      client.ask("BEGIN");
+      client.ask("SELECT raise('22012')");
+      client.send(PgWire.parse("a", "ROLLBACK"), PgWire.sync());
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("E:42P05 Z:E");
+      client.send(PgWire.parse("a", "SELECT 2"), PgWire.sync());
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("E:25P02 Z:E");
+      assertThat(client.ask("ROLLBACK")).isEqualTo("C:ROLLBACK Z:I");
+      assertThat(use(client, "a")).isEqualTo("2 D:1 C:SELECT 1 Z:I");
+    }
+  }
 }
