A connection whose change of clients failed is reset before the next client has it

Callers saw (pooling front): a client whose PREPAREd statement's table was gone heard 42P01, as it should; the next client on that connection heard 26000 for a statement of its own.

Cause: SET, DEALLOCATE and PREPARE go in one simple query. Where it fails the SETs are undone, but statements do not follow transactions, and the pooler took all of it for undone. A cancel that hits this query does the same. Ruled out: closing the connection (one that such a client asks for again and again would be dialled each time).

Change: where statements of SQL's were to change, such a connection is reset by DISCARD ALL; Release decides it by the condition that it has for sessions. The lab's database can drop a table.

--- a/src/main/java/crankspar/lab/PgBackend.java
+++ b/src/main/java/crankspar/lab/PgBackend.java
@@ -49,7 +49,7 @@
   PgBackend(PgServer server, int connection) {
     this.server = server;
     this.connection = connection;
-    statements = new PgStatements(server.recording, settings);
+    statements = new PgStatements(server, settings);
     transaction = new PgTransaction(server, settings);
     execution = new PgExecution(this, server);
     extended = new PgExtended(this);
--- a/src/main/java/crankspar/lab/PgServer.java
+++ b/src/main/java/crankspar/lab/PgServer.java
@@ -7,6 +7,8 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArraySet;
 
 /**
  * A stand-in for a PostgreSQL server: it speaks protocol 3.0 and enough SQL for drivers and
@@ -39,6 +41,8 @@
   volatile boolean tellsPosition = true;
   volatile Fault fault = Fault.NONE;
 
+  private final Set<String> dropped = new CopyOnWriteArraySet<>(Set.of("no_such_table"));
+
   /** On the loop. */
   final ProbeLog probes = new ProbeLog();
 
@@ -151,6 +155,20 @@
     loop.runAndWait(() -> backends.values().forEach(b -> b.statements.makeStale()));
   }
 
+  /** From now on no statement that names this table can be prepared. */
+  public void dropTable(String table) {
+    dropped.add(table);
+  }
+
+  /** Fails where a text names a table that is not there. */
+  void checkTables(String sql) throws PgFailed {
+    for (String table : dropped) {
+      if (sql.contains(table)) {
+        throw new PgFailed("42P01", "relation \"" + table + "\" does not exist");
+      }
+    }
+  }
+
   /** Does nothing at all for a while, and then goes on: its loop stands still. */
   public void freeze(double ms) {
     loop.run(() -> java.util.concurrent.locks.LockSupport.parkNanos((long) (ms * 1e6)));
--- a/src/main/java/crankspar/lab/PgStatements.java
+++ b/src/main/java/crankspar/lab/PgStatements.java
@@ -11,14 +11,14 @@
   /** One of the protocol's; {@code types} are the oids that its client gave. */
   record Prepared(String sql, int[] types) {}
 
-  private final Recording recording;
+  private final PgServer server;
   private final Settings settings;
   private final Map<String, Prepared> byProtocol = new LinkedHashMap<>();
   private final Map<String, String> bySql = new HashMap<>();
   private final Set<String> stale = new HashSet<>();
 
-  PgStatements(Recording recording, Settings settings) {
-    this.recording = recording;
+  PgStatements(PgServer server, Settings settings) {
+    this.server = server;
     this.settings = settings;
   }
 
@@ -26,17 +26,16 @@
     if (!name.isEmpty()) {
       checkNew(name);
     }
-    if (sql.contains("no_such_table")) {
-      throw new PgFailed("42P01", "relation \"no_such_table\" does not exist");
-    }
-    recording.prepares.incrementAndGet();
+    server.checkTables(sql);
+    server.recording.prepares.incrementAndGet();
     byProtocol.put(name, new Prepared(PgConstants.read(sql, settings), types));
     stale.remove(name);
   }
 
   void prepareSql(String name, String sql) throws PgFailed {
     checkNew(name);
-    recording.prepares.incrementAndGet();
+    server.checkTables(sql);
+    server.recording.prepares.incrementAndGet();
     bySql.put(name, PgConstants.read(sql, settings));
   }
 
--- a/src/main/java/crankspar/pooling/Lease.java
+++ b/src/main/java/crankspar/pooling/Lease.java
@@ -37,6 +37,9 @@
   /** Whether its batch was begun again for a lost statement: that happens once. */
   private boolean begunAgain;
 
+  /** Whether nobody knows which of SQL's statements the connection has. */
+  private boolean statementsInDoubt;
+
   private double transactionSince;
   private double lastMessageAt;
 
@@ -309,8 +312,14 @@
     return true;
   }
 
-  /** The connection could not be brought to its client's state: the client hears why. */
+  /**
+   * The connection could not be brought to its client's state: the client hears why. The options
+   * are as before, but statements of SQL's are prepared and deallocated without regard to
+   * transactions.
+   */
   void carryFailed(Frame error) {
+    statementsInDoubt =
+        !server.sessionState().sqlPrepared().equals(opening.client.session().sqlPrepared());
     server.finish(
         new AttemptEnd.Served<>(new Answer(List.of(error, Frame.ready('I')), this), note()));
   }
@@ -326,7 +335,7 @@
         !exchange.quiet(),
         exchange.serverBatchOpen(),
         exchange.status(),
-        clientLeft && ofSession(),
+        statementsInDoubt || clientLeft && ofSession(),
         opening.client.session().pins().kinds().contains(Pins.Kind.LOAD),
         unwanted,
         cancelsPending);
--- a/src/main/java/crankspar/pooling/Release.java
+++ b/src/main/java/crankspar/pooling/Release.java
@@ -24,7 +24,8 @@
    * @param batchOpen whether messages of the extended protocol have gone out with no Sync behind
    *     them: a Sync would commit them, and after an error anything else is passed over
    * @param status as the server's last ReadyForQuery told it: I, T or E
-   * @param sessionState whether its client left more there than a transaction does
+   * @param sessionState whether its client left more there than a transaction does, or a change to
+   *     that client's state got stuck half way
    * @param libraryLoaded whether its client loaded a library, which only the connection's end
    *     undoes
    * @param unwanted whether it is to end: its member drains, or a cancel may still hit it
--- a/src/test/java/crankspar/pooling/SharedConnectionsTest.java
+++ b/src/test/java/crankspar/pooling/SharedConnectionsTest.java
@@ -267,6 +267,20 @@
     }
   }
 
+  /** Guards against a statement of SQL's that a failed change of hands has taken from others. */
+  @Test
+  void aClientWhoseStateCannotBeCarriedTakesNothingFromTheNext() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire a = stand.wire();
+        PgWire b = stand.wire()) {
+      assertThat(b.ask("PREPARE of_b AS SELECT 1 FROM scores")).isEqualTo("C:PREPARE Z:I");
+      assertThat(a.ask("PREPARE of_a AS SELECT 1")).isEqualTo("C:PREPARE Z:I");
+      stand.primary.dropTable("scores");
+      assertThat(b.ask("SELECT 2")).isEqualTo("E:42P01 Z:I");
+      assertThat(a.ask("EXECUTE of_a")).isEqualTo("T D:1 C:SELECT 1 Z:I");
+    }
+  }
+
   // ---- 6. A burst.
   @Test
   void aBurstOf2000ClientsOn20PlacesTakesFairTurns() throws Exception {
