A batch that cannot begin is passed over up to its Sync, with one ReadyForQuery

Callers saw (pooling front): where a connection could not be brought to a client's state, and the client had sent messages up to a Flush, it heard the error and a ReadyForQuery at once, before its Sync. What followed was taken for another batch; from then on each answer came one too early.

Cause: the answer to a failed change of state was made for a whole batch. Change: for one that is not whole it is the error alone, and the rest is passed over, as for any refusal.

Evidence: CutOffBatchTest.aBatchThatCannotBeginIsPassedOverUpToItsSync, red on the code before (the batch's E:42P01 in answer to an empty query), green now.

--- a/src/main/java/crankspar/pooling/Client.java
+++ b/src/main/java/crankspar/pooling/Client.java
@@ -293,6 +293,7 @@
         to(ClientState.IDLE);
         if (answer instanceof FinalAnswer.Served<Answer> s) {
             transactions++;
+            collector.skip(!partly && !had.whole); // it could not begin, and its Sync is still to come
             write(s.answer().frames());
         } else if (partly) { // no error but the last one tells its client that what follows is another transaction
             desk.count(had.verdict == Progress.Verdict.UNKNOWN ? "pooling_unknown" : "pooling_broken");
--- a/src/main/java/crankspar/pooling/Lease.java
+++ b/src/main/java/crankspar/pooling/Lease.java
@@ -320,8 +320,8 @@
   void carryFailed(Frame error) {
     statementsInDoubt =
         !server.sessionState().sqlPrepared().equals(opening.client.session().sqlPrepared());
-    server.finish(
-        new AttemptEnd.Served<>(new Answer(List.of(error, Frame.ready('I')), this), note()));
+    List<Frame> said = opening.whole ? List.of(error, Frame.ready('I')) : List.of(error);
+    server.finish(new AttemptEnd.Served<>(new Answer(said, this), note()));
   }
 
   private Note note() {
--- a/src/test/java/crankspar/pooling/CutOffBatchTest.java
+++ b/src/test/java/crankspar/pooling/CutOffBatchTest.java
@@ -208,6 +208,24 @@
     }
   }
 
+  /** Guards against a ReadyForQuery that answers no Sync, so that all later answers are one off. */
+  @Test
+  void aBatchThatCannotBeginIsPassedOverUpToItsSync() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire client = stand.wire()) {
+      client.ask("PREPARE gone AS SELECT 1 FROM scores");
+      try (PgWire other = stand.wire()) {
+        assertThat(other.ask("PREPARE mine AS SELECT 1")).isEqualTo("C:PREPARE Z:I");
+      }
+      stand.primary.dropTable("scores");
+      client.send(PgWire.parse("", CUT_OFF), flush());
+      assertThat(PgWire.brief(List.of(client.next()))).isEqualTo("E:42P01");
+      client.send(PgWire.bind(""), PgWire.execute(), PgWire.sync());
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("Z:I");
+      assertThat(client.ask("")).isEqualTo("I Z:I");
+    }
+  }
+
   /** A crowd of such clients costs a connection each, and no claim. */
   @Test
   void aCrowdOfCutOffClientsLeavesNoTrace() throws Exception {
