A Sync sent with the Execute of a COPY FROM STDIN is ignored here as it is by servers

Callers saw (pooling front): a client that sends a Sync with each Execute ran COPY FROM STDIN, heard that it was done, and was served nothing more; its place was gone (53300 at others after 3 s).

Cause: servers ignore a Sync among a COPY's data; the pooler waited for its answer, and took the batch for ended.

Change: BatchState keeps the batch open and takes that Sync off what is owed. A COPY that fails may have it answered all the same; then one answer is passed on, and Release closes the connection. The lab's database ignores such a Sync, too, and has views that no COPY goes into.

--- a/src/main/java/crankspar/lab/PgBackend.java
+++ b/src/main/java/crankspar/lab/PgBackend.java
@@ -228,8 +228,10 @@
       case 'E' -> extended.execute(f, execution);
       case 'C' -> extended.close(f);
       case 'S' -> {
-        skipping = false;
-        ready();
+        if (!execution.takesCopyData()) { // else it is ignored
+          skipping = false;
+          ready();
+        }
       }
       case 'H' -> flush();
       case 'd', Frame.PART -> execution.copyData(f);
--- a/src/main/java/crankspar/lab/PgExecution.java
+++ b/src/main/java/crankspar/lab/PgExecution.java
@@ -50,6 +50,11 @@
     }
   }
 
+  /** A COPY FROM STDIN is under way. */
+  boolean takesCopyData() {
+    return copying != null;
+  }
+
   /** An error ends a copy. */
   void failed() {
     copying = null;
@@ -230,6 +235,14 @@
       copyExtended = extended;
       copied = 0;
       backend.flush();
+      if (copying.endsWith("_view")) {
+        backend.fail(new PgFailed("42809", "cannot copy to view \"" + copying + "\""));
+        backend.skipToSync(extended);
+        if (!extended) {
+          rest = List.of();
+          backend.ready();
+        }
+      }
       return extended;
     }
     for (int i = 0; i < result.count(); i++) {
--- a/src/main/java/crankspar/pooling/BatchState.java
+++ b/src/main/java/crankspar/pooling/BatchState.java
@@ -16,6 +16,15 @@
 
   private boolean copying;
 
+  /** A Sync went out behind what began the present COPY: the server ignores it. */
+  private boolean syncIgnored;
+
+  /**
+   * A COPY failed that such a Sync stood behind: the server may have read it after the error, and
+   * answers it then.
+   */
+  private boolean syncInDoubt;
+
   /** Within a message of a COPY that comes in parts. */
   private boolean inParts;
 
@@ -50,6 +59,11 @@
     return serverBatchOpen;
   }
 
+  /** Whether the server may answer a Sync that it was to ignore. */
+  boolean syncInDoubt() {
+    return syncInDoubt;
+  }
+
   /** Whether a statement has been executed in that batch: its Sync would commit it. */
   boolean serverBatchExecuted() {
     return serverBatchExecuted;
@@ -63,6 +77,11 @@
     return status != 'I' || clientBatchOpen || serverBatchOpen;
   }
 
+  /** After an error all up to the Sync is passed over, and within a COPY's data a Sync. */
+  boolean passesOver(Frame f) {
+    return f.type() == 'S' ? copying : skipping;
+  }
+
   /** A message has come from the client. */
   void fromClient(Frame f) {
     clientBatchOpen = f.beginsBatch() || clientBatchOpen && !f.endsBatch();
@@ -85,14 +104,32 @@
     return goesOn;
   }
 
-  void copyBegins() {
+  /** {@code syncBehind}: the batch goes on, as a Sync within a COPY's data is ignored. */
+  void copyBegins(boolean syncBehind) {
     copying = true;
+    syncIgnored = syncBehind;
+    if (syncBehind) {
+      clientBatchOpen = serverBatchOpen = serverBatchExecuted = true;
+      awaitsReady = false;
+    }
   }
 
   void copyEnds() {
     copying = false;
   }
 
+  /** A statement is done, and with it a COPY: the server has read all that came before its end. */
+  void executed() {
+    syncIgnored = false;
+  }
+
+  /** An error has come: a COPY ends with it. */
+  void failed() {
+    copying = false;
+    syncInDoubt |= syncIgnored;
+    syncIgnored = false;
+  }
+
   /** A message was refused before it reached the server: the rest of its batch is passed over. */
   void refused() {
     skipping = true;
@@ -118,10 +155,10 @@
       throw new Frame.Malformed("ready in no known state");
     }
     status = now;
-    awaitsReady = copying = false;
+    awaitsReady = copying = syncIgnored = false;
   }
 
-  /** The batch is begun anew, or given up. */
+  /** The batch is begun anew, or given up, or ended by a Sync that was to be ignored. */
   void rewind() {
     clientBatchOpen = serverBatchOpen = serverBatchExecuted = false;
     skipping = awaitsReady = copying = inParts = false;
--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -89,6 +89,11 @@
     return batch.inTransaction();
   }
 
+  /** Whether the server may still give answers, and to what is not known. */
+  boolean answersInDoubt() {
+    return !quiet() || batch.syncInDoubt();
+  }
+
   /** Whether the server has got a part of a batch, and no Sync behind it. */
   boolean serverBatchOpen() {
     return batch.serverBatchOpen();
@@ -155,8 +160,8 @@
   // ---- From the client.
   Moves fromClient(Frame f) throws Frame.Malformed {
     begin();
-    if (batch.skipping() && f.type() != 'S') {
-      return moves(); // the server would pass over it, and say nothing
+    if (batch.passesOver(f)) {
+      return moves(); // so would the server, and say nothing
     }
     batch.fromClient(f);
     switch (f.type()) {
--- a/src/main/java/crankspar/pooling/Lease.java
+++ b/src/main/java/crankspar/pooling/Lease.java
@@ -332,7 +332,7 @@
   /** How its connection is left where it ends now; {@code clientLeft} where its session ends. */
   Release.Condition condition(boolean clientLeft, boolean unwanted, int cancelsPending) {
     return new Release.Condition(
-        !exchange.quiet(),
+        exchange.answersInDoubt(),
         exchange.serverBatchOpen(),
         exchange.status(),
         statementsInDoubt || clientLeft && ofSession(),
--- a/src/main/java/crankspar/pooling/PendingReplies.java
+++ b/src/main/java/crankspar/pooling/PendingReplies.java
@@ -46,6 +46,17 @@
     pending.poll();
   }
 
+  /** Takes off the Sync that stands right behind the next one; whether there was one. */
+  boolean ignoreSyncBehind() {
+    var inOrder = pending.iterator();
+    inOrder.next();
+    boolean sync = inOrder.hasNext() && inOrder.next().step() == Step.SYNC;
+    if (sync) {
+      inOrder.remove();
+    }
+    return sync;
+  }
+
   /** What was spared the server and is now to be said. */
   List<Frame> takeLocal() {
     if (pending.isEmpty() || pending.peek().step() != Step.LOCAL) {
--- a/src/main/java/crankspar/pooling/Release.java
+++ b/src/main/java/crankspar/pooling/Release.java
@@ -20,7 +20,7 @@
   /**
    * A connection at the moment of its release.
    *
-   * @param answersOwed whether the server still owes answers, or takes a COPY
+   * @param answersOwed whether the server still owes answers, or may, or takes a COPY
    * @param batchOpen whether messages of the extended protocol have gone out with no Sync behind
    *     them: a Sync would commit them, and after an error anything else is passed over
    * @param status as the server's last ReadyForQuery told it: I, T or E
--- a/src/main/java/crankspar/pooling/ServerReplies.java
+++ b/src/main/java/crankspar/pooling/ServerReplies.java
@@ -138,7 +138,7 @@
     Frame said = f.type() == 'I' && expected.answer() != null ? expected.answer() : f;
     toClient.add(said);
     switch (f.type()) {
-      case 'G', 'W' -> batch.copyBegins();
+      case 'G', 'W' -> batch.copyBegins(replies.ignoreSyncBehind());
       case 'C', 'I' -> done(expected, said);
       case 's' -> { // it has run up to a row, whether or not the rest is ever fetched
         expected.statements().forEach(s -> both(s, ""));
@@ -169,6 +169,7 @@
       progress.decided(tag);
     }
     if (reply.step() == Step.EXECUTE) {
+      batch.executed();
       answered();
     }
   }
@@ -189,7 +190,7 @@
     PendingReply reply = replies.next();
     String code = f.fields().getOrDefault('C', "");
     error = error == null ? code : error;
-    batch.copyEnds();
+    batch.failed();
     client.failed();
     server.failed();
     if (reply == null || reply.step().endsBatch()) {
@@ -208,11 +209,15 @@
   }
 
   private void ready(Frame f) throws Frame.Malformed {
-    Step step = replies.expected().step();
-    if (!step.endsBatch()) {
-      throw new Frame.Malformed("ready before the answer to " + step);
+    if (replies.isEmpty() && batch.syncInDoubt()) {
+      batch.rewind();
+    } else {
+      Step step = replies.expected().step();
+      if (!step.endsBatch()) {
+        throw new Frame.Malformed("ready before the answer to " + step);
+      }
+      replies.ready();
     }
-    replies.ready();
     projected.forget();
     char status = f.read().code();
     batch.ready(status);
--- /dev/null
+++ b/src/test/java/crankspar/pooling/CopyTest.java
@@ -0,0 +1,93 @@
+package crankspar.pooling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import crankspar.lab.PgWire;
+import crankspar.lab.Stand;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * COPY FROM STDIN whose client sends a Sync with its Execute, without a look at what it executes:
+ * the server ignores it, and the batch goes on to the Sync behind the data.
+ */
+class CopyTest extends HardCasesFixture {
+  private static final String COPY = "COPY claims FROM STDIN";
+  private static final Frame DONE = Frame.body().as('c');
+  private static final Frame FAIL = Frame.body().text("no").as('f');
+
+  private static void begin(PgWire client) throws Exception {
+    client.send(PgWire.parse("", COPY), PgWire.bind(""), PgWire.execute(), PgWire.sync());
+    assertThat(PgWire.brief(List.of(client.next(), client.next(), client.next())))
+        .isEqualTo("1 2 G");
+  }
+
+  private static long copies(Stand stand) {
+    return stand.recording.committed(q -> q.equals(COPY));
+  }
+
+  /** Guards against a wait for an answer to the Sync that the server ignores. */
+  @Test
+  void aSyncSentWithTheExecuteOfACopyHasNoAnswer() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire client = stand.wire();
+        PgWire other = stand.wire()) {
+      begin(client);
+      client.send(PgWire.copyData("1\n"), PgWire.sync(), PgWire.copyData("2\n"));
+      client.send(DONE, PgWire.sync());
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("C:COPY 2 Z:I");
+      assertThat(copies(stand)).isEqualTo(1);
+      assertThat(other.ask("SELECT 1")).isEqualTo("T D:1 C:SELECT 1 Z:I");
+      assertThat(stand.recording.connections.get()).isEqualTo(1);
+    }
+  }
+
+  /** Guards against a next client that hears an answer which was another's. */
+  @Test
+  void aCopyThatFailsIsAnsweredOnceAndLeavesNothing() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire client = stand.wire();
+        PgWire other = stand.wire()) {
+      begin(client);
+      client.send(PgWire.copyData("1\n"), FAIL, PgWire.sync());
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("E:57014 Z:I");
+      assertThat(other.ask("SELECT 1")).isEqualTo("T D:1 C:SELECT 1 Z:I");
+      assertThat(client.ask("SELECT 2")).isEqualTo("T D:2 C:SELECT 1 Z:I");
+      assertThat(copies(stand)).isZero();
+    }
+  }
+
+  /** The COPY fails before the server has read that Sync, which counts then. */
+  @Test
+  void aCopyThatFailsAtOnceIsAnsweredByTheSyncSentWithIt() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire client = stand.wire();
+        PgWire other = stand.wire()) {
+      client.send(
+          PgWire.parse("", "COPY a_view FROM STDIN"),
+          PgWire.bind(""),
+          PgWire.execute(),
+          PgWire.sync());
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("1 2 G E:42809 Z:I");
+      client.send(FAIL, PgWire.sync());
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("Z:I");
+      assertThat(other.ask("SELECT 1")).isEqualTo("T D:1 C:SELECT 1 Z:I");
+    }
+  }
+
+  /** Guards against a copy that the next client's Sync commits. */
+  @Test
+  void aCopyWhoseClientLeavesTakesNoEffect() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire other = stand.wire()) {
+      PgWire client = stand.wire();
+      begin(client);
+      client.send(PgWire.copyData("1\n"), DONE, Frame.body().as('H'));
+      assertThat(PgWire.brief(List.of(client.next()))).isEqualTo("C:COPY 1");
+      client.close();
+      other.send(PgWire.parse("", "SELECT 1"), PgWire.bind(""), PgWire.execute(), PgWire.sync());
+      assertThat(PgWire.brief(other.untilReady())).isEqualTo("1 2 D:1 C:SELECT 1 Z:I");
+      assertThat(copies(stand)).isZero();
+    }
+  }
+}
