Data of a COPY that its client has sent before the server asks for it goes on

Callers saw (pooling front): a client that sends COPY FROM STDIN and its data in one piece heard that the copy had begun, and nothing more: the data waited for an event that did not come.

Cause: after a query its client's messages wait for the server to be ready; that a COPY begins was told to nobody. Change: Lease has its client go on then.

Evidence: CopyTest.dataSentBeforeTheServerHasAskedForItGoesOn, no answer in 10 s on the code before, green now, for simple queries and for the extended protocol.

--- a/src/main/java/crankspar/pooling/Lease.java
+++ b/src/main/java/crankspar/pooling/Lease.java
@@ -251,8 +251,12 @@
   // ---- From the server.
   void fromServer(Frame f) throws Frame.Malformed {
     lastMessageAt = server.pool().now();
+    boolean copying = exchange.copying();
     deliver(exchange.fromServer(f).toClient());
     showErrorBeforeSync();
+    if (!copying && exchange.copying() && active()) {
+      opening.client.goOn(); // what waited for the answer may be its data
+    }
     if (f.type() == 'Z' && active()) {
       ready();
     }
--- a/src/test/java/crankspar/pooling/CopyTest.java
+++ b/src/test/java/crankspar/pooling/CopyTest.java
@@ -75,6 +75,26 @@
     }
   }
 
+  /** Guards against data that waits for an event which does not come. */
+  @Test
+  void dataSentBeforeTheServerHasAskedForItGoesOn() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire client = stand.wire()) {
+      client.send(Frame.query(COPY), PgWire.copyData("1\n"), DONE);
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("G C:COPY 1 Z:I");
+      client.send(
+          PgWire.parse("", COPY),
+          PgWire.bind(""),
+          PgWire.execute(),
+          PgWire.sync(),
+          PgWire.copyData("1\n"),
+          DONE,
+          PgWire.sync());
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("1 2 G C:COPY 1 Z:I");
+      assertThat(copies(stand)).isEqualTo(2);
+    }
+  }
+
   /** Guards against a copy that the next client's Sync commits. */
   @Test
   void aCopyWhoseClientLeavesTakesNoEffect() throws Exception {
