Data of a COPY in one batch with its Execute goes to the server

Callers saw (pooling front): Parse, Bind, Execute of COPY FROM STDIN, its data and the Sync, sent in one piece, were never answered: the pooler dropped the data, and the server waited for it.

Cause: data counted only while a COPY was known to have begun, by an answer that comes later. Change: within a batch it goes on; a server drops data that it has not asked for. BatchState knows that the end of the data stands before the Sync, which counts then.

--- a/src/main/java/crankspar/pooling/BatchState.java
+++ b/src/main/java/crankspar/pooling/BatchState.java
@@ -25,6 +25,9 @@
    */
   private boolean syncInDoubt;
 
+  /** Whether the end of a COPY's data went out in this batch before the COPY was known to begin. */
+  private boolean endOfDataSent;
+
   /** Within a message of a COPY that comes in parts. */
   private boolean inParts;
 
@@ -97,13 +100,29 @@
     awaitsReady |= f.endsBatch();
   }
 
-  /** Whether a part of a COPY's data belongs to a message that goes on. */
-  boolean passes(Frame f) {
-    boolean goesOn = f.type() == Frame.PART ? inParts : copying;
+  /**
+   * Whether a message of a COPY's data goes on. Within a batch the COPY may have begun already; a
+   * server drops data that it has not asked for.
+   */
+  boolean passesData(Frame f) {
+    boolean goesOn = f.type() == Frame.PART ? inParts : copying || serverBatchOpen;
     inParts = goesOn && !f.whole();
     return goesOn;
   }
 
+  /** Whether the end of a COPY's data goes on. */
+  boolean passesEndOfData() {
+    endOfDataSent = !copying && serverBatchOpen;
+    boolean goesOn = copying || serverBatchOpen;
+    copying = false;
+    return goesOn;
+  }
+
+  /** Whether the data of a COPY that has just begun is all sent, with what stands behind it. */
+  boolean endOfDataSent() {
+    return endOfDataSent;
+  }
+
   /** {@code syncBehind}: the batch goes on, as a Sync within a COPY's data is ignored. */
   void copyBegins(boolean syncBehind) {
     copying = true;
@@ -114,10 +133,6 @@
     }
   }
 
-  void copyEnds() {
-    copying = false;
-  }
-
   /** A statement is done, and with it a COPY: the server has read all that came before its end. */
   void executed() {
     syncIgnored = false;
@@ -155,12 +170,12 @@
       throw new Frame.Malformed("ready in no known state");
     }
     status = now;
-    awaitsReady = copying = syncIgnored = false;
+    awaitsReady = copying = syncIgnored = endOfDataSent = false;
   }
 
   /** The batch is begun anew, or given up, or ended by a Sync that was to be ignored. */
   void rewind() {
     clientBatchOpen = serverBatchOpen = serverBatchExecuted = false;
-    skipping = awaitsReady = copying = inParts = false;
+    skipping = awaitsReady = copying = inParts = endOfDataSent = false;
   }
 }
--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -178,13 +178,12 @@
         send(f, PendingReply.to(Step.CALL, List.of()));
       }
       case 'd', Frame.PART -> {
-        if (batch.passes(f)) { // what comes outside a copy the server would drop without a word
+        if (batch.passesData(f)) {
           toServer.add(f);
         }
       }
       case 'c', 'f' -> {
-        if (batch.copying()) {
-          batch.copyEnds();
+        if (batch.passesEndOfData()) {
           toServer.add(f);
         }
       }
--- a/src/main/java/crankspar/pooling/ServerReplies.java
+++ b/src/main/java/crankspar/pooling/ServerReplies.java
@@ -138,7 +138,11 @@
     Frame said = f.type() == 'I' && expected.answer() != null ? expected.answer() : f;
     toClient.add(said);
     switch (f.type()) {
-      case 'G', 'W' -> batch.copyBegins(replies.ignoreSyncBehind());
+      case 'G', 'W' -> {
+        if (!batch.endOfDataSent()) {
+          batch.copyBegins(replies.ignoreSyncBehind());
+        }
+      }
       case 'C', 'I' -> done(expected, said);
       case 's' -> { // it has run up to a row, whether or not the rest is ever fetched
         expected.statements().forEach(s -> both(s, ""));
--- a/src/test/java/crankspar/pooling/CopyTest.java
+++ b/src/test/java/crankspar/pooling/CopyTest.java
@@ -95,6 +95,25 @@
     }
   }
 
+  /** Guards against data that is dropped as nobody has asked for it yet. */
+  @Test
+  void dataInOneBatchWithItsExecuteGoesOn() throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire client = stand.wire()) {
+      Frame[] batch = {
+        PgWire.parse("", COPY),
+        PgWire.bind(""),
+        PgWire.execute(),
+        PgWire.copyData("1\n"),
+        DONE,
+        PgWire.sync()
+      };
+      client.send(batch);
+      assertThat(PgWire.brief(client.untilReady())).isEqualTo("1 2 G C:COPY 1 Z:I");
+      assertThat(copies(stand)).isEqualTo(1);
+    }
+  }
+
   /** Guards against a copy that the next client's Sync commits. */
   @Test
   void aCopyWhoseClientLeavesTakesNoEffect() throws Exception {
--- a/src/test/java/crankspar/pooling/OwnConnectionTest.java
+++ b/src/test/java/crankspar/pooling/OwnConnectionTest.java
@@ -27,6 +27,7 @@
   private static final int STEPS = 60;
   private static final String[] ZONES = {"UTC", "Asia/Tokyo", "America/Vancouver"};
   private static final String[] NAMES = {"", "a", "b"};
+  private static final Frame COPY_DONE = Frame.body().as('c');
   private static final Frame FETCH_ONE = Frame.body().text("").int32(1).as('E');
 
   /** One client, and how far into a batch it is. */
@@ -51,6 +52,9 @@
   private InetSocketAddress database;
   private int claims;
 
+  /** Mode session: each client keeps its connection, which is not cut then. */
+  private boolean session;
+
   private void connect(Client client) throws IOException {
     client.pooled = PgWire.to(pooler, "app", "db", "TimeZone", client.zone);
     client.own = PgWire.to(database, "app", "db", "TimeZone", client.zone);
@@ -110,7 +114,40 @@
     };
   }
 
+  /** A COPY with its data in one piece, by a client that looks at no answer in between. */
+  private void copy(Client client, int who) throws Exception {
+    String sql = "COPY claims FROM STDIN /* " + ++claims + " */";
+    var frames = new ArrayList<Frame>();
+    boolean early = random.nextBoolean();
+    if (early || random.nextBoolean()) {
+      frames.addAll(List.of(PgWire.parse("", sql), PgWire.bind(""), PgWire.execute()));
+      frames.addAll(early ? List.of(PgWire.sync()) : List.of());
+      // Closed at once: run again without data, it would wait for some for ever.
+      frames.addAll(List.of(PgWire.copyData("1\n"), COPY_DONE));
+      frames.addAll(List.of(Frame.close('S', ""), PgWire.sync()));
+    } else {
+      frames.addAll(List.of(Frame.query(sql), PgWire.copyData("1\n"), COPY_DONE));
+    }
+    Frame[] sent = frames.toArray(new Frame[0]);
+    for (Frame f : sent) {
+      program.add(who + ": " + text(f));
+    }
+    client.pooled.send(sent);
+    client.own.send(sent);
+    String expected = PgWire.brief(client.own.untilReady());
+    String heard = PgWire.brief(client.pooled.untilReady());
+    if (early && expected.contains("E:")) { // no COPY has begun, and both Syncs count
+      expected += PgWire.brief(client.own.untilReady());
+      heard += PgWire.brief(client.pooled.untilReady());
+    }
+    assertThat(heard).as(String.join("\n", program)).isEqualTo(expected);
+  }
+
   private void step(Client client, int who) throws Exception {
+    if (!client.batchOpen && random.nextInt(20) == 0) {
+      copy(client, who);
+      return;
+    }
     var frames = new ArrayList<Frame>();
     boolean ends = true;
     int kind = random.nextInt(10);
@@ -170,7 +207,7 @@
 
   private static List<String> effects(Recording recording) {
     return recording.executed().stream()
-        .filter(e -> e.fate == Recording.Fate.COMMITTED && e.sql.startsWith("INSERT"))
+        .filter(e -> e.fate == Recording.Fate.COMMITTED && e.sql.matches("(INSERT|COPY).*"))
         .map(e -> e.sql)
         .sorted()
         .toList();
@@ -194,7 +231,8 @@
         program.add(who + ": ends");
         end(clients.get(who));
         connect(clients.get(who));
-      } else if (random.nextInt(15) == 0
+      } else if (!session
+          && random.nextInt(15) == 0
           && clients.stream().noneMatch(c -> c.batchOpen || c.inBlock)) {
         program.add("connections are cut");
         stand.primary.cutAll();
@@ -217,10 +255,14 @@
       program.clear();
       program.add("seed " + seed);
       var own = new PgServer("own");
-      try (var stand = new Stand(0, places(CLIENTS))) {
+      session = seed % 4 == 0;
+      String mode = "databases { db { mode = " + (session ? "session" : "transaction");
+      try (var stand = new Stand(0, mode + ", places { most = " + CLIENTS + " } } }")) {
         pooler = stand.address();
         database = own.listen(new InetSocketAddress("127.0.0.1", 0)).address();
         play(stand, own.recording());
+      } catch (IOException e) {
+        throw new AssertionError(String.join("\n", program), e);
       } finally {
         own.close();
       }
