What EXECUTE of SQL's PREPARE does to its session counts for its client

Callers saw (pooling front): PREPARE p AS SELECT set_config(...), then EXECUTE p: the option was in force for the next client on that connection and lost to its own elsewhere; a statement prepared under it was shared as one without. The same with a session lock.

Cause: of EXECUTE only its own word was read, not what is prepared under its name. Change: SqlPrepared keeps what its statement does to a session, and SessionState takes it for the EXECUTE's; pins = refuse refuses such a PREPARE.

--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -231,7 +231,8 @@
   /** Whether the operator refuses what one of these does; the client hears it in its turn. */
   private boolean refuse(List<Statement> statements) {
     for (Statement s : statements) {
-      Pins.Kind kind = Pins.of(s);
+      Statement prepared = s.kind() == Kind.PREPARE ? SqlPrepared.effect(s) : null;
+      Pins.Kind kind = Pins.of(prepared == null ? s : prepared);
       if (kind != null && refused.contains(kind)) {
         refuse(
             "0A000", kind + " is refused here: it would hold a connection beyond its transaction");
@@ -328,7 +329,7 @@
     Portal portal = portals.getOrDefault(f.read().text(), new Portal(List.of()));
     progress.sending(portal.statements(), false);
     executions++;
-    List<Statement> run = portal.execute();
+    List<Statement> run = client.effects(portal.execute());
     projected.sent(run, batch.status());
     send(f, PendingReply.to(Step.EXECUTE, run).undoneAtClient(() -> portal.passedOver(run)));
   }
@@ -366,7 +367,7 @@
   }
 
   private SqlPrepared sqlPrepared(Statement prepare) {
-    return new SqlPrepared(prepare.text(), projected.now().statementOptions());
+    return SqlPrepared.of(prepare, projected.now().statementOptions());
   }
 
   // ---- From the server.
--- a/src/main/java/crankspar/pooling/ServerReplies.java
+++ b/src/main/java/crankspar/pooling/ServerReplies.java
@@ -186,8 +186,9 @@
   }
 
   private void both(Statement s, String tag) {
-    client.done(s, tag);
-    server.done(s, tag, client.sessionOptions().statementOptions());
+    Statement effect = client.effect(s);
+    client.done(effect, tag);
+    server.done(effect, tag, client.sessionOptions().statementOptions());
   }
 
   private void failed(Frame f) throws Frame.Malformed {
--- a/src/main/java/crankspar/pooling/ServerState.java
+++ b/src/main/java/crankspar/pooling/ServerState.java
@@ -113,7 +113,7 @@
         options.replace(HashTreePMap.empty());
         forgetStatements();
       }
-      case PREPARE -> sqlPrepared = sqlPrepared.plus(s.name(), new SqlPrepared(s.text(), under));
+      case PREPARE -> sqlPrepared = sqlPrepared.plus(s.name(), SqlPrepared.of(s, under));
       case DEALLOCATE -> {
         sqlPrepared = sqlPrepared.minus(s.name());
         statements.remove(s.name());
--- a/src/main/java/crankspar/pooling/SessionState.java
+++ b/src/main/java/crankspar/pooling/SessionState.java
@@ -2,6 +2,7 @@
 
 import crankspar.pooling.Sql.Statement;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import org.pcollections.HashTreePMap;
@@ -157,12 +158,23 @@
     return was;
   }
 
+  /** What a statement does to its session: an EXECUTE does what is prepared under its name. */
+  Statement effect(Statement s) {
+    SqlPrepared executed = s.kind() == Sql.Kind.EXECUTE ? sqlPrepared.get(s.name()) : null;
+    return executed == null || executed.effect() == null ? s : executed.effect();
+  }
+
+  /** The same for several. */
+  List<Statement> effects(List<Statement> statements) {
+    return sqlPrepared.isEmpty() ? statements : statements.stream().map(this::effect).toList();
+  }
+
   // ---- What happens, in the order in which the server says so.
   /** A statement has been done; the tag tells a COMMIT that was none. */
   void done(Statement s, String tag) {
     switch (s.kind()) {
       case PREPARE -> {
-        var statement = new SqlPrepared(s.text(), options.statementOptions());
+        var statement = SqlPrepared.of(s, options.statementOptions());
         bytes += statement.bytes();
         sqlPrepared = sqlPrepared.plus(s.name(), statement);
       }
--- a/src/main/java/crankspar/pooling/Sql.java
+++ b/src/main/java/crankspar/pooling/Sql.java
@@ -149,6 +149,18 @@
     return all;
   }
 
+  /** The statement behind {@code PREPARE name (types) AS}; an unknown one where there is none. */
+  static Statement preparedBody(String prepare) {
+    List<SqlToken> tokens = SqlToken.cut(prepare);
+    for (int i = 0; i + 1 < tokens.size(); i++) {
+      if (tokens.get(i).is("as")) {
+        List<SqlToken> body = tokens.subList(i + 1, tokens.size());
+        return read(body, prepare.substring(body.get(0).from()));
+      }
+    }
+    return of(Kind.WRITE, prepare);
+  }
+
   /** A value as a literal. */
   static String literal(String value) {
     String quoted = value.replace("'", "''");
--- a/src/test/java/crankspar/pooling/StatementOptionsTest.java
+++ b/src/test/java/crankspar/pooling/StatementOptionsTest.java
@@ -149,6 +149,33 @@
     }
   }
 
+  /** Guards against an option that EXECUTE has set and that its client's next connection lacks. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void anOptionThatAnExecuteSetsIsItsClientsOwn(boolean extended) throws Exception {
+    try (var stand = new Stand(0, places(1));
+        PgWire client = client(stand, UTC);
+        PgWire other = client(stand, UTC)) {
+      client.ask("PREPARE p AS SELECT set_config('TimeZone', '" + TOKYO + "', false)");
+      if (extended) {
+        prepare(other, "s", SQL);
+        client.send(
+            PgWire.parse("", "EXECUTE p"),
+            PgWire.bind(""),
+            PgWire.execute(),
+            PgWire.parse("s", SQL),
+            PgWire.sync());
+        assertThat(PgWire.brief(client.untilReady()))
+            .isEqualTo("1 2 D:" + TOKYO + " C:SELECT 1 1 Z:I");
+        assertThat(use(client, "s")).isEqualTo(answer(TOKYO) + "I");
+      } else {
+        assertThat(client.ask("EXECUTE p")).isEqualTo("T D:" + TOKYO + " C:SELECT 1 Z:I");
+      }
+      assertThat(other.ask("SHOW timezone")).isEqualTo("T D:" + UTC + " C:SHOW Z:I");
+      assertThat(client.ask("SHOW timezone")).isEqualTo("T D:" + TOKYO + " C:SHOW Z:I");
+    }
+  }
+
   /** Guards against a statement of a block's end that cannot be prepared once the block failed. */
   @Test
   void aPreparedRollbackEndsAFailedBlockUnderOtherOptions() throws Exception {
