A break behind a COMMIT that its client has not heard of is unknown, not without effect

Callers saw (pooling front): 08006, which promises no effect, for transactions that had taken effect: one text with statements behind its COMMIT (seen by the review), and a COMMIT sent with a Flush. Who begins such a transaction anew has it twice.

Cause: Progress took the answer COMMIT for the end of all doubt, though nothing of it had been told and more stood behind it; and an end for begun only with its batch's last byte. Ruled out: calling all breaks unknown (08006 lets an app repeat by itself; HardCasesTest holds it where it is true).

Change: an untold COMMIT is unknown, what stands behind an end counts by itself, and an end that is a message of its own is in doubt once it is sent.

--- a/src/main/java/crankspar/lab/PgBackend.java
+++ b/src/main/java/crankspar/lab/PgBackend.java
@@ -21,6 +21,9 @@
   /** The head of a message: its type and its length. */
   private static final int HEAD_BYTES = 5;
 
+  /** Answers beyond this are sent before the client asks for them. */
+  private static final int BUFFER_BYTES = 8 * 1024;
+
   final PgServer server;
   final int connection;
   final Settings settings = new Settings();
@@ -36,6 +39,7 @@
   private final Map<String, String> told = new HashMap<>();
 
   private final List<Frame> out = new ArrayList<>();
+  private int outBytes;
   private Connection wire;
   private String user = "";
   private boolean started;
@@ -112,12 +116,17 @@
 
   void say(Frame f) {
     out.add(f);
+    outBytes += f.size();
+    if (outBytes > BUFFER_BYTES) {
+      flush();
+    }
   }
 
   void flush() {
     if (!out.isEmpty() && alive()) {
       byte[] bytes = Frame.join(out);
       out.clear();
+      outBytes = 0;
       wire.write(bytes);
     }
   }
--- a/src/main/java/crankspar/pooling/Progress.java
+++ b/src/main/java/crankspar/pooling/Progress.java
@@ -34,6 +34,15 @@
       waiting,
       executed;
 
+  /** An end of a transaction has been sent, and the server has not been ready since. */
+  private boolean endSent;
+
+  /** Something that may take effect was sent behind such an end. */
+  private boolean effectBehindEnd;
+
+  /** Such an end is a message of its own: the server begins it before the batch's last byte. */
+  private boolean endsWithinBatch;
+
   /**
    * Statements go out, outside a block as one implicit transaction; called before their first byte
    * leaves. One message ({@code whole}) is begun with its last byte; of several, the first may be
@@ -44,10 +53,14 @@
       harmless &= s.harmless();
       waiting |= s.kind() != Kind.BEGIN;
       executed |= !whole && s.kind() != Kind.BEGIN;
+      effectBehindEnd |= endSent && !s.harmless();
+      boolean commits = s.kind() == Kind.COMMIT || s.kind() == Kind.PREPARE_TRANSACTION;
+      endSent |= commits || s.kind() == Kind.ROLLBACK;
       if (s.kind() == Kind.BEGIN) {
         block = true;
-      } else if ((s.kind() == Kind.COMMIT || s.kind() == Kind.PREPARE_TRANSACTION) && block) {
+      } else if (commits && block) {
         closing = true;
+        endsWithinBatch |= !whole;
       } else if (s.kind() == Kind.ROLLBACK) {
         block = false;
         effect = false;
@@ -73,14 +86,15 @@
   /** The server has answered COMMIT, ROLLBACK or the like: what is before it is decided. */
   void decided(String tag) {
     if (tag.equals("COMMIT") || tag.equals("ROLLBACK") || tag.equals("PREPARE TRANSACTION")) {
-      block = closing = effect = false;
+      block = closing = false;
+      effect = effectBehindEnd;
       decided |= tag.equals("COMMIT") && !harmless;
     }
   }
 
   /** The server is ready in this state. */
   void ready(char status) {
-    running = false;
+    running = endSent = effectBehindEnd = endsWithinBatch = false;
     block = status != 'I';
     if (status == 'I') {
       closing = effect = false;
@@ -103,7 +117,8 @@
   }
 
   Verdict verdict() {
-    if (running && (closing || effect)) {
+    boolean untold = decided && !shown;
+    if ((running || endsWithinBatch) && (closing || effect) || running && untold) {
       return Verdict.UNKNOWN;
     }
     // A piece of a batch may have been executed and rolled back: only what has no trace is asked
