--- a/src/main/java/crankspar/lab/PgExecution.java
+++ b/src/main/java/crankspar/lab/PgExecution.java
@@ -63,7 +63,7 @@
   // ---- Simple queries.
   void query(String text) throws PgFailed {
     simple = true;
-    List<String> all = MiniSql.split(text);
+    List<String> all = SqlText.split(text);
     if (all.isEmpty()) {
       backend.say(MiniSql.EMPTY);
       backend.ready();
@@ -88,7 +88,7 @@
   private boolean runNext(String sql) {
     boolean[] inline = {true, false};
     try {
-      boolean prepares = MiniSql.first(MiniSql.bare(sql)).equals("PREPARE");
+      boolean prepares = SqlText.first(SqlText.bare(sql)).equals("PREPARE");
       String analysed = prepares ? sql : PgConstants.read(sql, backend.settings);
       var portal = new PgPortal(analysed, List.of());
       run(portal, () -> simpleRows(portal, inline));
@@ -127,14 +127,14 @@
   // ---- Running.
   /** Runs a statement; {@code then} has its result, now or when its work is done. */
   private void run(PgPortal portal, Runnable then) throws PgFailed {
-    String sql = MiniSql.bare(portal.sql);
+    String sql = SqlText.bare(portal.sql);
     backend.transaction.checkMayRun(sql);
-    String shown = MiniSql.filled(portal.sql, portal.parameters);
+    String shown = SqlText.filled(portal.sql, portal.parameters);
     long transaction = backend.transaction.number();
     if (!sql.isEmpty()) {
       record(transaction, shown);
     }
-    double ms = MiniSql.sleep(sql) + (MiniSql.works(sql) ? server.work : 0);
+    double ms = SqlText.sleep(sql) + (SqlText.works(sql) ? server.work : 0);
     server.held(ms);
     if (ms <= 0 && !server.isStalled()) {
       portal.result = MiniSql.run(backend, portal.sql, portal.parameters);
@@ -206,7 +206,7 @@
 
   /** Gives rows up to a limit; whether the statement is over, and no copy has begun. */
   private boolean rows(PgPortal portal, int limit, boolean extended) {
-    MiniSql.Result result = portal.result;
+    SqlResult result = portal.result;
     if (result.copy() != null) {
       return copy(result, extended);
     }
@@ -227,7 +227,7 @@
   }
 
   // ---- Copies.
-  private boolean copy(MiniSql.Result result, boolean extended) {
+  private boolean copy(SqlResult result, boolean extended) {
     boolean in = result.copy().equals("in");
     backend.say(Frame.body().code((char) 0).int16(1).int16(0).as(in ? 'G' : 'H'));
     if (in) {
--- a/src/main/java/crankspar/lab/PgExtended.java
+++ b/src/main/java/crankspar/lab/PgExtended.java
@@ -83,13 +83,13 @@
     if (ofStatement) {
       backend.say(parameterTypes(backend.statements.get(name)));
     }
-    MiniSql.Result shape = MiniSql.shape(backend, sql);
+    SqlResult shape = MiniSql.shape(backend, sql);
     backend.say(shape.columns() == null ? Frame.body().as('n') : shape.description());
   }
 
   private static Frame parameterTypes(PgStatements.Prepared prepared) {
     int[] given = prepared.types();
-    int n = Math.max(given.length, MiniSql.parameters(prepared.sql()));
+    int n = Math.max(given.length, SqlText.parameters(prepared.sql()));
     Frame.Body b = Frame.body().int16(n);
     for (int i = 0; i < n; i++) {
       b.int32(i < given.length && given[i] != 0 ? given[i] : TEXT_OID);
--- a/src/main/java/crankspar/lab/PgPortal.java
+++ b/src/main/java/crankspar/lab/PgPortal.java
@@ -6,7 +6,7 @@
 final class PgPortal {
   final String sql;
   final List<String> parameters;
-  MiniSql.Result result;
+  SqlResult result;
   int at;
 
   PgPortal(String sql, List<String> parameters) {
--- a/src/main/java/crankspar/lab/PgTransaction.java
+++ b/src/main/java/crankspar/lab/PgTransaction.java
@@ -44,7 +44,7 @@
 
   /** After an error only what ends the transaction is taken. */
   void checkAccepts(String sql) throws PgFailed {
-    if (failed && !MiniSql.ends(sql)) {
+    if (failed && !SqlText.ends(sql)) {
       throw new PgFailed(
           "25P02",
           "current transaction is aborted, commands ignored until end of transaction block");
@@ -57,9 +57,9 @@
     if (!block && server.draining && !sql.isEmpty()) {
       throw new PgFailed("57P03", "the server drains");
     }
-    if (MiniSql.writes(sql) && (!server.primary || block && readOnly)) {
+    if (SqlText.writes(sql) && (!server.primary || block && readOnly)) {
       throw new PgFailed(
-          "25006", "cannot execute " + MiniSql.first(sql) + " in a read-only transaction");
+          "25006", "cannot execute " + SqlText.first(sql) + " in a read-only transaction");
     }
   }
 
@@ -99,7 +99,7 @@
   }
 
   void end(boolean commit) {
-    if (commit && executed.stream().anyMatch(e -> MiniSql.writes(MiniSql.bare(e.sql)))) {
+    if (commit && executed.stream().anyMatch(e -> SqlText.writes(SqlText.bare(e.sql)))) {
       server.committed();
     }
     Recording.Fate fate = commit ? Recording.Fate.COMMITTED : Recording.Fate.ROLLED_BACK;
@@ -134,14 +134,14 @@
     portals.remove(portal);
   }
 
-  void declare(String name, String sql, MiniSql.Result result) {
+  void declare(String name, String sql, SqlResult result) {
     var cursor = new PgPortal(sql, List.of());
     cursor.result = result;
     cursors.put(name, cursor);
   }
 
   /** The next rows of a cursor. */
-  MiniSql.Result fetch(String name, int most) throws PgFailed {
+  SqlResult fetch(String name, int most) throws PgFailed {
     PgPortal cursor = cursors.get(name);
     if (cursor == null) {
       throw new PgFailed("34000", "cursor \"" + name + "\" does not exist");
--- a/src/test/java/crankspar/StructureTest.java
+++ b/src/test/java/crankspar/StructureTest.java
@@ -50,7 +50,6 @@
       Map.ofEntries(
           Map.entry("membership/Swim.java", 420),
           Map.entry("audit/Standing.java", 436),
-          Map.entry("lab/MiniSql.java", 443),
           Map.entry("lab/RoutingModel.java", 476));
 
   private static DescribedPredicate<JavaClass> decides() {
