--- a/src/main/java/crankspar/core/Attempt.java
+++ b/src/main/java/crankspar/core/Attempt.java
@@ -3,7 +3,7 @@
 import crankspar.Router.Freshness;
 
 /** One sending of a request to one member, from the module's word to its end. */
-final class Attempt<Q, A> implements Ports.Hearer<A> {
+final class Attempt<Q, A> implements Ports.AttemptListener<A> {
   private final Attempts<Q, A> attempts;
   final String request;
   final PendingRequest<Q, A> owed;
--- a/src/main/java/crankspar/core/Ports.java
+++ b/src/main/java/crankspar/core/Ports.java
@@ -31,7 +31,7 @@
   }
 
   /** What an attempt tells of itself, each thing once at most. */
-  interface Hearer<A> {
+  interface AttemptListener<A> {
     /**
      * Whether somebody still waits for it; asked right before it is written, and a no means that it
      * is not. Guards against an attempt for a client that left while a connection came up, or while
@@ -107,7 +107,8 @@
      * comes up after {@code connectBy} is too late for it. Both are times of the core's clock (ms):
      * a process that stands still on the way adds nothing to them.
      */
-    Call send(String member, Q query, double deadline, double connectBy, Hearer<A> hearer);
+    Call send(
+        String member, Q query, double deadline, double connectBy, AttemptListener<A> listener);
 
     Call probe(String member, Consumer<AttemptEnd<A>> end);
   }
--- a/src/main/java/crankspar/daemon/Warmup.java
+++ b/src/main/java/crankspar/daemon/Warmup.java
@@ -194,7 +194,7 @@
       Statement query,
       double deadline,
       double connectBy,
-      Ports.Hearer<PgAnswer> hearer) {
+      Ports.AttemptListener<PgAnswer> listener) {
     boolean load = query.equals(PgFront.probe());
     ServerConnectionHandler<Statement, PgAnswer> carrier = PgFront.dial(counters);
     carrier.owner(
@@ -212,7 +212,7 @@
                 .add(new PgMessage.AuthenticationOk())
                 .add(new PgMessage.ReadyForQuery())
                 .bytes()));
-    carrier.carry(query, carrier.encode(query, deadline - now), () -> true, hearer);
+    carrier.carry(query, carrier.encode(query, deadline - now), () -> true, listener);
     boolean primary = member.equals("w0");
     double position = Math.floor(now);
     byte[] value =
--- a/src/main/java/crankspar/net/Pool.java
+++ b/src/main/java/crankspar/net/Pool.java
@@ -89,27 +89,27 @@
   // ---- Requests.
   @Override
   public Ports.Call send(
-      String id, Q query, double deadline, double connectBy, Ports.Hearer<A> hearer) {
+      String id, Q query, double deadline, double connectBy, Ports.AttemptListener<A> listener) {
     PooledMember<Q, A> member = members.get(id);
     if (member == null) {
-      return refuse(hearer, "no address is known");
+      return refuse(listener, "no address is known");
     }
     PooledConnection<Q, A> idle = idle(member);
     if (idle != null) {
-      idle.carry(query, deadline, hearer);
+      idle.carry(query, deadline, listener);
       return idle;
     }
     loop.refresh();
-    if (!hearer.wanted() || !member.takesWork(loop.now())) {
+    if (!listener.wanted() || !member.takesWork(loop.now())) {
       counters.add("unsent_unwanted");
-      hearer.ended(new AttemptEnd.Unsent<>(UNWANTED));
+      listener.ended(new AttemptEnd.Unsent<>(UNWANTED));
       return () -> Reach.NOT_CONNECTED;
     }
     if (open >= most && !closeOldest()) {
-      return refuse(hearer, "no socket is left");
+      return refuse(listener, "no socket is left");
     }
     PooledConnection<Q, A> dialled = connection(member);
-    dialled.carry(query, deadline, hearer);
+    dialled.carry(query, deadline, listener);
     dialled.dial(connectBy);
     return dialled;
   }
@@ -129,8 +129,8 @@
     return connection;
   }
 
-  private Ports.Call refuse(Ports.Hearer<A> hearer, String why) {
-    hearer.ended(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, why));
+  private Ports.Call refuse(Ports.AttemptListener<A> listener, String why) {
+    listener.ended(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, why));
     return () -> Reach.NOT_CONNECTED;
   }
 
--- a/src/main/java/crankspar/net/PooledConnection.java
+++ b/src/main/java/crankspar/net/PooledConnection.java
@@ -11,7 +11,7 @@
  * The last check before a write is here.
  */
 final class PooledConnection<Q, A>
-    implements ServerConnectionHandler.Owner, Ports.Call, Ports.Hearer<A> {
+    implements ServerConnectionHandler.Owner, Ports.Call, Ports.AttemptListener<A> {
   /** A long answer may stand still for this long (ms): clients spend seconds reading. */
   private static final double STALL_MOST = 15_000;
 
@@ -37,7 +37,7 @@
   /** Writes the request that it was opened for. */
   private Runnable first;
 
-  private Ports.Hearer<A> hearer;
+  private Ports.AttemptListener<A> listener;
 
   /** A connect or a settling that takes longer than {@code handshakeMost} ms ends it. */
   PooledConnection(
@@ -114,8 +114,8 @@
    */
   private void unsent(String counter, String why) {
     first = null;
-    Ports.Hearer<A> told = hearer;
-    hearer = null;
+    Ports.AttemptListener<A> told = listener;
+    listener = null;
     if (told != null) {
       counters.add(counter);
       told.ended(new AttemptEnd.Unsent<>(why));
@@ -134,8 +134,8 @@
 
   // ---- Writing.
   /** Writes the request, now or once it is up; it is waited for until {@code deadline} (ms). */
-  void carry(Q query, double deadline, Ports.Hearer<A> told) {
-    hearer = told;
+  void carry(Q query, double deadline, Ports.AttemptListener<A> told) {
+    listener = told;
     first = () -> writeChecked(query, deadline);
     if (up) {
       writeFirst();
@@ -188,24 +188,24 @@
    */
   private boolean mayWrite() {
     loop.refresh();
-    return hearer != null
-        && hearer.wanted()
+    return listener != null
+        && listener.wanted()
         && !closed
-        && hearer != null
+        && listener != null
         && member.takesWork(loop.now());
   }
 
   @Override
   public void written() {
-    if (hearer != null) {
-      hearer.written();
+    if (listener != null) {
+      listener.written();
     }
   }
 
   // ---- The answer.
   @Override
   public boolean began(A answer) {
-    boolean wanted = hearer != null && hearer.began(answer);
+    boolean wanted = listener != null && listener.began(answer);
     if (wanted) {
       watchFor(stream.received());
     }
@@ -217,7 +217,7 @@
     loop.after(
         STALL_MOST,
         () -> {
-          if (hearer == null || closed) {
+          if (listener == null || closed) {
             return;
           }
           if (stream.received() == seen) {
@@ -230,8 +230,8 @@
 
   @Override
   public void ended(AttemptEnd<A> how) {
-    Ports.Hearer<A> told = hearer;
-    hearer = null;
+    Ports.AttemptListener<A> told = listener;
+    listener = null;
     if (!closed && handler.reusable()) {
       settle();
     }
@@ -305,7 +305,7 @@
   @Override
   public Reach abandon() {
     Reach reach = reach();
-    hearer = null;
+    listener = null;
     if (!closed) {
       drop();
     }
--- a/src/main/java/crankspar/net/ServerConnectionHandler.java
+++ b/src/main/java/crankspar/net/ServerConnectionHandler.java
@@ -29,7 +29,8 @@
    * its own so that nothing but the write stands behind the last check. False where {@code current}
    * was no longer true right before the write: nothing was written, and it is ready and idle still.
    */
-  boolean carry(Q query, byte[] encoded, BooleanSupplier current, Ports.Hearer<A> hearer);
+  boolean carry(
+      Q query, byte[] encoded, BooleanSupplier current, Ports.AttemptListener<A> listener);
 
   /** How far the request at hand has come. */
   Reach reach();
--- a/src/main/java/crankspar/pg/ServerSession.java
+++ b/src/main/java/crankspar/pg/ServerSession.java
@@ -60,7 +60,7 @@
   private Phase phase = Phase.DIALLED;
   private Reach reach = Reach.NOT_CONNECTED;
   private Statement statement;
-  private Ports.Hearer<PgAnswer> hearer;
+  private Ports.AttemptListener<PgAnswer> listener;
   private PgMessage.RowDescription columns;
   private PgMessage.DataRow row;
   private StreamedValue passage;
@@ -102,10 +102,13 @@
 
   @Override
   public boolean carry(
-      Statement statement, byte[] encoded, BooleanSupplier current, Ports.Hearer<PgAnswer> hearer) {
+      Statement statement,
+      byte[] encoded,
+      BooleanSupplier current,
+      Ports.AttemptListener<PgAnswer> listener) {
     Reach before = reach;
     this.statement = statement;
-    this.hearer = hearer;
+    this.listener = listener;
     phase = Phase.ASKED;
     role = Role.UNKNOWN;
     position = Double.NaN;
@@ -114,7 +117,7 @@
       return true;
     }
     this.statement = null;
-    this.hearer = null;
+    this.listener = null;
     phase = Phase.IDLE;
     reach = before;
     return false;
@@ -123,7 +126,7 @@
   private void whollyWritten() {
     if (reach == Reach.PARTLY_WRITTEN) {
       reach = Reach.WHOLLY_WRITTEN;
-      hearer.written();
+      listener.written();
     }
   }
 
@@ -147,7 +150,7 @@
         on(m);
       }
     } catch (PgDecoder.Malformed e) {
-      counters.add(hearer == null ? "server_unasked_bytes" : "server_malformed");
+      counters.add(listener == null ? "server_unasked_bytes" : "server_malformed");
       out.close();
       owner.gone("malformed: " + e.getMessage());
       return;
@@ -219,7 +222,7 @@
     row = null;
     left = d.size();
     passage = new StreamedValue(out);
-    if (!hearer.began(PgAnswer.begun(columns, d.size(), passage))) {
+    if (!listener.began(PgAnswer.begun(columns, d.size(), passage))) {
       throw new PgDecoder.Malformed("a long answer that nobody waits for");
     }
   }
@@ -251,9 +254,9 @@
    * ReadyForQuery, or the connection's end after an error, ends the request, and with it its notes.
    */
   private void over() {
-    Ports.Hearer<PgAnswer> told = hearer;
+    Ports.AttemptListener<PgAnswer> told = listener;
     AttemptEnd<PgAnswer> how = how();
-    hearer = null;
+    listener = null;
     phase = Phase.IDLE;
     reach = Reach.ANSWERED;
     told.ended(how);
--- a/src/main/java/crankspar/pooling/Lease.java
+++ b/src/main/java/crankspar/pooling/Lease.java
@@ -26,7 +26,7 @@
   /** The latest time at which it may begin (ms); a bounded read's data ages meanwhile. */
   private final double latestStart;
 
-  private Ports.Hearer<Answer> listener;
+  private Ports.AttemptListener<Answer> listener;
   private Progress progress = new Progress();
   private List<Frame> held = new ArrayList<>(4);
   private int heldBytes;
@@ -43,7 +43,8 @@
   private double transactionSince;
   private double lastMessageAt;
 
-  Lease(Server server, Opening opening, double latestStart, Ports.Hearer<Answer> listener) {
+  Lease(
+      Server server, Opening opening, double latestStart, Ports.AttemptListener<Answer> listener) {
     this.server = server;
     this.opening = opening;
     this.latestStart = latestStart;
@@ -200,7 +201,7 @@
 
   private void write(List<Frame> frames, boolean endsBatch) {
     Progress mine = progress;
-    Ports.Hearer<Answer> told = kept ? null : listener;
+    Ports.AttemptListener<Answer> told = kept ? null : listener;
     server.writeForClient(
         Frame.join(frames),
         () -> {
@@ -377,7 +378,7 @@
 
   /** Tells the attempt's end, once. */
   void tell(AttemptEnd<Answer> end) {
-    Ports.Hearer<Answer> told = listener;
+    Ports.AttemptListener<Answer> told = listener;
     listener = null;
     if (told != null) {
       told.ended(end);
--- a/src/main/java/crankspar/pooling/Server.java
+++ b/src/main/java/crankspar/pooling/Server.java
@@ -148,7 +148,7 @@
    * It has this one now; it begins as soon as the connection is welcomed and in the client's state,
    * within so long (ms).
    */
-  void serve(Opening opening, double within, Ports.Hearer<Answer> listener) {
+  void serve(Opening opening, double within, Ports.AttemptListener<Answer> listener) {
     lease = new Lease(this, opening, pool.now() + within, listener);
     opening.server = this;
     if (state == ConnectionState.IDLE) {
--- a/src/main/java/crankspar/pooling/Servers.java
+++ b/src/main/java/crankspar/pooling/Servers.java
@@ -169,27 +169,27 @@
       Opening opening,
       double deadline,
       double connectBy,
-      Ports.Hearer<Answer> hearer) {
+      Ports.AttemptListener<Answer> listener) {
     double within = connectBy - loop.now();
     Member m = members.get(member);
     if (m == null) {
-      return refuse(hearer, "no address is known");
+      return refuse(listener, "no address is known");
     }
     ServerKey key = opening.client.key();
     Server server =
         IdleList.choose(
             idle(m, key), s -> Carry.distance(s.sessionState(), opening.client.session()));
     if (server != null) {
-      server.serve(opening, within, hearer);
+      server.serve(opening, within, listener);
       return server;
     }
     Setup.Places places = opening.client.database().places();
     if (open(key) >= places.most() + places.reserve() && !closeOldest(key)
         || all >= most && !closeOldest(null)) {
-      return refuse(hearer, "no connection is left");
+      return refuse(listener, "no connection is left");
     }
     Server dialled = dial(member, m, key);
-    dialled.serve(opening, within, hearer);
+    dialled.serve(opening, within, listener);
     loop.after(
         Math.min(dialTimeout, within),
         () -> {
@@ -210,8 +210,8 @@
     return server;
   }
 
-  private Ports.Call refuse(Ports.Hearer<Answer> hearer, String why) {
-    hearer.ended(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, why));
+  private Ports.Call refuse(Ports.AttemptListener<Answer> listener, String why) {
+    listener.ended(new AttemptEnd.Broken<>(Reach.NOT_CONNECTED, why));
     return () -> Reach.NOT_CONNECTED;
   }
 
--- a/src/main/java/crankspar/rest/RestServerSession.java
+++ b/src/main/java/crankspar/rest/RestServerSession.java
@@ -45,7 +45,7 @@
   private RestQuery query;
   private double least;
   private HttpHead.Response head;
-  private Ports.Hearer<RestAnswer> hearer;
+  private Ports.AttemptListener<RestAnswer> listener;
   private boolean keepAlive = true;
   private boolean surplus;
 
@@ -94,16 +94,19 @@
 
   @Override
   public boolean carry(
-      RestQuery q, byte[] encoded, BooleanSupplier current, Ports.Hearer<RestAnswer> told) {
+      RestQuery q,
+      byte[] encoded,
+      BooleanSupplier current,
+      Ports.AttemptListener<RestAnswer> told) {
     Reach before = reach;
     query = q;
-    hearer = told;
+    listener = told;
     reach = Reach.PARTLY_WRITTEN;
     if (out.writeIf(current, encoded, this::whollyWritten)) {
       return true;
     }
     query = null;
-    hearer = null;
+    listener = null;
     reach = before;
     return false;
   }
@@ -111,7 +114,7 @@
   private void whollyWritten() {
     if (reach == Reach.PARTLY_WRITTEN) {
       reach = Reach.WHOLLY_WRITTEN;
-      hearer.written();
+      listener.written();
     }
   }
 
@@ -151,7 +154,7 @@
   @Override
   public void received(ByteBuffer in) {
     try {
-      while (hearer != null && in.hasRemaining()) {
+      while (listener != null && in.hasRemaining()) {
         parser.feedMessage(in);
       }
     } catch (HttpParser.Malformed e) {
@@ -193,8 +196,8 @@
       return; // an interim answer
     }
     keepAlive = head.keepAlive();
-    Ports.Hearer<RestAnswer> told = hearer;
-    hearer = null;
+    Ports.AttemptListener<RestAnswer> told = listener;
+    listener = null;
     if (told == null || surplus) {
       return; // it was too long, and is given up already
     }
--- a/src/test/java/crankspar/core/LastCheckTest.java
+++ b/src/test/java/crankspar/core/LastCheckTest.java
@@ -21,7 +21,7 @@
   private double now = 1000;
   private double passes;
   private boolean present = true;
-  private Ports.Hearer<String> hearer;
+  private Ports.AttemptListener<String> listener;
   private boolean wanted;
 
   private final Pooler<String, String> pooler =
@@ -77,10 +77,14 @@
 
   @Override
   public Ports.Call send(
-      String member, String query, double deadline, double connectBy, Ports.Hearer<String> hearer) {
+      String member,
+      String query,
+      double deadline,
+      double connectBy,
+      Ports.AttemptListener<String> listener) {
     now += passes;
-    this.hearer = hearer;
-    wanted = hearer.wanted();
+    this.listener = listener;
+    wanted = listener.wanted();
     return () -> Reach.NOT_CONNECTED;
   }
 
@@ -134,7 +138,7 @@
     assertThat(wanted).isFalse();
     assertThat(pooler.owing()).isZero();
     assertThat(counters.get("gone")).isEqualTo(1);
-    hearer.ended(new AttemptEnd.Unsent<>("not wanted"));
+    listener.ended(new AttemptEnd.Unsent<>("not wanted"));
     assertThat(answers).isEmpty();
   }
 }
--- a/src/test/java/crankspar/core/PoolerFixture.java
+++ b/src/test/java/crankspar/core/PoolerFixture.java
@@ -24,7 +24,7 @@
   final List<String> heard = new ArrayList<>();
   final List<FinalAnswer<String>> answers = new ArrayList<>();
   final Counters counters = new Counters();
-  Ports.Hearer<String> hearer;
+  Ports.AttemptListener<String> listener;
   Consumer<AttemptEnd<String>> end;
   Reach reach = Reach.WHOLLY_WRITTEN;
   double heardPosition;
@@ -122,10 +122,14 @@
 
   @Override
   public Ports.Call send(
-      String member, String query, double deadline, double connectBy, Ports.Hearer<String> hearer) {
-    this.hearer = hearer;
+      String member,
+      String query,
+      double deadline,
+      double connectBy,
+      Ports.AttemptListener<String> listener) {
+    this.listener = listener;
     this.deadline = deadline;
-    end = hearer::ended;
+    end = listener::ended;
     beforeWrite.run();
     if (query.equals("inline")) {
       end.accept(new AttemptEnd.Served<>("now", AttemptEnd.Note.NONE));
--- a/src/test/java/crankspar/core/PoolerTest.java
+++ b/src/test/java/crankspar/core/PoolerTest.java
@@ -82,7 +82,7 @@
             answers.add(answer);
           }
         });
-    assertThat(hearer.wanted()).isFalse();
+    assertThat(listener.wanted()).isFalse();
     assertThat(heard).containsExactly("request", "gone", "CANCELLED over");
     assertThat(answers).containsExactly(new FinalAnswer.Failed<>(false, "canceled by its client"));
   }
@@ -130,7 +130,7 @@
             answers.add(answer);
           }
         });
-    assertThat(hearer.began("head")).isTrue();
+    assertThat(listener.began("head")).isTrue();
     assertThat(begun).containsExactly("head");
     at(5000);
     assertThat(heard).as("a read is answered for the module").containsExactly("request", "OK over");
@@ -141,7 +141,7 @@
     assertThat(heard).hasSize(2);
     assertThat(pooler.figures().errors(3)).isEqualTo(1);
     assertThat(pooler.figures().tries()).isEqualTo(1);
-    assertThat(hearer.began("late")).as("nobody waits any more").isFalse();
+    assertThat(listener.began("late")).as("nobody waits any more").isFalse();
   }
 
   /** Guards against an end by the kill: what a handover cannot wait for is answered before it. */
--- a/src/test/java/crankspar/core/SecondCopyTest.java
+++ b/src/test/java/crankspar/core/SecondCopyTest.java
@@ -16,7 +16,7 @@
 class SecondCopyTest extends PoolerFixture {
   /** Sends each request to m, and once more to n when the test says; the first answer ends it. */
   private final class Copying {
-    final List<Ports.Hearer<String>> sent = new ArrayList<>();
+    final List<Ports.AttemptListener<String>> sent = new ArrayList<>();
     final List<String> abandoned = new ArrayList<>();
     final List<String> told = new ArrayList<>();
     Router.Actions actions;
@@ -68,8 +68,8 @@
                 String query,
                 double deadline,
                 double connectBy,
-                Ports.Hearer<String> hearer) {
-              sent.add(hearer);
+                Ports.AttemptListener<String> listener) {
+              sent.add(listener);
               return () -> {
                 abandoned.add(member);
                 return Reach.WHOLLY_WRITTEN;
--- a/src/test/java/crankspar/duties/SharedProbesTest.java
+++ b/src/test/java/crankspar/duties/SharedProbesTest.java
@@ -54,7 +54,7 @@
                 String query,
                 double left,
                 double within,
-                Ports.Hearer<String> hearer) {
+                Ports.AttemptListener<String> listener) {
               return () -> Reach.NOT_CONNECTED;
             }
 
--- a/src/test/java/crankspar/net/PoolTest.java
+++ b/src/test/java/crankspar/net/PoolTest.java
@@ -54,12 +54,15 @@
 
     @Override
     public boolean carry(
-        String query, byte[] encoded, BooleanSupplier current, Ports.Hearer<String> hearer) {
+        String query,
+        byte[] encoded,
+        BooleanSupplier current,
+        Ports.AttemptListener<String> listener) {
       if (!current.getAsBoolean()) {
         return false;
       }
       carried(encoded);
-      hearer.ended(new AttemptEnd.Served<>("row", AttemptEnd.Note.NONE));
+      listener.ended(new AttemptEnd.Served<>("row", AttemptEnd.Note.NONE));
       return true;
     }
 
@@ -122,12 +125,15 @@
 
     @Override
     public boolean carry(
-        String query, byte[] encoded, BooleanSupplier current, Ports.Hearer<String> hearer) {
+        String query,
+        byte[] encoded,
+        BooleanSupplier current,
+        Ports.AttemptListener<String> listener) {
       if (!heldUp) {
         heldUp = true;
         spin(200);
       }
-      return super.carry(query, encoded, current, hearer);
+      return super.carry(query, encoded, current, listener);
     }
   }
 
@@ -210,8 +216,8 @@
     var checks = new AtomicInteger();
     try (var server = new ScriptedPeer(wire -> wire.ends())) {
       var told = new CompletableFuture<AttemptEnd<String>>();
-      var hearer =
-          new Ports.Hearer<String>() {
+      var listener =
+          new Ports.AttemptListener<String>() {
             @Override
             public boolean wanted() {
               if (checks.incrementAndGet()
@@ -232,7 +238,7 @@
                 new Pool<String, String>(
                     loop, new Counters(), () -> new Slow(0, carried), "probe", 250, 30_000, 8);
             pool.locate("m", server.address());
-            pool.send("m", "query", loop.now() + 500, Double.POSITIVE_INFINITY, hearer);
+            pool.send("m", "query", loop.now() + 500, Double.POSITIVE_INFINITY, listener);
           });
       assertThat(told.get(5, TimeUnit.SECONDS)).isInstanceOf(AttemptEnd.Served.class);
       assertThat(toldLeft).isLessThanOrEqualTo(300);
