--- a/src/main/java/crankspar/lab/LabSettings.java
+++ b/src/main/java/crankspar/lab/LabSettings.java
@@ -62,6 +62,45 @@
         .getObject("settings");
   }
 
+  /**
+   * What the settings tell of a cold start.
+   *
+   * @param from share of its capacity that a database starts with
+   * @param multiple times its present capacity that it bears for {@code windowMs}
+   * @param rampMs time until it is warm
+   */
+  public record ColdStart(double from, double multiple, double windowMs, double rampMs) {}
+
+  /** The platform's settings with another cold start. */
+  static Router.Settings coldStart(int siblings, ColdStart start) {
+    return SettingsReader.read(
+        ConfigFactory.parseString(guarantees(start))
+            .withFallback(platform(siblings, 0, "east"))
+            .root()
+            .unwrapped(),
+        1);
+  }
+
+  /** The same as {@link #json(int, int, String)}, with another cold start. */
+  public static String json(int siblings, int me, String zone, ColdStart start) {
+    return ConfigFactory.parseString(guarantees(start))
+        .withFallback(platform(siblings, me, zone))
+        .root()
+        .render(ConfigRenderOptions.concise());
+  }
+
+  private static String guarantees(ColdStart start) {
+    return "Guarantees { ColdFrom = "
+        + start.from()
+        + ", FallMultiple = "
+        + start.multiple()
+        + ", Fall = "
+        + start.windowMs()
+        + ", RampTime = "
+        + start.rampMs()
+        + " }";
+  }
+
   static String member(String id, int port, boolean primary) {
     return "{id = "
         + id
--- a/src/main/java/crankspar/lab/PgServer.java
+++ b/src/main/java/crankspar/lab/PgServer.java
@@ -102,8 +102,8 @@
   }
 
   /**
-   * It is cold from now on: work takes {@code factor} times as long, and less in proportion until
-   * {@code ms} have gone.
+   * It is cold from now on: work takes {@code factor} times as long, and its capacity rises evenly
+   * to the full until {@code ms} have gone.
    */
   public PgServer cold(double factor, double ms) {
     coldFactor = factor;
@@ -114,7 +114,8 @@
 
   private double warmth() {
     double gone = (loop.now() - coldSince) / Math.max(1, coldFor);
-    return gone >= 1 ? 1 : coldFactor + (1 - coldFactor) * gone;
+    double least = 1 / coldFactor;
+    return gone >= 1 ? 1 : 1 / (least + (1 - least) * gone);
   }
 
   /** How long a statement takes (ms), on how many cores at once; more wait in line. */
--- a/src/main/java/crankspar/lab/load/Shape.java
+++ b/src/main/java/crankspar/lab/load/Shape.java
@@ -74,4 +74,17 @@
       return rate;
     }
   }
+
+  /** A rate from a time on, for so long; none before and after. */
+  record Burst(double at, double lasts, double rate) implements Shape {
+    @Override
+    public double rate(double ms) {
+      return ms >= at && ms < at + lasts ? rate : 0;
+    }
+
+    @Override
+    public double most() {
+      return rate;
+    }
+  }
 }
--- a/src/main/java/crankspar/lab/rig/Rig.java
+++ b/src/main/java/crankspar/lab/rig/Rig.java
@@ -158,31 +158,24 @@
       }
       toDatabases.add(ways);
       fromClients.add(new Link(loop, sockets, PartyAddresses.anyPort(i + 1), listens[i]));
-      var others = new ArrayList<String>();
+      var others = new ArrayList<InetSocketAddress>();
       for (int j = 0; j < n; j++) {
-        others.add("\"" + text(datagrams.address(i, j)) + "\"");
+        others.add(datagrams.address(i, j));
       }
+      String settings =
+          LabSettings.json(n, i, ZONES.get(i % ZONES.size()))
+              .replace("on_request", parties.pushed() ? "pushed" : "on_request");
       String configuration =
-          "{\"name\": \"p"
-              + i
-              + "\", \"listen\": \""
-              + text(listens[i])
-              + "\", \"discovery\": \""
-              + text(link.address())
-              + "\", \"seed\": \""
-              + Long.toHexString(seed + i)
-              + "\", \"limits\": {\"cores\": 1, \"memory_mb\": 192, \"sockets\": 1024},"
-              + " \"mgmt\": \""
-              + text(calls.get(i))
-              + "\", \"peer_listen\": \""
-              + text(peers[i])
-              + "\", \"peers\": ["
-              + String.join(", ", others)
-              + "],"
-              + " \"settings\": "
-              + LabSettings.json(n, i, ZONES.get(i % ZONES.size()))
-                  .replace("on_request", parties.pushed() ? "pushed" : "on_request")
-              + "}";
+          new PoolerConfiguration(
+                  "p" + i,
+                  listens[i],
+                  link.address(),
+                  calls.get(i),
+                  peers[i],
+                  others,
+                  seed + i,
+                  settings)
+              .json();
       configurations.add(configuration);
       poolers.add(
           new PlatformProcess(
