lab: the rig names the window that broke the cold rule; probes are work in the model

Cause: not mended here. The rig said by how much the budget was exceeded, not when, by whom and with what; Rules.cold counted statements against four times and 3 whatever the settings said; the drawn plans took java.util.Random, whose first draw hardly depends on a small seed, so that all of them had three members; the model did not count probes, which WIRE says are work.

Change: ColdStartRule.worst gives the window with its age, budget and senders. Rules.cold goes by work and the settings' rule. The model counts a probe as a mean request. FaultSoak replaces a replica under a burst in half of its runs, drawn by itself, so that the other draws of a seed stay. No assertion is eased: worstShare() is worst().share().

--- a/src/main/java/crankspar/lab/RoutingModel.java
+++ b/src/main/java/crankspar/lab/RoutingModel.java
@@ -1,7 +1,6 @@
 package crankspar.lab;
 
 import crankspar.Router.Freshness;
-import crankspar.Router.Health;
 import crankspar.Router.ListKind;
 import crankspar.Router.Member;
 import crankspar.Router.Role;
@@ -9,9 +8,7 @@
 import crankspar.Router;
 import crankspar.gossip.GossipReceiver;
 import crankspar.policy.RequestRouter;
-import java.util.ArrayDeque;
 import java.util.Arrays;
-import java.util.BitSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -58,8 +55,6 @@
     private static final double[] SHARES = {0.46, 0.42, 0.032, 0.023, 0.058};
     private static final double[][] WORK = {{32, 55}, {32, 55}, {79, 140}, {530, 920}, {53, 92}};
     private static final double MEAN = java.util.stream.IntStream.range(0, SHARES.length).mapToDouble(k -> SHARES[k] * (WORK[k][0] + WORK[k][1]) / 2).sum();
-    private static final int CORES = 3;
-    private static final int WAITING_MOST = 64;
     private static final double DIAL = 250;
 
     private static final class Asked {
@@ -70,88 +65,12 @@
     }
 
     private static final class Attempt {
-        Database at;
-        int number, from;
+        ModelDatabase at;
+        int number;
         double sent;
         boolean ended, dropped;
     }
 
-    private final class Database {
-        final String id;
-        final String zone;
-        final int group;
-        final boolean primary;
-        final double lag = between(4.6, 12);
-        double started = Double.NEGATIVE_INFINITY;
-        boolean up = true;
-        int running;
-        final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
-        private final ColdWindow window = new ColdWindow(world.settings().guarantees(), CORES, MEAN);
-        /** The poolers that know of its last start. */
-        final BitSet toldOf = new BitSet();
-
-        Database(int group, int number) {
-            id = "db-" + group + "-" + number;
-            this.group = group;
-            zone = zones().get(number % zones().size());
-            primary = number == 0;
-        }
-
-        double position() { return primary ? now : now - lag; }
-
-        /** The part of its full capacity that it has. */
-        double able() {
-            var rules = world.settings().guarantees();
-            return Math.min(1, rules.initialColdShare() + (1 - rules.initialColdShare()) * Math.max(0, now - started) / rules.rampTime());
-        }
-
-        Member listed() { return new Member(id, zone, primary, 1, Health.RUNNING, group, "", Math.max(0, started)); }
-
-        /** What reaches a cold one counts, whatever it does with it, if its sender has been told. */
-        private void pressed(double work, Attempt a) {
-            var rules = world.settings().guarantees();
-            if (now - started >= rules.rampTime() || !toldOf.get(a.from)) {
-                return;
-            }
-            coldSent++;
-            window.take(now, work);
-            coldPeak = Math.max(coldPeak, window.times(able()));
-            coldShare = Math.max(coldShare, window.share(able()));
-        }
-
-        void take(double work, Attempt a, Runnable done, Runnable full) {
-            pressed(work, a);
-            Runnable begin = () -> {
-                running++;
-                after(work / able(), () -> {
-                    running--;
-                    done.run();
-                    next();
-                });
-            };
-            fullest = Math.max(fullest, running + waiting.size() + 1);
-            if (running < CORES) {
-                begin.run();
-            } else if (waiting.size() < WAITING_MOST) {
-                waiting.add(() -> {
-                    if (a.dropped) {
-                        next();
-                    } else {
-                        begin.run();
-                    }
-                });
-            } else {
-                full.run();
-            }
-        }
-
-        private void next() {
-            if (running < CORES && !waiting.isEmpty()) {
-                waiting.poll().run();
-            }
-        }
-    }
-
     private final class Instance implements Router.Actions {
         final int number;
         final String zone;
@@ -176,7 +95,7 @@
                     s.classes(), s.laggingRead(), s.patience(), s.roleInList(), s.sessionMarks(), s.reportsPosition(), s.commitWaits(), s.positionEpoch(),
                     s.reports(), s.guarantees(), s.limits(), s.prices()), this);
             router.onStart(now);
-            router.onMembers(now, ListKind.OLD_COPY, databases.values().stream().map(Database::listed).toList());
+            router.onMembers(now, ListKind.OLD_COPY, databases.values().stream().map(ModelDatabase::listed).toList());
         }
 
         /** Later, if this life still goes on. */
@@ -232,7 +151,7 @@
 
         @Override public void send(String request, String member, double timeout) {
             Asked a = asked.get(request);
-            Database d = databases.get(member);
+            ModelDatabase d = databases.get(member);
             if (a == null || a.over || a.out != null) {
                 throw broken("a second copy, or one of a request that is over, at pooler " + number);
             }
@@ -247,7 +166,6 @@
             var t = new Attempt();
             t.at = d;
             t.number = a.tries++;
-            t.from = number;
             t.sent = now;
             a.out = t;
             if (idle.getOrDefault(member, 0) > 0) {
@@ -261,7 +179,7 @@
             } else {
                 int mine = life;
                 double work = between(WORK[a.kind][0], WORK[a.kind][1]);
-                after(way, () -> d.take(work, t, () -> after(way, () -> {
+                after(way, () -> d.take(number, work, () -> t.dropped, () -> after(way, () -> {
                     if (up && life == mine) {
                         end(request, a, t, kind.freshness() == Freshness.WRITE && !d.primary ? Status.MISS : Status.OK);
                     }
@@ -298,9 +216,12 @@
         @Override public void setTimer(double delay, long cookie) { later(Math.max(delay, 0.001), () -> router.onTimer(now, cookie)); }
 
         @Override public void probe(String member) {
-            Database d = databases.get(member);
+            ModelDatabase d = databases.get(member);
             boolean there = d.up && !cut(number, d);
             double position = d.position();
+            if (there) {
+                d.pressed(number, MEAN);
+            }
             later(there ? 5 : DIAL, () -> router.onProbe(now, new Router.ProbeResult(member, there, 5,
                     there ? d.primary ? Role.PRIMARY : Role.REPLICA : Role.UNKNOWN, there ? position : Double.NaN)));
         }
@@ -327,12 +248,13 @@
 
     private final World world;
     private final BiFunction<Router.Settings, Router.Actions, Router> maker;
-    private final Map<String, Database> databases = new LinkedHashMap<>();
+    private final Map<String, ModelDatabase> databases = new LinkedHashMap<>();
     private final Instance[] instances;
     private final int[] side;
     private boolean mute;
-    private double rate, coldPeak, coldShare;
-    private long count, asking, refused, told, opened, coldSent, bounded, boundedAtPrimary, fullest;
+    private final ModelLoad load = new ModelLoad();
+    private double rate;
+    private long count, asking, refused, told, opened, bounded, boundedAtPrimary;
     private final double[] weights, popular, worthAsked = new double[SHARES.length], worthServed = new double[SHARES.length];
 
     public RoutingModel(World world) { this(world, GossipReceiver.before(RequestRouter::new)); }
@@ -345,7 +267,7 @@
         now = 1_000_000;
         for (int g = 0; g < world.groups(); g++) {
             for (int m = 0; m < world.members(); m++) {
-                var d = new Database(g, m);
+                var d = new ModelDatabase(this, world.settings(), load, MEAN, g, m);
                 databases.put(d.id, d);
             }
         }
@@ -377,13 +299,13 @@
         return i;
     }
 
-    private List<String> zones() { return world.settings().zones(); }
+    List<String> zones() { return world.settings().zones(); }
 
     private Broken broken(String what) {
         return new Broken("seed " + world.seed() + ", " + world.poolers() + " poolers, at " + Math.round(now - 1_000_000) + " ms: " + what);
     }
 
-    private boolean cut(int pooler, Database d) { return side[pooler] != 0 && zones().indexOf(d.zone) + 1 != side[pooler]; }
+    private boolean cut(int pooler, ModelDatabase d) { return side[pooler] != 0 && zones().indexOf(d.zone) + 1 != side[pooler]; }
 
     /** Open loop: when the next comes does not wait for answers. */
     private void arrive() {
@@ -405,14 +327,14 @@
     /** Figures count from here on. */
     public RoutingModel measure() {
         List.of(worthAsked, worthServed).forEach(w -> Arrays.fill(w, 0));
-        coldPeak = coldShare = 0;
-        asking = refused = told = opened = coldSent = bounded = boundedAtPrimary = fullest = 0;
+        load.reset();
+        asking = refused = told = opened = bounded = boundedAtPrimary = 0;
         return this;
     }
 
     public Figures figures() {
         return new Figures(asking, Arrays.stream(worthServed).sum() / Math.max(1, Arrays.stream(worthAsked).sum()), refused, world.settings().prices().peer()
-                * told / 256 / Math.max(1, asking), opened, coldPeak, coldShare, coldSent, (int) fullest, boundedAtPrimary / (double) Math.max(1, bounded),
+                * told / 256 / Math.max(1, asking), opened, load.coldPeak, load.coldShare, load.coldSent, load.fullest, boundedAtPrimary / (double) Math.max(1, bounded),
                 java.util.stream.IntStream.range(0, SHARES.length).mapToObj(k -> worthServed[k] / Math.max(1, worthAsked[k])).toList());
     }
 
@@ -447,12 +369,11 @@
 
     /** A group's database starts anew, cold; each pooler hears of it from discovery within {@code late} ms. */
     public RoutingModel cold(int group, int member, double late) {
-        Database d = databases.get("db-" + group + "-" + member);
-        d.started = now;
-        d.toldOf.clear();
+        ModelDatabase d = databases.get("db-" + group + "-" + member);
+        d.start();
         for (Instance i : instances) {
             i.later(random.nextDouble() * late, () -> {
-                d.toldOf.set(i.number);
+                d.tell(i.number);
                 i.router.onMembers(now, ListKind.CHANGES, List.of(d.listed()));
             });
         }
--- a/src/main/java/crankspar/lab/rig/ColdStartRule.java
+++ b/src/main/java/crankspar/lab/rig/ColdStartRule.java
@@ -1,6 +1,7 @@
 package crankspar.lab.rig;
 
 import java.util.List;
+import java.util.function.DoubleUnaryOperator;
 
 /**
  * The rule on a cold database, by the work that all poolers together send to it.
@@ -26,8 +27,12 @@
   /** Budgets below this many requests have the larger allowance for chance. */
   private static final double SMALL_BUDGET = 30;
 
-  /** A request that reached the database at a time (ms), and its work on a warm one (ms). */
-  public record Sent(double at, double workMs) {}
+  /**
+   * A request that reached the database at a time (ms), with its work on a warm one (ms).
+   *
+   * @param what who sent it
+   */
+  public record Sent(double at, double workMs, String what) {}
 
   /** Requests of mean work in a window that ends so long (ms) after the start. */
   double budget(double age) {
@@ -36,27 +41,51 @@
     return multiple * capacity * cores * windowMs / meanWorkMs;
   }
 
-  private static double allowance(double budget) {
+  /** What the operators' page puts down to chance beyond a budget. */
+  static double allowance(double budget) {
     return budget < SMALL_BUDGET ? 3 * Math.sqrt(budget) + 3 : 2 * Math.sqrt(budget) + 2;
   }
 
   /**
-   * The most that was sent in any window while the database was cold, as a share of its budget and
-   * allowance: more than 1 breaks the rule. {@code sent} is in order of time.
+   * The window in which most was sent, by the budget.
+   *
+   * @param share of the budget and its allowance that was sent: more than 1 breaks the rule
+   * @param age time (ms) from the database's start to the window's end
+   * @param sent what was sent in it
    */
-  public double worstShare(double start, List<Sent> sent) {
+  public record Window(double share, double age, double budget, List<Sent> sent) {
+    static final Window NONE = new Window(0, 0, 0, List.of());
+
+    @Override
+    public String toString() {
+      return "%.2f of a budget of %.1f, %.0f ms after the start: %s"
+          .formatted(share, budget, age, sent.stream().map(Sent::what).toList());
+    }
+  }
+
+  /** The worst window of one that started then; {@code sent} is in order of time. */
+  public Window worst(double start, List<Sent> sent) {
+    return worst(start, sent, ColdStartRule::allowance);
+  }
+
+  /** The same with another allowance, in requests, by the budget. */
+  Window worst(double start, List<Sent> sent, DoubleUnaryOperator allowance) {
     List<Sent> cold =
         sent.stream().filter(s -> s.at() >= start && s.at() < start + rampMs).toList();
-    double worst = 0;
+    Window worst = Window.NONE;
     double inWindow = 0;
     int first = 0;
-    for (Sent last : cold) {
-      inWindow += last.workMs();
-      while (last.at() - cold.get(first).at() > windowMs) {
+    for (int last = 0; last < cold.size(); last++) {
+      inWindow += cold.get(last).workMs();
+      while (cold.get(last).at() - cold.get(first).at() > windowMs) {
         inWindow -= cold.get(first++).workMs();
       }
-      double budget = budget(last.at() - start);
-      worst = Math.max(worst, inWindow / meanWorkMs / (budget + allowance(budget)));
+      double age = cold.get(last).at() - start;
+      double budget = budget(age);
+      double share = inWindow / meanWorkMs / (budget + allowance.applyAsDouble(budget));
+      if (share > worst.share()) {
+        worst = new Window(share, age, budget, cold.subList(first, last + 1));
+      }
     }
     return worst;
   }
--- a/src/main/java/crankspar/lab/rig/Play.java
+++ b/src/main/java/crankspar/lab/rig/Play.java
@@ -3,6 +3,7 @@
 import crankspar.Router.Health;
 import crankspar.audit.Asked;
 import crankspar.audit.Findings;
+import crankspar.lab.LabSettings;
 import crankspar.lab.load.Checker;
 import crankspar.lab.load.Generator;
 import crankspar.lab.load.Recorder;
@@ -288,11 +289,14 @@
     }
 
     private void comeBack(String id, double factor, double ramp) {
-        double full = scenario.parties().cores() / Math.max(0.01, scenario.parties().work());
-        returns.add(new Rules.Cold(id, rig.now(), full / factor, full, ramp));
+        var rules = LabSettings.platform(scenario.parties().poolers()).guarantees();
+        returns.add(new Rules.Cold(id, rig.now(),
+                new ColdStartRule(1 / factor, rules.fallMultiple(), rules.fall(), ramp, scenario.parties().cores(), workMs())));
         rig.comeBack(id, factor, ramp);
     }
 
+    private double workMs() { return Math.max(0.01, scenario.parties().work()); }
+
     private void drain(String id, boolean on) {
         double now = rig.now();
         drains.replaceAll(d -> d.database().equals(id) && d.until() == Double.POSITIVE_INFINITY ? new Rules.Drain(id, d.decided(), now, d.told()) : d);
@@ -347,7 +351,7 @@
             }
         }
         var executed = rig.recording().executed();
-        var rules = new Rules().answers(asked).once(executed).drains(drains, executed).cold(returns, executed).fresh(stale, unseen, words);
+        var rules = new Rules().answers(asked).once(executed).drains(drains, executed).cold(returns, executed, e -> workMs()).fresh(stale, unseen, words);
         var broken = new ArrayList<>(rules.broken());
         for (int i = 0; i < generators.size(); i++) {
             Findings.View view = excused[i] || generators.get(i).silent().isEmpty() ? null : view(i);
--- a/src/main/java/crankspar/lab/rig/ReplacementRig.java
+++ b/src/main/java/crankspar/lab/rig/ReplacementRig.java
@@ -3,7 +3,6 @@
 import crankspar.Router.Health;
 import crankspar.Router.Member;
 import crankspar.lab.LabSettings;
-import crankspar.lab.LabSettings.ColdStart;
 import crankspar.lab.PgServer;
 import crankspar.lab.Recording;
 import crankspar.lab.load.Generator;
@@ -17,7 +16,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -28,76 +26,20 @@
  * some of the successors crash and come back cold. The clients repeat at once what was refused.
  */
 public final class ReplacementRig implements AutoCloseable {
-  /**
-   * What is played.
-   *
-   * @param members of each group, its primary among them
-   * @param allReplicas whether every replica of a group is replaced, or one
-   * @param burst times the usual load while they are replaced
-   * @param loss share of the messages between poolers that is lost
-   */
-  public record Plan(
-      long seed,
-      int poolers,
-      int members,
-      boolean allReplicas,
-      double burst,
-      double loss,
-      ColdStart start) {
-    /** One of the settings that the platform's pages allow, by a seed. */
-    public static Plan drawn(long seed, int poolers) {
-      var random = new Random(seed);
-      return new Plan(
-          seed,
-          poolers,
-          random.nextBoolean() ? 3 : 5,
-          random.nextInt(3) > 0,
-          List.of(1, 4, 8).get(random.nextInt(3)),
-          random.nextBoolean() ? 1 : 0.3,
-          new ColdStart(
-              between(random, 0.05, 0.5),
-              between(random, 1.5, 6),
-              between(random, 500, 3000),
-              between(random, 5000, 30_000)));
-    }
-
-    private static double between(Random random, double least, double most) {
-      return least + (most - least) * random.nextDouble();
-    }
-  }
-
   /**
    * What came of it.
    *
-   * @param worstShare the most that a cold database was sent in any window, of what the rule allows
+   * @param worst the window in which a cold database was sent most, by the rule
    * @param worstAt which database that was
    * @param sentCold requests that cold databases were sent
    * @param workCold work of these (ms on a warm database)
    * @param served share of the clients' requests that was answered in time
    */
   public record Outcome(
-      double worstShare, String worstAt, long sentCold, double workCold, double served) {}
-
-  /** A class of requests, with its share and the time that it keeps a core of a warm database. */
-  private record RequestKind(String name, double share, int workMs, double deadlineMs) {
-    String sql() {
-      String work = "pg_sleep(" + workMs / 1000.0 + ")";
-      return name.equals("claim")
-          ? "INSERT INTO t VALUES ($n) RETURNING " + work
-          : "SELECT " + work;
-    }
-  }
+      ColdStartRule.Window worst, String worstAt, long sentCold, double workCold, double served) {}
 
   private record Start(String database, double at) {}
 
-  private static final List<RequestKind> KINDS =
-      List.of(
-          new RequestKind("board", 0.46, 30, 600),
-          new RequestKind("own", 0.42, 30, 750),
-          new RequestKind("check", 0.032, 80, 2000),
-          new RequestKind("report", 0.023, 400, 8000),
-          new RequestKind("claim", 0.058, 50, 3000));
-
   private static final int GROUPS = 2;
   private static final int CORES = 2;
   private static final List<String> ZONES = List.of("east", "west", "south");
@@ -106,8 +48,6 @@
   /** Share of what warm databases can do that is asked outside of a burst. */
   private static final double LOAD = 1.0 / 3;
 
-  private static final int RETRIES = 8;
-  private static final double RETRY_PAUSE_MS = 20;
   private static final int CONNECTIONS = 60;
   private static final int SESSIONS = 100;
   private static final double LOG_DELAY_MS = 8;
@@ -125,7 +65,7 @@
       REPLACE_MS + LISTED_MS + GONE_MS + CRASH_MS + DOWN_MS + LISTED_MS + REST_MS;
   private static final double GRACE_MS = 2500;
 
-  private final Plan plan;
+  private final ReplacementPlan plan;
   private final EventLoop loop = new EventLoop("rig");
   private final Sockets sockets = new Sockets(loop);
   private final Recording recording = new Recording();
@@ -136,7 +76,7 @@
   private final List<PlatformProcess> poolers = new ArrayList<>();
   private final List<Start> starts = new ArrayList<>();
 
-  public ReplacementRig(Plan plan) throws IOException {
+  public ReplacementRig(ReplacementPlan plan) throws IOException {
     this.plan = plan;
     discovery = new DiscoveryStandIn(loop, sockets, PartyAddresses.anyPort(0));
     for (int group = 0; group < GROUPS; group++) {
@@ -242,29 +182,15 @@
   }
 
   private Generator generator(int pooler) throws IOException {
-    double usual = LOAD * GROUPS * plan.members() * CORES * 1000 / meanWorkMs() / plan.poolers();
-    var kinds = new ArrayList<Workload.Kind>();
-    for (RequestKind k : KINDS) {
-      boolean write = k.name().equals("claim");
-      kinds.add(
-          new Workload.Kind(
-              k.name(),
-              k.share(),
-              k.deadlineMs(),
-              write,
-              k.sql(),
-              Workload.Check.NONE,
-              0,
-              RETRIES,
-              RETRY_PAUSE_MS));
-    }
+    double usual =
+        LOAD * GROUPS * plan.members() * CORES * 1000 / RequestKind.meanWorkMs() / plan.poolers();
     var shapes =
         List.<Shape>of(
             new Shape.Constant(usual),
             new Shape.Burst(REPLACE_MS + LISTED_MS, BURST_MS, (plan.burst() - 1) * usual));
     var workload =
         new Workload(
-            kinds,
+            RequestKind.ALL.stream().map(RequestKind::workload).toList(),
             shapes,
             false,
             SESSIONS,
@@ -286,19 +212,18 @@
     }
   }
 
-  private static double meanWorkMs() {
-    double shares = KINDS.stream().mapToDouble(RequestKind::share).sum();
-    return KINDS.stream().mapToDouble(k -> k.share() * k.workMs()).sum() / shares;
-  }
-
   // ---- The timeline.
-  private void replaceAll() throws InterruptedException {
+  private void replaceAll() throws IOException, InterruptedException {
     TimeUnit.MILLISECONDS.sleep(REPLACE_MS);
     List<String> replaced = replaced();
     replaced.forEach(id -> begin(id + "-new"));
     TimeUnit.MILLISECONDS.sleep(LISTED_MS);
     replaced.forEach(id -> list(id + "-new"));
     replaced.forEach(id -> discovery.health(id, Health.DRAINING));
+    for (PlatformProcess pooler : poolers.subList(0, (int) (plan.restarted() * poolers.size()))) {
+      pooler.kill();
+      pooler.begin();
+    }
     TimeUnit.MILLISECONDS.sleep(GONE_MS);
     replaced.forEach(id -> discovery.health(id, Health.GONE));
     TimeUnit.MILLISECONDS.sleep(CRASH_MS);
@@ -344,23 +269,23 @@
             plan.start().windowMs(),
             plan.start().rampMs(),
             CORES,
-            meanWorkMs());
-    double worst = 0;
+            RequestKind.meanWorkMs());
+    var worst = ColdStartRule.Window.NONE;
     String worstAt = "";
     long sent = 0;
     double work = 0;
     for (int i = 0; i < starts.size(); i++) {
       Start start = starts.get(i);
       List<ColdStartRule.Sent> to = sentTo(start, nextStart(i));
-      double share = rule.worstShare(start.at(), to);
-      if (share > worst) {
-        worst = share;
+      ColdStartRule.Window window = rule.worst(start.at(), to);
+      if (window.share() > worst.share()) {
+        worst = window;
         worstAt = start.database();
       }
       sent += to.size();
       work += to.stream().mapToDouble(ColdStartRule.Sent::workMs).sum();
     }
-    var all = new Recorder(KINDS.stream().map(RequestKind::name).toList(), 1000);
+    var all = new Recorder(RequestKind.ALL.stream().map(RequestKind::name).toList(), 1000);
     for (Generator generator : generators) {
       all.add(generator.result(true));
     }
@@ -382,15 +307,21 @@
     for (Recording.Executed e : recording.executed()) {
       Matcher work = WORK.matcher(e.sql);
       if (e.server.equals(start.database())
-          && e.at >= start.at()
+          && e.at >= start.at
           && e.at < Math.min(until, start.at() + plan.start().rampMs())
           && work.find()) {
-        sent.add(new ColdStartRule.Sent(e.at, 1000 * Double.parseDouble(work.group(1))));
+        sent.add(
+            new ColdStartRule.Sent(e.at, 1000 * Double.parseDouble(work.group(1)), caller(e.sql)));
       }
     }
     return sent;
   }
 
+  /** The pooler and the class, as the statement's comment tells them. */
+  private static String caller(String sql) {
+    return sql.replaceAll("(?s)^/\\* id=(p[0-9]+)\\..*?,c=([a-z]+),.*", "$1 $2");
+  }
+
   /** The poolers' logs, for a look at a run that broke the rule. */
   public List<PlatformProcess> poolers() {
     return List.copyOf(poolers);
@@ -414,12 +345,21 @@
     long first = Long.parseLong(arguments[1]);
     int broken = 0;
     for (long seed = first; seed < first + Integer.parseInt(arguments[2]); seed++) {
-      Plan plan = Plan.drawn(seed, fleet);
+      ReplacementPlan plan = ReplacementPlan.drawn(seed, fleet);
       try (var rig = new ReplacementRig(plan)) {
         Outcome outcome = rig.play();
-        boolean kept = outcome.worstShare() <= 1;
+        boolean kept = outcome.worst().share() <= 1;
         broken += kept ? 0 : 1;
-        System.out.println((kept ? "kept " : "BROKEN ") + outcome + " " + plan);
+        System.out.println(
+            "%s %.2f, %d requests and %.0f ms to cold ones, %.2f served, %s%s"
+                .formatted(
+                    kept ? "kept" : "BROKEN",
+                    outcome.worst().share(),
+                    outcome.sentCold(),
+                    outcome.workCold(),
+                    outcome.served(),
+                    plan,
+                    kept ? "" : outcome.worstAt() + " " + outcome.worst()));
       }
     }
     System.out.println(arguments[2] + " seeds, " + broken + " broken");
--- a/src/main/java/crankspar/lab/rig/Rules.java
+++ b/src/main/java/crankspar/lab/rig/Rules.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -24,8 +25,9 @@
   /** New work may reach a database so long (ms) after: the rule's 250 and the slack on sockets. */
   public static final double DRAIN_MOST = 300;
 
-  static final double FALL_MULTIPLE = 4;
-  static final double FALL = 1500;
+  /** Requests beyond a cold database's budget that are put down to chance, whatever it is. */
+  private static final double COLD_ALLOWANCE = 3;
+
   private static final int WORDS_MOST = 20;
 
   /**
@@ -34,11 +36,8 @@
    */
   public record Drain(String database, double decided, double until, Map<String, Double> told) {}
 
-  /**
-   * A cold return: from when on it can do how much (statements a ms), rising evenly to {@code full}
-   * within {@code ramp} ms.
-   */
-  public record Cold(String database, double at, double least, double full, double ramp) {}
+  /** A cold start, and the rule that holds for it by the settings. */
+  public record Cold(String database, double at, ColdStartRule rule) {}
 
   /**
    * What is known of the requests of one pooler's clients. {@code excused}: it was killed, stopped
@@ -123,33 +122,19 @@
   }
 
   /**
-   * No cold database is sent more than four times what it can do, over 1.5 s, by all poolers
-   * together.
+   * No cold database is sent more than its budget in any window, by all poolers together; {@code
+   * workMs} tells how long a statement keeps a core of a warm one.
    */
-  public Rules cold(List<Cold> returns, List<Executed> executed) {
-    for (Cold c : returns) {
-      List<Executed> of =
+  public Rules cold(List<Cold> starts, List<Executed> executed, ToDoubleFunction<Executed> workMs) {
+    for (Cold c : starts) {
+      List<ColdStartRule.Sent> sent =
           executed.stream()
-              .filter(
-                  e -> e.server.equals(c.database()) && e.at >= c.at() && e.at < c.at() + c.ramp())
+              .filter(e -> e.server.equals(c.database()))
+              .map(e -> new ColdStartRule.Sent(e.at, workMs.applyAsDouble(e), e.sql))
               .toList();
-      int from = 0;
-      for (int to = 0; to < of.size(); to++) {
-        while (of.get(to).at - of.get(from).at > FALL) {
-          from++;
-        }
-        double middle = Math.max(0, of.get(to).at - FALL / 2 - c.at());
-        double can = (c.least() + (c.full() - c.least()) * Math.min(1, middle / c.ramp())) * FALL;
-        if (to - from + 1 > FALL_MULTIPLE * can + 3) {
-          say(
-              "cold",
-              c.database()
-                  + " was sent "
-                  + (to - from + 1)
-                  + " in 1.5 s, and can do "
-                  + Math.round(can));
-          break;
-        }
+      ColdStartRule.Window worst = c.rule().worst(c.at(), sent, budget -> COLD_ALLOWANCE);
+      if (worst.share() > 1) {
+        say("cold", c.database() + " was sent " + worst);
       }
     }
     return this;
--- a/src/test/java/crankspar/StructureTest.java
+++ b/src/test/java/crankspar/StructureTest.java
@@ -47,10 +47,7 @@
    * split.
    */
   private static final Map<String, Integer> LONG =
-      Map.ofEntries(
-          Map.entry("membership/Swim.java", 420),
-          Map.entry("audit/Standing.java", 436),
-          Map.entry("lab/RoutingModel.java", 476));
+      Map.ofEntries(Map.entry("membership/Swim.java", 420), Map.entry("audit/Standing.java", 436));
 
   private static DescribedPredicate<JavaClass> decides() {
     return DescribedPredicate.describe(
--- a/src/test/java/crankspar/lab/rig/ColdStartRuleTest.java
+++ b/src/test/java/crankspar/lab/rig/ColdStartRuleTest.java
@@ -15,7 +15,7 @@
   private static List<Sent> every(double gapMs, int count, double workMs) {
     var sent = new ArrayList<Sent>();
     for (int i = 0; i < count; i++) {
-      sent.add(new Sent(100_000 + i * gapMs, workMs));
+      sent.add(new Sent(100_000 + i * gapMs, workMs, ""));
     }
     return sent;
   }
@@ -28,31 +28,31 @@
 
   @Test
   void oneBurstWithinAWindowBreaksTheRule() {
-    assertThat(RULE.worstShare(100_000, every(10, 42, 40))).isLessThan(1);
-    assertThat(RULE.worstShare(100_000, every(10, 44, 40))).isGreaterThan(1);
+    assertThat(RULE.worst(100_000, every(10, 42, 40)).share()).isLessThan(1);
+    assertThat(RULE.worst(100_000, every(10, 44, 40)).share()).isGreaterThan(1);
   }
 
   @Test
   void workCountsNotRequests() {
-    assertThat(RULE.worstShare(100_000, every(10, 4, 480))).isGreaterThan(1);
-    assertThat(RULE.worstShare(100_000, every(10, 80, 20))).isLessThan(1);
+    assertThat(RULE.worst(100_000, every(10, 4, 480)).share()).isGreaterThan(1);
+    assertThat(RULE.worst(100_000, every(10, 80, 20)).share()).isLessThan(1);
   }
 
   @Test
   void whatIsSpreadOverManyWindowsKeepsIt() {
-    assertThat(RULE.worstShare(100_000, every(50, 200, 40))).isLessThan(1);
+    assertThat(RULE.worst(100_000, every(50, 200, 40)).share()).isLessThan(1);
   }
 
   @Test
   void aWarmDatabaseHasNoBudget() {
-    assertThat(RULE.worstShare(100_000 - 15_000, every(1, 500, 40))).isZero();
+    assertThat(RULE.worst(100_000 - 15_000, every(1, 500, 40)).share()).isZero();
   }
 
   @Test
   void aSmallBudgetHasTheLargerAllowance() {
     var small = new ColdStartRule(0.05, 2, 500, 15_000, 2, 40);
     assertThat(small.budget(0)).isEqualTo(2.5);
-    assertThat(small.worstShare(100_000, every(1, 10, 40))).isLessThan(1);
-    assertThat(small.worstShare(100_000, every(1, 11, 40))).isGreaterThan(1);
+    assertThat(small.worst(100_000, every(1, 10, 40)).share()).isLessThan(1);
+    assertThat(small.worst(100_000, every(1, 11, 40)).share()).isGreaterThan(1);
   }
 }
--- a/src/test/java/crankspar/lab/rig/FaultSoak.java
+++ b/src/test/java/crankspar/lab/rig/FaultSoak.java
@@ -16,8 +16,9 @@
 /**
  * One soak of two real poolers under faults that a seed draws: planned restarts with the kill at
  * the earliest moment, kills in series, kills on an operator's yes, a disk that refuses, a wall
- * clock that steps, stops, reloads; some with a crowd. Run {@code main FIRST COUNT} for many seeds;
- * it prints each with what broke, and a failing seed becomes a test.
+ * clock that steps, stops, reloads; some with a crowd, some with a database that is replaced under
+ * a burst. Run {@code main FIRST COUNT} for many seeds; it prints each with what broke, and a
+ * failing seed becomes a test.
  */
 final class FaultSoak implements AutoCloseable {
   private static final int POOLERS = 2;
@@ -34,6 +35,17 @@
 
   private static final int STARVED = 4;
 
+  /** One run in so many has a database that is replaced under a burst. */
+  private static final int REPLACED = 2;
+
+  /** Clients of the burst at each pooler, and within what time they come. */
+  private static final int BURST = 120;
+
+  private static final double BURST_SPREAD_MS = 600;
+  private static final long DOWN_MS = 700;
+  private static final double COLD_FACTOR = 4;
+  private static final double RAMP_MS = 5000;
+
   /** Clients that leave soon, a fault; they arrive within this and wait for this at the most. */
   private static final int LEAVING = 20;
 
@@ -57,6 +69,9 @@
   /** Draws the signals of planned ends by itself, so that the other draws of a seed stay. */
   private final Random signals;
 
+  /** Draws the replacement, likewise. */
+  private final Random replacements;
+
   private final List<FaultShim> shims = new ArrayList<>();
   private final List<SoakClients> clients = new ArrayList<>();
   private final List<LeavingClients> leaving = new ArrayList<>();
@@ -72,6 +87,7 @@
   FaultSoak(long seed, Path folder) throws Exception {
     random = new Random(seed);
     signals = new Random(~seed);
+    replacements = new Random(Long.reverse(seed));
     rig = new Rig(Rig.Parties.of(POOLERS, REPLICAS), seed);
     for (int p = 0; p < POOLERS; p++) {
       var shim =
@@ -103,7 +119,11 @@
 
   /** What broke, in words; empty where nothing did. */
   List<String> run() throws Exception {
+    int replacedAt = replacements.nextInt(REPLACED * FAULTS);
     for (int i = 0; i < FAULTS; i++) {
+      if (i == replacedAt) {
+        replaceUnderBurst();
+      }
       TimeUnit.MILLISECONDS.sleep(100 + random.nextInt(500));
       int p = random.nextInt(POOLERS);
       if (!rig.pooler(p).alive()) {
@@ -124,6 +144,20 @@
     return broken;
   }
 
+  /** A replica dies under a burst; another one takes its place, cold, while the burst goes on. */
+  private void replaceUnderBurst() throws Exception {
+    String database = "db-" + (1 + replacements.nextInt(REPLICAS));
+    burst();
+    rig.crash(database);
+    TimeUnit.MILLISECONDS.sleep(DOWN_MS);
+    burst();
+    rig.comeBack(database, COLD_FACTOR, RAMP_MS);
+  }
+
+  private void burst() {
+    leaving.forEach(l -> l.arrive(BURST, BURST_SPREAD_MS, 50, LEAVING_WAITS_MS));
+  }
+
   private void fault(int p) throws Exception {
     switch (random.nextInt(9)) {
       case 0, 1 -> {
--- a/src/test/java/crankspar/lab/rig/RulesTest.java
+++ b/src/test/java/crankspar/lab/rig/RulesTest.java
@@ -86,16 +86,17 @@
 
   @Test
   void aColdDatabasePushedOverIsRejected() {
-    var cold = new Cold("db-1", 0, 0.01, 0.04, 15_000); // 15 statements in 1.5 s at first
+    // 15 statements in 1.5 s at first
+    var cold = new Cold("db-1", 0, new ColdStartRule(0.25, 4, 1500, 15_000, 0.04, 1));
     var sound = new ArrayList<Executed>();
     for (int i = 0; i < 60; i++) {
       sound.add(at("db-1", 10 + i * 25, READ.formatted(i)));
     }
-    assertThat(new Rules().cold(List.of(cold), sound).broken()).isEmpty();
+    assertThat(new Rules().cold(List.of(cold), sound, e -> 1).broken()).isEmpty();
     for (int i = 0; i < 25; i++) {
       sound.add(at("db-1", 10 + 1490, READ.formatted(100 + i)));
     }
-    assertThat(new Rules().cold(List.of(cold), sound).broken()).hasSize(1);
+    assertThat(new Rules().cold(List.of(cold), sound, e -> 1).broken()).hasSize(1);
   }
 
   @Test
