gossip, daemon: the router's figures and each reported start are told

Cause: an operator could not tell why a cold database was sent what it was. GossipReceiver answered with its own counters only, so in a fleet whose poolers tell each other no figure of the router came through; no line named the list that told of a start.

Change: GossipReceiver adds the router's counters to its own. The log has a line for each start that a list tells for the first time, with the list's revision and the start's age by the wall clock.

--- a/src/main/java/crankspar/daemon/Directory.java
+++ b/src/main/java/crankspar/daemon/Directory.java
@@ -97,6 +97,7 @@
 
   void listed(MemberList list) {
     Set<String> before = Set.copyOf(members.keySet());
+    logStarts(list);
     take(list);
     pooler.membersChanged(
         list.complete() ? ListKind.FULL : ListKind.CHANGES, marked(list.members()));
@@ -213,6 +214,18 @@
     return members.keySet();
   }
 
+  /** The list that told of a start: what slow start goes by from here on. */
+  private void logStarts(MemberList list) {
+    for (Member m : list.members()) {
+      Member known = members.get(m.id());
+      if (m.lastStart() > 0 && (known == null || known.lastStart() != m.lastStart())) {
+        LOG.info(
+            "list %d: member %s started %.0f ms ago by the wall clock"
+                .formatted(list.revision(), m.id(), clock.now() - m.lastStart()));
+      }
+    }
+  }
+
   private void take(MemberList list) {
     if (list.complete()) {
       members.keySet().retainAll(list.addresses().keySet());
--- a/src/main/java/crankspar/gossip/GossipReceiver.java
+++ b/src/main/java/crankspar/gossip/GossipReceiver.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BiFunction;
 
 /**
@@ -210,7 +211,9 @@
 
   @Override
   public Map<String, Long> counters() {
-    return gossip.counts();
+    var all = new TreeMap<>(module.counters());
+    all.putAll(gossip.counts());
+    return all;
   }
 
   @Override
