policy: a cold member's budget is earned by answered work, not by requests that arrive

Cause: each pooler earned tokens for each arriving request, "an even share of the arrivals is a load that a warm member can take". Under a burst, with clients that repeat what was refused, arrivals are several times what the group can do. A token was one request whatever its work, and the longest reads went to a cold member by preference. Tokens were kept for ever, also over an outage. Probes cost none. So the sum of all poolers had no bound in the rule's unit, work in a window.

Answers earn tokens, by the work answered and the member's capacity; all poolers hear no more answers than the group can give, however many they are and whatever arrives. A request costs by its class's target latency, a probe a quarter of a mean request. A token is lost after two windows, and at an outage. A long read goes to a cold member only if its work, by the answer times of warm ones, fits in the window of one core. A first request and a mean request for each target latency, shared by the fleet, earn without an answer, so that a group with no warm member recovers.

RequestRouterLoadTest's member now hears its group's answers, as they earn; its bound stays.

--- a/src/main/java/crankspar/policy/LoadLimits.java
+++ b/src/main/java/crankspar/policy/LoadLimits.java
@@ -1,10 +1,7 @@
 package crankspar.policy;
 
-/**
- * Limits the load on each member: requests in flight, slow start of a cold member, trials and
- * probes.
- */
-abstract class LoadLimits extends RoutingState {
+/** Limits the load on each member: requests in flight, trials and probes. */
+abstract class LoadLimits extends SlowStart {
   /**
    * Interval (ms) at which zones are sorted by the lowest latency of the last {@code
    * WINDOW_PERIODS} periods.
@@ -37,12 +34,6 @@
    */
   static final double OVERDUE_LIMIT = 6;
 
-  /**
-   * A member heard again within this time (ms) cannot have restarted in between, so its cache is no
-   * colder.
-   */
-  static final double MIN_RESTART_MS = 2000;
-
   /** Cap on the latency ratio assumed for a member that has not been measured for a long time. */
   static final double STALE_LATENCY_RATIO = 0.5;
 
@@ -52,14 +43,6 @@
    */
   static final double SPILL_SHARE = 0.6;
 
-  /**
-   * Share of the load permitted on a cold member that is sent to it; {@link #MAX_COLD_TOKENS} caps
-   * the saved tokens.
-   */
-  static final double COLD_SHARE = 0.4;
-
-  static final double MAX_COLD_TOKENS = 1.5;
-
   /** Share of a request's value that probes may cost, at their configured price. */
   static final double PROBE_COST = 0.005;
 
@@ -79,7 +62,7 @@
    * times allow.
    */
   boolean admits(MemberState db, RoutedRequest w, boolean spill) {
-    if (now < db.backoffUntil || isCold(db) && db.coldTokens < 1) {
+    if (now < db.backoffUntil || !slowStartAdmits(db, w)) {
       return false;
     }
     if (loadUnknown) {
@@ -94,36 +77,18 @@
 
   boolean trialDue(MemberState db, RoutedRequest w) {
     return now >= Math.max(db.nextTrialAt, db.backoffUntil)
-        && (!isCold(db) || db.coldTokens >= 1)
+        && slowStartAdmits(db, w)
         && (!largeFleet
             || w.admissionDraw < db.share); // trials of many instances can keep an overload going
   }
 
-  /**
-   * Adds the tokens that one arriving request earns. An even share of its group's arrivals is a
-   * load that a warm member can take; a cold one gets a fraction of that. Fractions accumulate, so
-   * any number of instances together keep the budget without knowing the request rate or the fleet
-   * size.
-   */
-  void refillTokens(Group g) {
+  /** Adds the tokens for probes that one arriving request earns. */
+  void refillProbeTokens() {
     probeTokens =
         Math.min(
             MAX_TOKENS, probeTokens + PROBE_COST / Math.max(PROBE_COST, settings.prices().probe()));
     double price = Math.max(POSITION_PROBE_COST, settings.prices().probe());
     positionProbeTokens = Math.min(MAX_TOKENS, positionProbeTokens + POSITION_PROBE_COST / price);
-    Guarantees rules = settings.guarantees();
-    for (MemberState db : g.members) {
-      if (isCold(db)) {
-        double warmth = db.lost ? 0 : Math.max(0, now - db.coldSince) / rules.rampTime();
-        double capacity = rules.initialColdShare() + (1 - rules.initialColdShare()) * warmth;
-        double share = Math.min(1, COLD_SHARE * rules.fallMultiple()) * capacity / g.members.size();
-        db.coldTokens = Math.min(MAX_COLD_TOKENS, db.coldTokens + share);
-      }
-    }
-  }
-
-  boolean isCold(MemberState db) {
-    return db.lost || now - db.coldSince < settings.guarantees().rampTime();
   }
 
   /**
@@ -174,20 +139,8 @@
     }
   }
 
-  /**
-   * Handles a sign of life from a lost member: unless it was seen within {@link #MIN_RESTART_MS},
-   * it may have restarted and be cold.
-   */
-  void markAlive(MemberState db) {
-    if (db.lost && now - db.lastSeen() > MIN_RESTART_MS) {
-      db.coldSince = now;
-      db.limit = Math.min(1, db.limit);
-    }
-    db.lost = false;
-  }
-
   void probe(MemberState db) {
-    if (settings.limits().probes() && db.usable && probeTokens >= 1) {
+    if (settings.limits().probes() && db.usable && probeTokens >= 1 && spendOnProbe(db)) {
       probeTokens--;
       db.lastProbed = now;
       actions.probe(db.id);
--- a/src/main/java/crankspar/policy/Outcomes.java
+++ b/src/main/java/crankspar/policy/Outcomes.java
@@ -37,6 +37,7 @@
         db.errorRate *= 1 - sampleWeight(db);
         db.trialInterval = db.failing() ? db.trialInterval : INITIAL_TRIAL_MS * fleetScale;
         recordLatency(db, o.elapsed(), kind.targetLatency());
+        earnFromAnswer(db, kind);
       }
       case ERROR -> {
         db.errorRate += Math.max(2 * MIN_SAMPLE_WEIGHT, sampleWeight(db)) * (1 - db.errorRate);
@@ -66,7 +67,7 @@
       case CONNECT_FAILED -> {
         if (++db.connectionFailures >= MAX_CONNECTION_FAILURES
             || !loadUnknown && now - db.lastSeen() > UNHEARD_MS) {
-          db.lost = true;
+          markLost(db);
           markSilent(db);
         } else {
           db.backoffUntil =
--- a/src/main/java/crankspar/policy/Positions.java
+++ b/src/main/java/crankspar/policy/Positions.java
@@ -137,8 +137,9 @@
    * the group share the answer.
    */
   private void probePosition(Group g, MemberState db) {
-    g.positionProbe = positionProbeTokens >= 1 ? db : null;
-    if (g.positionProbe != null) {
+    boolean paid = db != null && positionProbeTokens >= 1 && spendOnProbe(db);
+    g.positionProbe = paid ? db : null;
+    if (paid) {
       positionProbeTokens--;
       g.positionProbeAt = now;
       db.lastProbed = now;
@@ -168,6 +169,7 @@
   private boolean mayBeProbed(MemberState db, RoutedRequest w) {
     boolean replica = db.usable && db != w.group.primary && !w.excluded.contains(db);
     boolean well = !db.silent && !db.failing() && admits(db, w, false);
-    return replica && well && now - db.lastProbed > REPROBE_MS;
+    double interval = Math.max(REPROBE_MS, coldProbeInterval(db));
+    return replica && well && now - db.lastProbed > interval;
   }
 }
--- a/src/main/java/crankspar/policy/Reads.java
+++ b/src/main/java/crankspar/policy/Reads.java
@@ -12,8 +12,6 @@
 abstract class Reads extends Positions {
   static final int WINDOW_PERIODS = 10;
   static final int MAX_SESSIONS = 100_000; // session marks kept; the oldest is evicted
-  static final double COLD_LONG_READS =
-      2; // a cold member gets the long reads of this many times six instances
 
   Reads(Settings settings, Actions actions) {
     super(settings, actions);
@@ -83,6 +81,7 @@
     }
     probeUnheard();
     memberStates.values().forEach(this::capStaleLatency);
+    noteWarm();
     memberStates
         .values()
         .forEach(db -> db.share = Math.max(db.share, Math.min(1, db.share + SHARE_UP / 4)));
@@ -104,7 +103,9 @@
     boolean awaited = g.positionProbe == db;
     g.positionProbe = awaited ? null : g.positionProbe;
     if (!r.ok()) {
-      db.lost |= db.silent;
+      if (db.silent) {
+        markLost(db);
+      }
       if (awaited) {
         dispatch(g); // the next replica may be probed
       }
@@ -212,7 +213,7 @@
                     && !m.failing()
                     && m != w.group.primary
                     && !w.excluded.contains(m)
-                    && (!isCold(m) || w.admissionDraw * fleetScale < COLD_LONG_READS))
+                    && bears(m, w))
         .min(Comparator.comparingDouble(m -> m.position))
         .orElse(null);
   }
--- a/src/main/java/crankspar/policy/RequestRouter.java
+++ b/src/main/java/crankspar/policy/RequestRouter.java
@@ -104,7 +104,8 @@
     now = at;
     var w = new RoutedRequest(r);
     requests.put(r.id(), w);
-    refillTokens(w.group);
+    refillProbeTokens();
+    earnOnArrival(w.group, w.requestClass);
     w.group.queue.add(w);
     schedule(w.deadline - now, () -> giveUp(w));
     if (w.requestClass.repeat() == Repeat.SAFE
@@ -190,7 +191,7 @@
     w.mayHaveRunSince = again ? w.mayHaveRunSince : now;
     w.attempts.add(a);
     db.attempts.add(a);
-    db.coldTokens -= isCold(db) ? 1 : 0;
+    spendOnSend(db, w.requestClass);
     w.group.queue.remove(w);
     actions.send(w.request.id(), db.id, w.requestClass.lateValueShare() > 0 ? 0 : w.deadline - now);
     return true;
--- a/src/main/java/crankspar/policy/RoutingState.java
+++ b/src/main/java/crankspar/policy/RoutingState.java
@@ -101,12 +101,16 @@
     double coldSince = Double.NEGATIVE_INFINITY;
     double reportedStart = Double.NEGATIVE_INFINITY;
     double nextTrialAt, trialInterval;
-    double coldTokens; // tokens for sends to a cold member, earned by arriving requests
+    boolean cold; // in slow start, as last noted
+    final SlowStartBudget slowStart;
+    double refilledAt; // when tokens were last earned over time
+    boolean firstRequestSeen; // since the start
     final PriorityQueue<Double> abandonedUntil =
         new PriorityQueue<>(); // until when each abandoned request may still be running
 
-    MemberState(String id) {
+    MemberState(String id, SlowStartBudget slowStart) {
       this.id = id;
+      this.slowStart = slowStart;
     }
 
     boolean failing() {
@@ -260,15 +264,20 @@
   abstract double initialMinPosition(
       Request r, RequestClass kind); // the position that a read must see
 
+  abstract SlowStartBudget newBudget();
+
+  /** Begins a member's slow start. */
+  abstract void markCold(MemberState db, double since);
+
   void updateMember(Member m) {
     MemberState db = memberStates.get(m.id());
     if (db == null && m.health() == Health.GONE) {
       return;
     }
     if (db == null) {
-      db = new MemberState(m.id());
+      db = new MemberState(m.id(), newBudget());
       db.limit = initialLimit();
-      db.coldTokens = random.nextDouble();
+      db.slowStart.reset(now, random.nextDouble());
       db.trialInterval = INITIAL_TRIAL_MS * fleetScale;
       memberStates.put(m.id(), db);
     } else if (db.entry.group() != m.group()) {
@@ -278,19 +287,15 @@
     db.drained = m.health() == Health.DRAINING || db.drained && m.health() == Health.GONE;
     db.listed = m.health() != Health.GONE;
     db.usable = m.health() == Health.RUNNING || settings.guarantees().softRemoval() && !db.drained;
-    if (m.lastStart() > Math.max(db.reportedStart, Math.max(0, db.coldSince))) {
-      db.reportedStart =
-          m.lastStart(); // by the wall clock, which may have stepped ahead of the proxy's
-      db.coldSince = Math.min(m.lastStart(), now);
-      db.coldTokens =
-          random.nextDouble(); // all instances learn of the start together; random initial tokens
-      // keep them from sending together
-    }
     Group g = groups.computeIfAbsent(m.group(), k -> new Group());
     if (!g.members.contains(db)) {
       g.members.add(db);
       g.members.sort(Comparator.comparing(x -> x.id));
     }
+    if (m.lastStart() > Math.max(db.reportedStart, Math.max(0, db.coldSince))) {
+      db.reportedStart = m.lastStart(); // by the wall clock, which may be ahead of the proxy's
+      markCold(db, Math.min(m.lastStart(), now));
+    }
     if (m.listedPrimary() && db.role != Role.REPLICA) {
       db.wasPrimary = true;
     }
--- a/src/test/java/crankspar/RequestRouterLoadTest.java
+++ b/src/test/java/crankspar/RequestRouterLoadTest.java
@@ -337,7 +337,9 @@
       String at = f.ask("r" + i, BROWSE);
       if ("cold".equals(at)) {
         sent++;
-        f.end("r" + i, Status.OK, Role.REPLICA, 5);
+      }
+      if (at != null) {
+        f.end("r" + i, Status.OK, "p".equals(at) ? Role.PRIMARY : Role.REPLICA, 5);
       }
     }
     assertTrue(
