policy: a start that a list has not told before is new, whatever its stamp

What callers could see: a database that started after the databases' wall clock had stepped back, or the pooler's ahead, was taken for warm at once and sent a warm member's load.

Cause: the list stamps a start by a wall clock; RoutingState took a start that was not later than the last one for none at all, and any start's age by the clock. A window of the rule is real time.

Only the list to start from and discovery's first whole list are taken by the clock, or a process that has just started would take all members for cold. An operator's return that expires ends in the start that the list had told before, which is no new one.

--- a/src/main/java/crankspar/policy/RequestRouter.java
+++ b/src/main/java/crankspar/policy/RequestRouter.java
@@ -93,8 +93,9 @@
               });
     }
     for (Member m : members) {
-      updateMember(m);
+      updateMember(kind, m);
     }
+    hasFullList |= kind == ListKind.FULL;
     new ArrayList<>(memberStates.values()).forEach(this::removeIfGone);
     groups.values().forEach(this::dispatch);
   }
--- a/src/main/java/crankspar/policy/RoutingState.java
+++ b/src/main/java/crankspar/policy/RoutingState.java
@@ -99,7 +99,7 @@
     int connectionFailures; // connections reset or failed since the last answer
     boolean lost; // this instance saw an outage: the member may come back cold
     double coldSince = Double.NEGATIVE_INFINITY;
-    double reportedStart = Double.NEGATIVE_INFINITY;
+    final ReportedStarts reportedStarts = new ReportedStarts();
     double nextTrialAt, trialInterval;
     boolean cold; // in slow start, as last noted
     final SlowStartBudget slowStart;
@@ -236,6 +236,7 @@
   double stallEnd =
       Double.NEGATIVE_INFINITY; // end of the last process stall: silence before it is no evidence
   boolean ticking;
+  boolean hasFullList; // discovery has sent its whole list to this process
   double watchRetryDelay = INITIAL_WATCH_RETRY_MS;
 
   RoutingState(Settings settings, Actions actions) {
@@ -269,7 +270,12 @@
   /** Begins a member's slow start. */
   abstract void markCold(MemberState db, double since);
 
-  void updateMember(Member m) {
+  /**
+   * Applies an entry of a member list. A start that was not reported before is new since the last
+   * list and counts from now: the wall clock that stamps it may have stepped. Only in the list to
+   * start from and in discovery's first whole list starts are taken by the clock.
+   */
+  void updateMember(ListKind kind, Member m) {
     MemberState db = memberStates.get(m.id());
     if (db == null && m.health() == Health.GONE) {
       return;
@@ -292,9 +298,9 @@
       g.members.add(db);
       g.members.sort(Comparator.comparing(x -> x.id));
     }
-    if (m.lastStart() > Math.max(db.reportedStart, Math.max(0, db.coldSince))) {
-      db.reportedStart = m.lastStart(); // by the wall clock, which may be ahead of the proxy's
-      markCold(db, Math.min(m.lastStart(), now));
+    if (m.lastStart() > 0 && db.reportedStarts.add(m.lastStart())) {
+      boolean first = kind == ListKind.OLD_COPY || kind == ListKind.FULL && !hasFullList;
+      markCold(db, first ? Math.min(m.lastStart(), now) : now);
     }
     if (m.listedPrimary() && db.role != Role.REPLICA) {
       db.wasPrimary = true;
--- a/src/test/java/crankspar/ClockStepTest.java
+++ b/src/test/java/crankspar/ClockStepTest.java
@@ -80,4 +80,23 @@
     }
     assertThat(sent).isEqualTo(ASKED);
   }
+
+  /** Guards against a start that is stamped in the past by a stepped clock and passes for warm. */
+  @Test
+  void aDatabaseThatStartedAfterAStepBackIsCold() {
+    fake.router.onMembers(fake.now, ListKind.FULL, list(0));
+    fake.router.onMembers(fake.now, ListKind.CHANGES, list(fake.now - WARM));
+    fake.probeResult("r", Role.REPLICA, 10);
+    int sent = 0;
+    for (int i = 0; i < ASKED; i++) {
+      sent += "r".equals(fake.ask("w" + i, Fake.OWN)) ? 1 : 0;
+    }
+    assertThat(sent).isLessThanOrEqualTo(1);
+  }
+
+  private static List<Router.Member> list(double startOfReplica) {
+    return List.of(
+        Fake.member("p", "far", Health.RUNNING, true, 0),
+        Fake.member("r", "near", Health.RUNNING, false, startOfReplica));
+  }
 }
--- a/src/test/java/crankspar/SlowStartTest.java
+++ b/src/test/java/crankspar/SlowStartTest.java
@@ -82,6 +82,46 @@
     assertThat(sentToCold(10, true, Fake.LONG)).isZero();
   }
 
+  /** Guards against all members being taken for cold by a process that has just started. */
+  @Test
+  void theFirstWholeListIsTakenByTheClock() {
+    var started = new Fake();
+    started.siblings = 30;
+    started.start(Fake.member("p", "far", Health.RUNNING, true, 0), warm());
+    started.router.onMembers(started.now, ListKind.CHANGES, List.of(warm()));
+    double longAgo = started.now - 60_000;
+    started.router.onMembers(
+        started.now,
+        ListKind.FULL,
+        List.of(
+            Fake.member("p", "far", Health.RUNNING, true, longAgo),
+            Fake.member("warm", "near", Health.RUNNING, false, longAgo)));
+    started.probeResult("p", Role.PRIMARY, 0);
+    started.probeResult("warm", Role.REPLICA, 10);
+    int sent = 0;
+    for (int i = 0; i < 20; i++) {
+      sent += "warm".equals(started.ask("w" + i, Fake.OWN)) ? 1 : 0;
+      started.end("w" + i, Status.OK, Role.REPLICA, 10);
+    }
+    assertThat(sent).isEqualTo(20);
+  }
+
+  /** Guards against a member that is cold again each time that an operator's return expires. */
+  @Test
+  void aStartThatWasReportedBeforeIsNoNewOne() {
+    double listed = fake.now;
+    for (int i = 0; i < 3; i++) {
+      fake.at(20_000 * (2 * i + 1));
+      fake.router.onMembers(fake.now, ListKind.CHANGES, List.of(cold()));
+      fake.at(20_000 * (2 * i + 2));
+      fake.router.onMembers(
+          fake.now,
+          ListKind.CHANGES,
+          List.of(Fake.member("cold", "near", Health.RUNNING, false, listed)));
+    }
+    assertThat(fake.router.counters().get("slow_start_starts")).isEqualTo(4);
+  }
+
   /** Guards against every instance probing a member at once that has just been listed. */
   @Test
   void aProbeOfAColdMemberSpendsAToken() {
