policy: a request's cost is the larger of what its target and its answers tell

Cause: the cost of a request went by its class's target latency alone. Where writes have a long target and no more work than reads, reads cost a fraction of a token each; whether a long read fits went by the latency ratio of a mix of classes.

Change: RequestCost keeps the mean latency of each class's answers from warm members beside the targets; the larger estimate is spent, and an answer earns one mean request at the most. A long read fits by its own class's answers, or its target while there are none, within 0.3 of one core's window. With costs that are upper estimates the shares rise: 0.7 of the multiple, 1.6 at the most.

SlowStartTest's long reads take 2 s to be answered now; the fake's 10 ms made them short ones.

--- a/src/main/java/crankspar/policy/Outcomes.java
+++ b/src/main/java/crankspar/policy/Outcomes.java
@@ -37,7 +37,7 @@
         db.errorRate *= 1 - sampleWeight(db);
         db.trialInterval = db.failing() ? db.trialInterval : INITIAL_TRIAL_MS * fleetScale;
         recordLatency(db, o.elapsed(), kind.targetLatency());
-        earnFromAnswer(db, kind);
+        earnFromAnswer(db, kind, o.elapsed());
       }
       case ERROR -> {
         db.errorRate += Math.max(2 * MIN_SAMPLE_WEIGHT, sampleWeight(db)) * (1 - db.errorRate);
--- a/src/main/java/crankspar/policy/SlowStart.java
+++ b/src/main/java/crankspar/policy/SlowStart.java
@@ -18,20 +18,23 @@
    * Share of what a cold member bears that is sent to it; the rest is for chance, for tokens saved
    * before a burst and for members that warm up sooner than they have to.
    */
-  static final double COLD_SHARE = 0.6;
+  static final double COLD_SHARE = 0.7;
 
   /**
    * Most load of a cold member, as a multiple of what its group bears for the same capacity. Above
    * one, so that a group without warm members recovers.
    */
-  static final double MAX_COLD_LOAD = 1.25;
+  static final double MAX_COLD_LOAD = 1.6;
 
   /** Windows of the rule for which a token may be saved. */
   static final double TOKEN_LIFETIME_WINDOWS = 2;
 
-  /** A request that costs more mean requests than this may spend a cold member's whole budget. */
+  /** Mean requests that a request may cost however small a cold member's budget is. */
   static final double MAX_COLD_COST = 2;
 
+  /** A longer request may be this share of what a cold member with one core would bear. */
+  static final double MAX_COLD_READ_SHARE = 0.3;
+
   /** Work of a probe, in mean requests. */
   static final double PROBE_WORK = 0.25;
 
@@ -122,11 +125,15 @@
 
   /**
    * Earns tokens from an answer: work that a member has done. A cold member may get the same load
-   * for its capacity as its group bears, times {@link #coldLoad}.
+   * for its capacity as its group bears, times {@link #coldLoad}. One answer earns one mean request
+   * at the most, since the cost of its class is an upper estimate.
    */
-  void earnFromAnswer(MemberState from, RequestClass kind) {
+  void earnFromAnswer(MemberState from, RequestClass kind, double elapsed) {
+    if (!isCold(from)) {
+      cost.answered(kind, elapsed);
+    }
     Group g = groups.get(from.entry.group());
-    double work = cost.of(kind);
+    double work = Math.min(1, cost.of(kind));
     for (MemberState db : g.members) {
       if (isCold(db)) {
         double relative = Math.min(1, capacity(db) / capacity(from));
@@ -172,27 +179,15 @@
   }
 
   /**
-   * Whether a request is short enough for a cold member: not much more than a mean one, or no more
-   * work than its budget if it had a single core.
+   * Whether a request is short enough for a cold member: not much more than a mean one, or a small
+   * part of its budget.
    */
   boolean bears(MemberState db, RoutedRequest w) {
     Guarantees rules = settings.guarantees();
     return !isCold(db)
         || cost.of(w.requestClass) <= MAX_COLD_COST
-        || workMs(w) <= COLD_SHARE * rules.fallMultiple() * capacity(db) * rules.fall();
-  }
-
-  /**
-   * The most work (ms) that a request can be for a warm member: as long as the fastest one of its
-   * group takes for an answer, or its target latency where none is warm.
-   */
-  private double workMs(RoutedRequest w) {
-    return w.requestClass.targetLatency()
-        * w.group.members.stream()
-            .filter(db -> db.usable && !isCold(db))
-            .mapToDouble(db -> db.latencyRatio)
-            .min()
-            .orElse(1);
+        || cost.workMs(w.requestClass)
+            <= MAX_COLD_READ_SHARE * rules.fallMultiple() * capacity(db) * rules.fall();
   }
 
   void spendOnSend(MemberState db, RequestClass kind) {
--- a/src/test/java/crankspar/Fake.java
+++ b/src/test/java/crankspar/Fake.java
@@ -25,6 +25,7 @@
   long seed = 7;
   RequestRouter router;
   double now = ZERO;
+  double answerTime = 10; // elapsed (ms) of each outcome
 
   static final int BROWSE = 0;
   static final int OWN = 1;
@@ -133,7 +134,7 @@
             number,
             memberOf(at),
             status,
-            10,
+            answerTime,
             status == Router.Status.OK,
             role,
             role == Router.Role.UNKNOWN ? Double.NaN : now - ago));
--- a/src/test/java/crankspar/SlowStartTest.java
+++ b/src/test/java/crankspar/SlowStartTest.java
@@ -79,6 +79,7 @@
   @Test
   void aReadThatIsWorthManyGoesElsewhere() {
     sentToCold(100, true, Fake.OWN);
+    fake.answerTime = 2000;
     assertThat(sentToCold(10, true, Fake.LONG)).isZero();
   }
 
