lab: a replacement run in which no cold database was sent anything is void, not kept

The poolers' logs say "no connection in time" at every database and a silent watch: the stand-ins' one loop did not accept connections within 250 ms.

Change: the rig's load begins once every pooler listens, and its main calls such a run VOID and counts it as a failure.

--- a/src/main/java/crankspar/lab/rig/PlatformProcess.java
+++ b/src/main/java/crankspar/lab/rig/PlatformProcess.java
@@ -79,6 +79,11 @@
   /** Starts it, in the same folder as its earlier lives, and waits until it listens. */
   public PlatformProcess start() throws IOException, InterruptedException {
     begin();
+    return awaitListening();
+  }
+
+  /** Waits until one that has begun listens. */
+  public PlatformProcess awaitListening() throws IOException, InterruptedException {
     long until = System.nanoTime() + READY_MOST;
     while (!listens()) {
       if (!process.isAlive() || System.nanoTime() > until) {
--- a/src/main/java/crankspar/lab/rig/ReplacementRig.java
+++ b/src/main/java/crankspar/lab/rig/ReplacementRig.java
@@ -150,6 +150,9 @@
     for (PlatformProcess pooler : poolers) {
       pooler.begin();
     }
+    for (PlatformProcess pooler : poolers) {
+      pooler.awaitListening();
+    }
     Rig.until("all poolers watch discovery", Rig.WAIT, this::allWatch);
     var generators = new ArrayList<Generator>();
     var threads = new ArrayList<Thread>();
@@ -348,12 +351,14 @@
       ReplacementPlan plan = ReplacementPlan.drawn(seed, fleet);
       try (var rig = new ReplacementRig(plan)) {
         Outcome outcome = rig.play();
-        boolean kept = outcome.worst().share() <= 1;
+        String verdict =
+            outcome.sentCold() == 0 ? "VOID" : outcome.worst().share() <= 1 ? "kept" : "BROKEN";
+        boolean kept = verdict.equals("kept");
         broken += kept ? 0 : 1;
         System.out.println(
             "%s %.2f, %d requests and %.0f ms to cold ones, %.2f served, %s%s"
                 .formatted(
-                    kept ? "kept" : "BROKEN",
+                    verdict,
                     outcome.worst().share(),
                     outcome.sentCold(),
                     outcome.workCold(),
@@ -362,7 +367,7 @@
                     kept ? "" : outcome.worstAt() + " " + outcome.worst()));
       }
     }
-    System.out.println(arguments[2] + " seeds, " + broken + " broken");
+    System.out.println(arguments[2] + " seeds, " + broken + " broken or void");
     System.exit(broken == 0 ? 0 : 1);
   }
 }
