lab: the model's requests to cold databases are requests again, without the probes

Cause: since the model counts probes as work, and its figure coldSent took them for requests. The figure's lower bounds in ColdBudgetTest were easier by it.

Change: ModelDatabase counts requests alone; probes stay work in the window.

Measured: RoutingModelTest and ColdBudgetTest green, bounds untouched.

--- a/src/main/java/crankspar/lab/ModelDatabase.java
+++ b/src/main/java/crankspar/lab/ModelDatabase.java
@@ -78,12 +78,16 @@
     return new Member(id, zone, primary, 1, Health.RUNNING, group, "", Math.max(0, started));
   }
 
+  /** Whether the rule on cold databases holds for what this pooler sends now. */
+  private boolean binds(int pooler) {
+    return timeline.now() - started < rules.rampTime() && toldOf.get(pooler);
+  }
+
   /** Work from a pooler that knows of the start counts, whatever the database does with it. */
   void pressed(int pooler, double work) {
-    if (timeline.now() - started >= rules.rampTime() || !toldOf.get(pooler)) {
+    if (!binds(pooler)) {
       return;
     }
-    load.coldSent++;
     window.take(timeline.now(), work);
     load.coldPeak = Math.max(load.coldPeak, window.times(capacity()));
     load.coldShare = Math.max(load.coldShare, window.share(capacity()));
@@ -92,6 +96,7 @@
   /** A request arrives: it runs, waits, or is turned away as {@code full}. */
   void take(int pooler, double work, BooleanSupplier dropped, Runnable done, Runnable full) {
     pressed(pooler, work);
+    load.coldSent += binds(pooler) ? 1 : 0;
     load.fullest = Math.max(load.fullest, running + waiting.size() + 1);
     if (running < CORES) {
       run(work, done);
--- a/src/main/java/crankspar/lab/ModelLoad.java
+++ b/src/main/java/crankspar/lab/ModelLoad.java
@@ -8,7 +8,7 @@
   /** The same as a share of its budget with what is put down to chance. */
   double coldShare;
 
-  /** Requests and probes that cold ones were sent by those who had been told of the start. */
+  /** Requests that cold ones were sent by those who had been told of the start. */
   long coldSent;
 
   /** The most requests that were at one database at once. */
