--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -44,7 +44,7 @@
   static void main(String[] args, Case played) {
     int code = NOT_RUN;
     try (var rig = new Rig(Path.of(args[0]))) {
-      Runtime.getRuntime().addShutdownHook(new Thread(rig::endProcesses));
+      Runtime.getRuntime().addShutdownHook(new Thread(rig::cleanUp));
       rig.note("trouble: " + (rig.trouble ? "yes" : "no"));
       try {
         code = played.play(rig) ? HELD : BROKEN;
@@ -162,20 +162,22 @@
     }
   }
 
-  @Override
-  public void close() throws IOException {
+  /** Ends all processes and removes the temporary folder; also where this process is told to end. */
+  private void cleanUp() {
     endProcesses();
+    if (!Files.exists(temporary)) {
+      return;
+    }
     try (var all = Files.walk(temporary)) {
-      all.sorted(Comparator.reverseOrder())
-          .forEach(
-              path -> {
-                try {
-                  Files.deleteIfExists(path);
-                } catch (IOException e) {
-                  throw new UncheckedIOException(e);
-                }
-              });
+      all.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+    } catch (IOException | UncheckedIOException e) {
+      System.err.println("the temporary folder is left: " + e);
     }
+  }
+
+  @Override
+  public void close() {
+    cleanUp();
     note("all processes have ended");
     record.close();
   }
