--- a/src/main/java/crankspar/net/PooledConnection.java
+++ b/src/main/java/crankspar/net/PooledConnection.java
@@ -18,6 +18,9 @@
   /** A check before a write that took longer (ms) is made again. */
   private static final double CHECK_MOST = 20;
 
+  /** So many checks are made for one write, each in a turn of its own. */
+  private static final int CHECKS_MOST = 5;
+
   private final EventLoop loop;
   private final Counters counters;
   private final PooledMember<Q, A> member;
@@ -37,6 +40,9 @@
   /** Writes the request that it was opened for. */
   private Runnable first;
 
+  /** The last check took too long, and the next one waits for its turn. */
+  private boolean awaitingCheck;
+
   private Ports.AttemptListener<A> listener;
 
   /** A connect or a settling that takes longer than {@code handshakeMost} ms ends it. */
@@ -136,7 +142,7 @@
   /** Writes the request, now or once it is up; it is waited for until {@code deadline} (ms). */
   void carry(Q query, double deadline, Ports.AttemptListener<A> told) {
     listener = told;
-    first = () -> writeChecked(query, deadline);
+    first = () -> writeChecked(query, deadline, 1);
     if (up) {
       writeFirst();
     }
@@ -151,21 +157,34 @@
   /**
    * Nothing but the write stands behind the check: a stop of the process before it is seen, and
    * both are repeated. The clock is read once more next to the system call, since a stop that comes
-   * between the two is told to the server as time that is left.
+   * between the two is told to the server as time that is left. A repeat comes behind other work,
+   * and there are few: a request that takes long to encode holds up nobody else.
    */
-  private void writeChecked(Q query, double deadline) {
-    boolean carried = false;
-    while (!carried) {
-      double began = loop.now();
-      byte[] encoded = handler.encode(query, deadline - began);
-      if (!mayWrite()) {
-        giveBack();
-        return;
-      }
-      carried = handler.carry(query, encoded, () -> isRecent(began), this);
+  private void writeChecked(Q query, double deadline, int check) {
+    awaitingCheck = false;
+    double began = loop.now();
+    byte[] encoded = handler.encode(query, deadline - began);
+    if (!mayWrite()) {
+      giveBack("unsent_unwanted", Pool.UNWANTED);
+    } else if (!handler.carry(query, encoded, () -> isRecent(began), this)) {
+      checkAgain(query, deadline, check);
     }
   }
 
+  private void checkAgain(Q query, double deadline, int check) {
+    if (check == CHECKS_MOST) {
+      giveBack("unsent_check_slow", "each check before its write took too long");
+      return;
+    }
+    awaitingCheck = true;
+    loop.run(
+        () -> {
+          if (awaitingCheck && !closed) {
+            writeChecked(query, deadline, check + 1);
+          }
+        });
+  }
+
   private boolean isRecent(double checkBegan) {
     boolean recent = loop.now() - checkBegan <= CHECK_MOST;
     if (!recent) {
@@ -175,10 +194,10 @@
   }
 
   /** What it was to carry is not sent; it serves the next. */
-  private void giveBack() {
+  private void giveBack(String counter, String why) {
     if (!closed) {
       rest();
-      unsent("unsent_unwanted", Pool.UNWANTED);
+      unsent(counter, why);
     }
   }
 
@@ -289,7 +308,7 @@
   }
 
   private AttemptProgress reach() {
-    return up ? handler.reach() : AttemptProgress.NOT_CONNECTED;
+    return up && !awaitingCheck ? handler.reach() : AttemptProgress.NOT_CONNECTED;
   }
 
   /** Closes it; what it carries hears nothing. */
--- a/src/main/java/crankspar/pg/PgEncoder.java
+++ b/src/main/java/crankspar/pg/PgEncoder.java
@@ -1,6 +1,7 @@
 package crankspar.pg;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
@@ -99,6 +100,13 @@
     return new PgMessage.RowDescription(names.length, e.body.toByteArray());
   }
 
+  /** A Query message in one buffer of its size: a statement may be of a megabyte. */
+  static byte[] query(String sql) {
+    byte[] text = sql.getBytes(StandardCharsets.UTF_8);
+    int length = Integer.BYTES + text.length + 1;
+    return ByteBuffer.allocate(1 + length).put((byte) 'Q').putInt(length).put(text).array();
+  }
+
   private PgEncoder frame(char type) {
     if (type != 0) {
       out.write(type);
--- a/src/main/java/crankspar/pg/ServerSession.java
+++ b/src/main/java/crankspar/pg/ServerSession.java
@@ -102,7 +102,7 @@
 
   @Override
   public byte[] encode(Statement statement, double left) {
-    return new PgEncoder().add(new PgMessage.Query(statement.withTimeLeft(left))).bytes();
+    return PgEncoder.query(statement.withTimeLeft(left));
   }
 
   @Override
--- a/src/main/java/crankspar/pg/Statement.java
+++ b/src/main/java/crankspar/pg/Statement.java
@@ -1,14 +1,19 @@
 package crankspar.pg;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.regex.Pattern;
 
 /**
  * A statement with the comment that says what it asks for. It goes on as it came, but for {@code
  * d}: the server should know how long it is still waited for.
+ *
+ * @param commentEnd offset after the comment
+ * @param timeFrom offset of the value of {@code d}
+ * @param timeTo offset after that value; equals {@code timeFrom} if the comment has none
+ * @param key the first quoted text, or null
  */
-public record Statement(String sql, Map<String, String> names, int commentEnd, String key) {
+public record Statement(
+    String sql, Map<String, String> names, int commentEnd, int timeFrom, int timeTo, String key) {
   /** What is wrong with a statement, in words for its client. */
   public static final class Malformed extends Exception {
     Malformed(String message) {
@@ -16,15 +21,16 @@
     }
   }
 
+  /** The longest key that is kept whole (characters). */
+  private static final int KEY_MOST = 256;
+
   static final String LOAD = "SHOW load";
 
   /** A probe: a statement of the pooler's own, without a comment. */
   static Statement probe() {
-    return new Statement(LOAD, Map.of(), 0, null);
+    return new Statement(LOAD, Map.of(), 0, 0, 0, null);
   }
 
-  private static final Pattern NAME = Pattern.compile("[a-z_]{1,16}");
-  private static final Pattern VALUE = Pattern.compile("[!-~&&[^,*/'\"]]{1,64}");
   private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,6})?");
 
   /**
@@ -38,18 +44,7 @@
     if (start < 0 || end < 0 || !isBlank(sql, 0, start)) {
       throw new Malformed("the statement does not begin with a comment");
     }
-    var names = new LinkedHashMap<String, String>();
-    for (String part : sql.substring(start + 2, end).strip().split(",", -1)) {
-      String[] pair = part.split("=", 2);
-      if (pair.length < 2
-          || !NAME.matcher(pair[0].strip()).matches()
-          || !VALUE.matcher(pair[1].strip()).matches()) {
-        throw new Malformed("no name and value: " + brief(part));
-      }
-      if (names.put(pair[0].strip(), pair[1].strip()) != null) {
-        throw new Malformed("told twice: " + pair[0].strip());
-      }
-    }
+    StatementComment comment = StatementComment.read(sql, start + 2, end);
     int quotes = 0;
     for (int i = end + 2; i < sql.length(); i++) {
       char c = sql.charAt(i);
@@ -66,7 +61,23 @@
     int quote = sql.indexOf('\'', end);
     int close = sql.indexOf('\'', quote + 1);
     return new Statement(
-        sql, names, end + 2, quote < 0 || close < 0 ? null : sql.substring(quote + 1, close));
+        sql,
+        comment.names(),
+        comment.end(),
+        comment.timeFrom(),
+        comment.timeTo(),
+        quote < 0 || close < 0 ? null : boundedKey(sql.substring(quote + 1, close)));
+  }
+
+  /**
+   * A key names a session, and is remembered with its last commit. Of one that is longer than any
+   * real one its beginning, length and hash are kept: where two keys then are the same, a read
+   * waits for more than it has to.
+   */
+  private static String boundedKey(String key) {
+    return key.length() <= KEY_MOST
+        ? key
+        : key.substring(0, KEY_MOST) + '/' + key.length() + '/' + key.hashCode();
   }
 
   private static boolean isBlank(String sql, int from, int to) {
@@ -92,10 +103,6 @@
         true, firstInk(sql, commentEnd, sql.length()), "SELECT", 0, "SELECT".length());
   }
 
-  private static String brief(String part) {
-    return part.length() > 40 ? part.substring(0, 40) + "..." : part;
-  }
-
   public String text(String name) throws Malformed {
     String value = names.get(name);
     if (value == null || value.isEmpty()) {
@@ -111,24 +118,22 @@
   public double number(String name) throws Malformed {
     String value = text(name);
     if (!NUMBER.matcher(value).matches()) {
-      throw new Malformed(name + " is no number: " + brief(value));
+      throw new Malformed(
+          name + " is no number: " + StatementComment.brief(value, 0, value.length()));
     }
     return Double.parseDouble(value);
   }
 
   /** The text to send on, with what is left of the time. */
   String withTimeLeft(double ms) {
-    if (!names.containsKey("d")) {
+    if (timeFrom == timeTo) {
       return sql;
     }
-    var text = new StringBuilder(sql.length() + 8).append("/* ");
-    String comma = "";
-    for (Map.Entry<String, String> e : names.entrySet()) {
-      String value =
-          e.getKey().equals("d") ? Long.toString(Math.max(1, Math.round(ms))) : e.getValue();
-      text.append(comma).append(e.getKey()).append('=').append(value);
-      comma = ",";
-    }
-    return text.append(" */").append(sql, commentEnd, sql.length()).toString();
+    String left = Long.toString(Math.max(1, Math.round(ms)));
+    return new StringBuilder(sql.length() + left.length())
+        .append(sql, 0, timeFrom)
+        .append(left)
+        .append(sql, timeTo, sql.length())
+        .toString();
   }
 }
--- a/src/test/java/crankspar/net/PoolTest.java
+++ b/src/test/java/crankspar/net/PoolTest.java
@@ -271,6 +271,58 @@
     }
   }
 
+  /** Takes longer to encode than a check before a write may take. */
+  private final class LongToEncode extends Slow {
+    LongToEncode(AtomicInteger carried) {
+      super(0, carried);
+    }
+
+    @Override
+    public byte[] encode(String query, double left) {
+      spin(40);
+      return super.encode(query, left);
+    }
+  }
+
+  /**
+   * Guards against a request whose encoding takes longer than a check may take: the check was
+   * repeated until its deadline, 8 s, and nobody else was served (review/6).
+   */
+  @Test
+  void aRequestThatTakesLongToEncodeIsGivenBackAndOthersAreServedMeanwhile() throws Exception {
+    var carried = new AtomicInteger();
+    var counters = new Counters();
+    var lateMost = new double[1];
+    try (var server = new ScriptedPeer(wire -> wire.ends())) {
+      var told = new CompletableFuture<AttemptEnd<String>>();
+      loop.runAndWait(
+          () -> {
+            var pool =
+                new Pool<String, String>(
+                    loop, counters, () -> new LongToEncode(carried), "probe", 250, 30_000, 8);
+            pool.locate("m", server.address());
+            pool.send("m", "query", loop.now() + 8000, Double.POSITIVE_INFINITY, told::complete);
+            measureLateness(loop.now(), lateMost, told);
+          });
+      assertThat(told.get(5, TimeUnit.SECONDS)).isInstanceOf(AttemptEnd.Unsent.class);
+      assertThat(carried).hasValue(0);
+      loop.runAndWait(
+          () -> {
+            assertThat(counters.get("unsent_check_slow")).isEqualTo(1);
+            assertThat(lateMost[0]).as("ms that a timer of others was late").isLessThan(150);
+          });
+    }
+  }
+
+  private void measureLateness(double since, double[] most, CompletableFuture<?> until) {
+    most[0] = Math.max(most[0], loop.now() - since);
+    if (!until.isDone()) {
+      loop.after(1, () -> measureLateness(loop.now() - 1, most, until));
+    }
+    double scheduled = loop.now();
+    loop.after(1, () -> most[0] = Math.max(most[0], loop.now() - scheduled - 1));
+  }
+
   /**
    * Guards against handshakes paid for nothing: what came up too late for one is there for the
    * next.
