--- a/src/main/java/crankspar/lab/hostile/HostileKind.java
+++ b/src/main/java/crankspar/lab/hostile/HostileKind.java
@@ -54,7 +54,20 @@
   POOLING_EMPTY(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
   /** Parse messages of ever new names and texts. */
   POOLING_NEW_NAMES(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
-  POOLING_UNSOUND(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED);
+  POOLING_UNSOUND(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
+  /** A statement of a megabyte whose comment is full of names. */
+  TEXT_COMMENT_NAMES(Front.PLATFORM, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
+  /** A simple query of a megabyte of semicolons. */
+  TEXT_SEMICOLONS(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
+  /** A simple query of very many short SETs. */
+  TEXT_SETS(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
+  /** A SET of one name of very many parts. */
+  TEXT_OPTION_NAME(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
+  /** A startup parameter, and one in {@code options}, whose name has very many parts. */
+  TEXT_STARTUP_NAME(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
+  TEXT_STARTUP_OPTIONS(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
+  /** Semicolons and a letter at the admin console. */
+  TEXT_CONSOLE(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED);
 
   /** The front that a kind speaks to. */
   public enum Front {
@@ -130,9 +143,19 @@
     return readRate;
   }
 
+  /** Whether it is a costly text, which drawn mixes of crowds and floods have none of. */
+  boolean isText() {
+    return compareTo(TEXT_COMMENT_NAMES) >= 0;
+  }
+
   /** Whether each message has a connection of its own. */
   boolean reconnects() {
-    return this == NEW_USERS || this == CANCELS || this == REST_UNSOUND || this == POOLING_UNSOUND;
+    return this == TEXT_STARTUP_NAME
+        || this == TEXT_STARTUP_OPTIONS
+        || this == NEW_USERS
+        || this == CANCELS
+        || this == REST_UNSOUND
+        || this == POOLING_UNSOUND;
   }
 
   /** What it writes first; {@code number} is never given twice. */
@@ -148,14 +171,34 @@
     return switch (front) {
       case REST -> new byte[0];
       case PLATFORM -> startup(this == NEW_USERS ? "u" + number : "client", "core");
-      case POOLING -> startup("app", "league");
+      case POOLING -> poolingStartup();
+    };
+  }
+
+  private byte[] poolingStartup() {
+    return switch (this) {
+      case TEXT_CONSOLE -> startup("app", "crankspar");
+      case TEXT_STARTUP_NAME ->
+          startup(Map.of("user", "app", "database", "league", HostileText.startupName(), "1"));
+      case TEXT_STARTUP_OPTIONS ->
+          startup(
+              Map.of(
+                  "user",
+                  "app",
+                  "database",
+                  "league",
+                  "options",
+                  "-c " + HostileText.startupName() + "=1"));
+      default -> startup("app", "league");
     };
   }
 
   private static byte[] startup(String user, String database) {
-    return new PgEncoder()
-        .add(new PgMessage.Startup(Map.of("user", user, "database", database)))
-        .bytes();
+    return startup(Map.of("user", user, "database", database));
+  }
+
+  private static byte[] startup(Map<String, String> parameters) {
+    return new PgEncoder().add(new PgMessage.Startup(parameters)).bytes();
   }
 
   /** What it writes next; {@code number} is never given twice. */
@@ -179,6 +222,12 @@
       case UNKNOWN_MESSAGES -> repeated(new byte[] {'B', 0, 0, 0, 6, 0, 0, 'S', 0, 0, 0, 4}, BATCH);
       case POOLING_UNREAD -> repeated(query("SELECT repeat('x', 2000)"), BURST);
       case POOLING_NEW_NAMES -> parse("s" + number, "SELECT " + number);
+      case TEXT_COMMENT_NAMES -> query(HostileText.namesInComment(number));
+      case TEXT_SEMICOLONS -> query(HostileText.semicolons());
+      case TEXT_SETS -> query(HostileText.shortSets());
+      case TEXT_OPTION_NAME -> query(HostileText.longOptionName());
+      case TEXT_STARTUP_NAME, TEXT_STARTUP_OPTIONS -> query("SELECT 1");
+      case TEXT_CONSOLE -> query(HostileText.semicolons() + "x");
       case POOLING_UNSOUND -> new byte[] {'?', 0, 0, 0, 9, 1, 2, 3, 4, 5};
       default -> rest(number);
     };
--- a/src/main/java/crankspar/lab/hostile/HostileRun.java
+++ b/src/main/java/crankspar/lab/hostile/HostileRun.java
@@ -84,7 +84,9 @@
       var random = new Random(seed);
       Front front = Front.values()[random.nextInt(Front.values().length)];
       List<HostileKind> kinds =
-          List.of(HostileKind.values()).stream().filter(k -> k.front() == front).toList();
+          List.of(HostileKind.values()).stream()
+              .filter(k -> k.front() == front && !k.isText())
+              .toList();
       var hostile = new LinkedHashMap<HostileKind, Integer>();
       for (int i = 1 + random.nextInt(KINDS_MOST); i > 0; i--) {
         HostileKind kind = kinds.get(random.nextInt(kinds.size()));
--- a/src/main/java/crankspar/net/MemoryBudget.java
+++ b/src/main/java/crankspar/net/MemoryBudget.java
@@ -20,6 +20,8 @@
     INPUT,
     /** Requests in flight. */
     REQUEST,
+    /** State of a client's session: options, names and prepared statements. */
+    SESSION,
     /** Answers that a client has not read. */
     ANSWER,
     /** Parts of databases' answers. */
--- a/src/main/java/crankspar/pooling/BatchCollector.java
+++ b/src/main/java/crankspar/pooling/BatchCollector.java
@@ -36,6 +36,19 @@
 
   void clear() {
     frames.clear();
+    bytes = 0;
+  }
+
+  /** Refuses a message that is not read, and with it its batch, or the transaction it is in. */
+  void refuse(Frame f, boolean inTransaction) {
+    context.count("pooling_long_texts_refused");
+    clear();
+    if (inTransaction) {
+      client.fatal("53200", "too many long statements");
+    } else {
+      boolean whole = f.type() == 'Q';
+      client.reject("53300", "too many long statements: trying again is harmless", whole);
+    }
   }
 
   /** After an error, skips the rest of an incomplete batch up to its Sync. */
@@ -69,9 +82,10 @@
       case 'S' -> client.write(List.of(Frame.ready('I')));
       case 'H', 'd', 'c', 'f', Frame.PART -> {}
       case 'Q' -> {
-        if (!Sql.split(f.read().text()).isEmpty()) {
+        if (!client.session().parsed(f).statements().isEmpty()) {
           return false;
         }
+        client.session().queryEnded();
         client.write(List.of(Frame.EMPTY_QUERY, Frame.ready('I')));
       }
       case 'p' -> throw new Frame.Malformed("unexpected password message");
--- a/src/main/java/crankspar/pooling/BatchStatements.java
+++ b/src/main/java/crankspar/pooling/BatchStatements.java
@@ -13,7 +13,7 @@
  * @param text the first SQL text of the batch, empty if there is none
  */
 record BatchStatements(String text, List<Statement> statements) {
-  private static final Statement FUNCTION_CALL = new Statement(Kind.WRITE, "", null, null, false);
+  private static final Statement FUNCTION_CALL = Sql.of(Kind.WRITE);
 
   private record Part(String sql, List<Statement> statements) {
     static final Part NONE = new Part("", List.of());
@@ -44,8 +44,8 @@
     Frame.Reader r = frame.read();
     switch (frame.type()) {
       case 'Q' -> {
-        String sql = r.text();
-        return new Part(sql, Sql.split(sql));
+        ParsedQuery query = session.parsed(frame);
+        return new Part(query.text(), query.statements());
       }
       case 'P' -> {
         String name = r.text();
--- a/src/main/java/crankspar/pooling/Client.java
+++ b/src/main/java/crankspar/pooling/Client.java
@@ -14,8 +14,9 @@
  * on its server connection. Each command gets one answer, in order, or the connection ends with an error.
  */
 final class Client implements ConnectionHandler, Ports.Reply<Answer>, MemoryBudget.Holder {
-    /** Frames that are processed before other connections have their turn. */
+    /** Frames that are processed before other connections have their turn, and no more past so many bytes. */
     private static final int MAX_FRAMES_PER_TURN = 8;
+    private static final int MAX_BYTES_PER_TURN = 64 * 1024;
 
     private final ClientContext context;
     private final FrameDecoder decoder = new FrameDecoder(true);
@@ -30,11 +31,12 @@
     private final FrameQueue held = new FrameQueue();
     private final ClientReading reading = new ClientReading(held);
     private final ClientBuffers buffers;
+    private final ClientOutput output;
     private final BatchCollector collector;
+    private final LongTextTurn longTexts;
     private boolean processing;
     private OpeningBatch opening;
     private Lease lease;
-    private Backpressure toClient;
     long ticket;
     /** The id that the core gave the current request, or null. */
     String request;
@@ -48,6 +50,8 @@
         login = new Login(this, desk);
         collector = new BatchCollector(this, desk);
         buffers = new ClientBuffers(desk, this);
+        output = new ClientOutput(buffers);
+        longTexts = new LongTextTurn(desk, this::resume, this::refuseLongText);
     }
 
     int process() { return process; }
@@ -67,12 +71,12 @@
     /** The client's database in the current configuration, or null if it was removed. */
     Setup.Database database() { return context.database(databaseName()); }
     private void enter(ClientState next) {
-        state = next;
-        stateSince = context.now();
+        state = next; stateSince = context.now();
     }
 
     @Override public void opened(Connection out) {
         connection = out;
+        output.opened(out);
         reading.opened(out);
     }
 
@@ -117,7 +121,9 @@
         }
         processing = true;
         try {
-            for (int i = 0; i < MAX_FRAMES_PER_TURN && !held.isEmpty() && canProceed(); i++) {
+            int enough = held.bytes() - MAX_BYTES_PER_TURN;
+            for (int i = 0; i < MAX_FRAMES_PER_TURN && held.bytes() > enough && !held.isEmpty() && canProceed()
+                    && longTexts.mayRead(held, lease != null); i++) {
                 Frame f = held.poll();
                 if (lease != null && f.type() != 'X') {
                     lease.forward(held.pollBatch(f));
@@ -131,10 +137,11 @@
             fatal("08P01", e.getMessage());
         } finally {
             processing = false;
+            longTexts.ended();
         }
         if (accountBytes()) {
             reading.update();
-            if (!held.isEmpty() && canProceed()) {
+            if (!held.isEmpty() && canProceed() && !longTexts.waiting()) {
                 context.runBehind(this::resume);
             }
         }
@@ -143,6 +150,15 @@
         }
     }
 
+    /** The next message has a long text that has waited too long for its turn. */
+    private void refuseLongText() {
+        if (held.isEmpty() || !canProceed()) {
+            return;
+        }
+        collector.refuse(held.poll(), lease != null);
+        processHeld();
+    }
+
     /** Between transactions nothing is taken while answers wait for a client that does not read them. */
     private boolean canProceed() {
         return state != ClientState.LEAVING && (lease != null ? !lease.awaitingReady() && reading.serverWritable()
@@ -150,10 +166,9 @@
     }
 
     /** False if the client is leaving, or has to because there is no room for its messages. */
-    private boolean accountBytes() {
-        if (state != ClientState.LEAVING && !buffers.messages(held.bytes() + collector.bytes() + decoder.bufferedBytes(),
-                held.bytes() + collector.bytes() + decoder.memory())) {
-            fatal("53200", "the memory limit for client messages is reached");
+    boolean accountBytes() {
+        if (state != ClientState.LEAVING && !buffers.account(held.bytes() + collector.bytes(), decoder, session(), opening)) {
+            fatal("53200", "the memory limit for clients' messages and sessions is reached");
         }
         return state != ClientState.LEAVING;
     }
@@ -165,9 +180,8 @@
     @Override public void shed() {
         if (state == ClientState.LEAVING || connection.unsent()) {
             disconnect(); // it does not read: it would not hear why
-        } else {
-            fatal("53200", "the memory is needed for other clients");
         }
+        fatal("53200", "the memory is needed for other clients");
     }
 
     /** Called when the server connection can take more data, or can take none for now. */
@@ -215,6 +229,10 @@
     boolean takeCancel() { return held.takeCancel(); }
 
     void submit(OpeningBatch opening) {
+        if (!buffers.request(opening)) {
+            reject("53200", "there is no memory for this statement now", opening.whole);
+            return;
+        }
         this.opening = opening;
         submittedAt = Math.max(arrivedAt, stateSince);
         if (state != ClientState.LOGIN) {
@@ -246,24 +264,15 @@
             return;
         }
         lease = answer.lease();
-        toClient = new Backpressure(on -> {
-            if (lease != null) {
-                lease.setServerReading(on);
-            }
-        });
+        output.passOn(lease);
         fromServer(answer.frames());
     }
 
     /** Passes on frames from the server as they arrive. */
     void fromServer(List<Frame> frames) {
-        if (state == ClientState.LEAVING || frames.isEmpty()) {
-            return;
+        if (state != ClientState.LEAVING && !frames.isEmpty() && !output.fromServer(frames)) {
+            shed();
         }
-        byte[] bytes = Frame.join(frames);
-        Backpressure flow = toClient;
-        flow.bytesQueued(bytes.length);
-        connection.write(bytes, bytes.length, () -> flow.bytesWritten(bytes.length));
-        accountUnsent();
     }
 
     @Override public void answer(FinalAnswer<Answer> answer) { answer(answer, "refused: trying again is harmless"); }
@@ -273,7 +282,9 @@
         boolean begun = lease != null;
         opening = null;
         lease = null;
+        output.ended();
         request = null;
+        session().queryEnded();
         reading.serverWritable(true);
         context.requestEnded(this);
         if (state == ClientState.LEAVING || answered == null) {
@@ -304,23 +315,13 @@
     }
 
     void write(List<Frame> frames) {
-        if (!frames.isEmpty()) {
-            connection.write(Frame.join(frames));
-            accountUnsent();
-        }
-    }
-
-    private void accountUnsent() {
-        if (state != ClientState.LEAVING && !buffers.unsent(connection.unsentBytes())) {
+        if (!frames.isEmpty() && !output.write(frames) && state != ClientState.LEAVING) {
             shed();
         }
     }
 
     // ---- Cancel and disconnect.
-    /**
-     * Handles a cancel request. It arrived on another connection, which may have been read before this one,
-     * so what the client sent earlier is read first.
-     */
+    /** Handles a cancel request. It came on another connection: what the client sent earlier is read first. */
     void cancelled() {
         if (!clientConnected() || state == ClientState.LOGIN) {
             return;
@@ -332,9 +333,8 @@
             held.cancelled();
             return;
         }
-        Server server = opening.server;
-        if (server != null && server.opening() == opening) {
-            context.cancel(server);
+        if (opening.atServer()) {
+            context.cancel(opening.server);
             return;
         }
         boolean whole = opening.whole; // only waits, no server has it: end the wait here
@@ -375,8 +375,7 @@
     @Override public void ended(String why) { detach(); }
     @Override public void closed() {
         detach();
-        buffers.release();
-        context.closed(this);
+        buffers.release(); context.closed(this);
     }
 
     void disconnect() {
@@ -394,6 +393,7 @@
         buffers.leaving(connection == null ? 0 : connection.unsentBytes());
         decoder.release();
         lease = null;
+        output.ended();
         opening = null;
         context.withdraw(this);
     }
--- a/src/main/java/crankspar/pooling/ClientContext.java
+++ b/src/main/java/crankspar/pooling/ClientContext.java
@@ -49,6 +49,12 @@
 
   double now();
 
+  /** The turns of long texts. */
+  LongTexts longTexts();
+
+  /** Runs work after so many ms. */
+  void runAfter(double ms, Runnable work);
+
   /** Runs work after all pending socket events, so that disconnects and cancels are seen first. */
   void runLater(Runnable work);
 
--- a/src/main/java/crankspar/pooling/ConnectionReset.java
+++ b/src/main/java/crankspar/pooling/ConnectionReset.java
@@ -20,6 +20,20 @@
   /** SQLSTATE of a statement that was stopped by a cancel request. */
   private static final String QUERY_CANCELED = "57014";
 
+  /** What a reset runs, in this order. */
+  enum Query {
+    ROLLBACK("ROLLBACK", Sql.Kind.ROLLBACK),
+    DISCARD_ALL("DISCARD ALL", Sql.Kind.DISCARD_ALL);
+
+    final String sql;
+    final Sql.Statement effect;
+
+    Query(String sql, Sql.Kind effect) {
+      this.sql = sql;
+      this.effect = Sql.of(effect);
+    }
+  }
+
   private int pendingQueries;
   private int pendingCancels;
 
@@ -35,8 +49,9 @@
   }
 
   /** Starts a reset and returns its queries; {@code resetSession} adds DISCARD ALL to ROLLBACK. */
-  List<Sql.Statement> begin(boolean resetSession) {
-    List<Sql.Statement> queries = Sql.split(resetSession ? "ROLLBACK; DISCARD ALL" : "ROLLBACK");
+  List<Query> begin(boolean resetSession) {
+    List<Query> queries =
+        resetSession ? List.of(Query.ROLLBACK, Query.DISCARD_ALL) : List.of(Query.ROLLBACK);
     pendingQueries = queries.size();
     return queries;
   }
--- a/src/main/java/crankspar/pooling/Console.java
+++ b/src/main/java/crankspar/pooling/Console.java
@@ -12,6 +12,9 @@
 final class Console {
   private static final int MAX_ROWS = 10_000;
 
+  /** The longest text that is looked at (characters): no command has as many. */
+  private static final int MAX_COMMAND_LENGTH = 1_000;
+
   private final PoolingFront front;
 
   Console(PoolingFront front) {
@@ -20,7 +23,10 @@
 
   /** Returns the reply without its ReadyForQuery, or null if this is not a console command. */
   List<Frame> execute(String sql) {
-    String[] words = sql.strip().replaceAll(";+\\s*$", "").split("\\s+");
+    if (sql.length() > MAX_COMMAND_LENGTH) {
+      return null;
+    }
+    String[] words = withoutSemicolons(sql.strip()).split("\\s+");
     String command = words[0].toUpperCase(Locale.ROOT);
     if (command.equals("SHOW") && words.length == 2) {
       return switch (words[1].toLowerCase(Locale.ROOT)) {
@@ -51,6 +57,14 @@
     return null;
   }
 
+  private static String withoutSemicolons(String command) {
+    int end = command.length();
+    while (end > 0 && command.charAt(end - 1) == ';') {
+      end--;
+    }
+    return command.substring(0, end);
+  }
+
   private static List<Frame> table(String tag, List<String> columns, List<List<String>> rows) {
     var all = new ArrayList<Frame>(rows.size() + 2);
     all.add(Frame.columns(columns));
--- a/src/main/java/crankspar/pooling/Exchange.java
+++ b/src/main/java/crankspar/pooling/Exchange.java
@@ -26,13 +26,12 @@
   record Output(List<Frame> toServer, List<Frame> toClient) {}
 
   /** Stands for a statement whose text is unknown; treated as a write. */
-  private static final Statement UNKNOWN = new Statement(Kind.WRITE, "", null, null, false);
+  private static final Statement UNKNOWN = Sql.of(Kind.WRITE);
 
   private final SessionState client;
   private final ServerState server;
   private Progress progress;
-  private final Setup.Limits limits;
-  private final Set<Pins.Kind> refusedKinds;
+  private final SessionLimits sessionLimits;
   private final ProjectedOptions projected;
   private final StatementNames names;
   private final PendingReplies replies = new PendingReplies();
@@ -53,9 +52,8 @@
     this.client = client;
     this.server = server;
     this.progress = progress;
-    this.limits = limits;
-    this.refusedKinds = refused;
     projected = new ProjectedOptions(client.sessionOptions());
+    sessionLimits = new SessionLimits(client, projected, limits, refused);
     names =
         new StatementNames(
             client, server, projected, batch, limits.maxServerStatements(), this::send);
@@ -219,7 +217,7 @@
     String name = r.text();
     Prepared statement =
         Prepared.of(r.text(), r.rest()).withOptions(projected.current().statementOptions());
-    if (refuse(statement.statements())) {
+    if (refuse(sessionLimits.check(statement.statements()))) {
       return;
     }
     Prepared existing = client.prepared(name);
@@ -227,40 +225,17 @@
       names.parseUnnamed(statement);
     } else if (existing != null) {
       names.parseDuplicate(name, existing, statement);
-    } else if (!refuseBeyondLimits(statement.memoryBytes())) {
+    } else if (!refuse(sessionLimits.checkPrepared(1, statement.memoryBytes()))) {
       names.parseNamed(name, statement);
     }
   }
 
-  /** Rejects a batch with a statement the configuration forbids; the error is sent in order. */
-  private boolean refuse(List<Statement> statements) {
-    for (Statement s : statements) {
-      Statement prepared = s.kind() == Kind.PREPARE ? SqlPrepared.effect(s) : null;
-      Pins.Kind kind = Pins.kindOf(prepared == null ? s : prepared);
-      if (kind != null && refusedKinds.contains(kind)) {
-        refuse(
-            "0A000", kind + " is refused here: it would hold a connection beyond its transaction");
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /** Rejects another statement if the client already holds as many as the limits allow. */
-  private boolean refuseBeyondLimits(int bytes) {
-    boolean over =
-        client.statementCount() >= limits.maxStatements()
-            || client.preparedBytes() + bytes > limits.maxStatementBytes();
-    if (over) {
-      refuse(
-          "53400",
-          "more than "
-              + limits.maxStatements()
-              + " statements or "
-              + limits.maxStatementBytes()
-              + " bytes of them are prepared");
+  /** Rejects a batch for this reason, if there is one; the error is sent in order. */
+  private boolean refuse(SessionLimits.Refusal refusal) {
+    if (refusal != null) {
+      refuse(refusal.code(), refusal.reason());
     }
-    return over;
+    return refusal != null;
   }
 
   /**
@@ -323,7 +298,7 @@
     }
     List<Statement> effects = List.of();
     if (ofStatement) {
-      effects = List.of(new Statement(Kind.DEALLOCATE, "", name, null, false));
+      effects = List.of(Sql.of(Kind.DEALLOCATE, name));
     } else {
       portals.remove(name);
     }
@@ -343,13 +318,8 @@
   }
 
   private void query(Frame f) throws Frame.Malformed {
-    List<Statement> statements = Sql.split(f.read().text());
-    boolean rejected = refuse(statements);
-    for (Statement s : statements) {
-      rejected =
-          rejected || s.kind() == Kind.PREPARE && refuseBeyondLimits(sqlPrepared(s).memoryBytes());
-    }
-    if (rejected) {
+    List<Statement> statements = client.parsed(f).statements();
+    if (refuse(sessionLimits.check(statements))) {
       batch.queryRefused();
       if (batch.serverBatchOpen()) {
         send(Frame.body().as('S'), PendingReply.expect(MessageKind.SYNC, List.of()));
@@ -376,10 +346,6 @@
     send(f, PendingReply.expect(MessageKind.QUERY, statements));
   }
 
-  private SqlPrepared sqlPrepared(Statement prepare) {
-    return SqlPrepared.of(prepare, projected.current().statementOptions());
-  }
-
   // ---- From the server.
   /**
    * Handles one frame from the server. A frame that answers no message is malformed, and the
--- a/src/main/java/crankspar/pooling/Frame.java
+++ b/src/main/java/crankspar/pooling/Frame.java
@@ -66,10 +66,12 @@
 
     public String text() throws Malformed {
       int start = at;
-      while (bytes[advance(1)] != 0) {
-        // skip to the terminating zero byte
+      int end = at;
+      while (end < bytes.length && bytes[end] != 0) {
+        end++;
       }
-      return new String(bytes, start, at - 1 - start, StandardCharsets.UTF_8);
+      advance(end + 1 - start);
+      return new String(bytes, start, end - start, StandardCharsets.UTF_8);
     }
 
     public byte[] bytes(int n) throws Malformed {
--- a/src/main/java/crankspar/pooling/FrameQueue.java
+++ b/src/main/java/crankspar/pooling/FrameQueue.java
@@ -12,6 +12,7 @@
   private static final int FRAME_OVERHEAD = 64;
 
   private int bytes;
+  private int longTexts;
 
   /** The number of queued frames that preceded a cancel, which applies to their first statement. */
   private int framesBeforeCancel;
@@ -19,6 +20,17 @@
   void add(Frame frame) {
     frames.add(frame);
     bytes += frame.size() + FRAME_OVERHEAD;
+    longTexts += LongTexts.isLong(frame) ? 1 : 0;
+  }
+
+  /** Whether the first queued frame is a long text. */
+  boolean startsWithLongText() {
+    return longTexts > 0 && LongTexts.isLong(frames.peek());
+  }
+
+  /** Whether a long text is among the queued frames. */
+  boolean hasLongText() {
+    return longTexts > 0;
   }
 
   boolean isEmpty() {
@@ -33,6 +45,7 @@
   Frame poll() {
     Frame frame = frames.poll();
     bytes -= frame.size() + FRAME_OVERHEAD;
+    longTexts -= LongTexts.isLong(frame) ? 1 : 0;
     return frame;
   }
 
@@ -68,5 +81,6 @@
   void clear() {
     frames.clear();
     bytes = 0;
+    longTexts = 0;
   }
 }
--- a/src/main/java/crankspar/pooling/Lease.java
+++ b/src/main/java/crankspar/pooling/Lease.java
@@ -6,6 +6,7 @@
 import crankspar.core.Ports;
 import java.util.ArrayList;
 import java.util.List;
+import org.pcollections.PMap;
 
 /**
  * One client's use of a {@link Server} connection, from its opening batch to the end of transaction
@@ -144,20 +145,9 @@
   /** Queues the ParameterStatus values that differ from those last sent to the client. */
   private void queueChangedParameters() {
     SessionState client = opening.client.session();
-    ServerState state = server.sessionState();
-    if (client.reportedParameters() == state.reported()) {
-      return;
-    }
-    state
-        .reported()
-        .forEach(
-            (name, value) -> {
-              if (!ReportedStatus.PARAMETERS.contains(name)
-                  && !value.equals(client.reportedParameters().get(name))) {
-                holdBack(Frame.parameter(name, value));
-              }
-            });
-    client.reportedParameters(state.reported());
+    PMap<String, String> reported = server.sessionState().reported();
+    ReportedStatus.changes(client.reportedParameters(), reported).forEach(this::holdBack);
+    client.reportedParameters(reported);
   }
 
   private void holdBack(Frame f) {
@@ -207,6 +197,9 @@
       ready(); // the whole batch was answered locally
     }
     deliverErrorBeforeSync();
+    if (active()) {
+      opening.client.accountBytes();
+    }
   }
 
   private void write(List<Frame> frames, boolean endsBatch) {
--- a/src/main/java/crankspar/pooling/Login.java
+++ b/src/main/java/crankspar/pooling/Login.java
@@ -139,6 +139,10 @@
   private void start(Setup.Database database, Map<String, String> parameters) {
     key = new ServerKey(database.name(), database.serverName(), user);
     session = SessionState.of(parameters);
+    if (session.options().size() > SessionLimits.MAX_OPTIONS) {
+      client.fatal("53400", "more than " + SessionLimits.MAX_OPTIONS + " options");
+      return;
+    }
     PMap<String, String> reported = context.reported(key);
     if (reported != null) {
       completeLogin(reported, parameters);
--- a/src/main/java/crankspar/pooling/OpeningBatch.java
+++ b/src/main/java/crankspar/pooling/OpeningBatch.java
@@ -22,6 +22,8 @@
   /** The pooling mode: whether the connection is released at the end of a transaction. */
   final Setup.Mode mode;
 
+  private final long bytes;
+
   /** The server connection that has the batch, or had it last. */
   Server server;
 
@@ -47,6 +49,17 @@
     this.way = way;
     this.onlyBegin = onlyBegin;
     this.mode = mode;
+    bytes = frames.stream().mapToLong(Frame::size).sum();
+  }
+
+  /** Bytes of its messages, which are held until the request has its answer. */
+  long bytes() {
+    return bytes;
+  }
+
+  /** Whether a server connection has it now. */
+  boolean atServer() {
+    return server != null && server.opening() == this;
   }
 
   /** Whether it has no messages: such a batch only learns the parameters that servers report. */
--- a/src/main/java/crankspar/pooling/Pins.java
+++ b/src/main/java/crankspar/pooling/Pins.java
@@ -61,23 +61,37 @@
     };
   }
 
+  /** Returns the key under which a statement that adds a pin is held. */
+  static String key(Statement s) {
+    return kindOf(s) + " " + (s.name() == null ? "" : s.name());
+  }
+
+  /** Returns the length of all keys (characters). */
+  long namesLength() {
+    long length = 0;
+    for (String key : held.keySet()) {
+      length += key.length();
+    }
+    return length;
+  }
+
   /** Returns the pins after a statement has completed. */
   Pins apply(Statement s) {
     Kind kind = kindOf(s);
     if (kind != null) {
-      String key = kind + " " + (s.name() == null ? "" : s.name());
+      String key = key(s);
       int times = kind == Kind.LOCK ? held.getOrDefault(key, 0) + 1 : 1;
       return new Pins(held.plus(key, times));
     }
     return switch (s.kind()) {
       case UNLISTEN -> without(Kind.LISTEN, s.name());
-      case UNLISTEN_ALL -> without(Kind.LISTEN, null);
+      case UNLISTEN_ALL -> withoutAll(Kind.LISTEN);
       case CLOSE -> without(Kind.HOLD, s.name());
-      case CLOSE_ALL -> without(Kind.HOLD, null);
+      case CLOSE_ALL -> withoutAll(Kind.HOLD);
       case DROP_TABLE -> without(Kind.TEMPORARY, s.name());
-      case DISCARD_TEMP -> without(Kind.TEMPORARY, null);
+      case DISCARD_TEMP -> withoutAll(Kind.TEMPORARY);
       case UNLOCK_SESSION -> unlock(Kind.LOCK + " " + s.name());
-      case UNLOCK_ALL -> without(Kind.LOCK, null);
+      case UNLOCK_ALL -> withoutAll(Kind.LOCK);
       case DISCARD_ALL -> retainOnly(Kind.LOAD);
       default -> this;
     };
@@ -89,9 +103,14 @@
   }
 
   private Pins without(Kind kind, String name) {
+    String key = kind + " " + name;
+    return held.containsKey(key) ? new Pins(held.minus(key)) : this;
+  }
+
+  private Pins withoutAll(Kind kind) {
     PMap<String, Integer> left = held;
     for (String key : held.keySet()) {
-      if (kind(key) == kind && (name == null || key.equals(kind + " " + name))) {
+      if (kind(key) == kind) {
         left = left.minus(key);
       }
     }
--- a/src/main/java/crankspar/pooling/PoolingFront.java
+++ b/src/main/java/crankspar/pooling/PoolingFront.java
@@ -44,6 +44,7 @@
     private final Pooler<OpeningBatch, Answer> pooler;
     private final ServerConnections servers;
     private final Console console = new Console(this);
+    private final LongTexts longTexts = new LongTexts();
     private final SecureRandom secrets = new SecureRandom();
     private final Map<Integer, Client> clients = new LinkedHashMap<>();
     private final Set<Client> loggingIn = new LinkedHashSet<>();
@@ -147,6 +148,8 @@
     @Override public boolean draining() { return draining; }
     @Override public void count(String name) { counters.add(name); }
     @Override public double now() { return loop.now(); }
+    @Override public LongTexts longTexts() { return longTexts; }
+    @Override public void runAfter(double ms, Runnable work) { loop.after(ms, work); }
     @Override public void runLater(Runnable work) { loop.run(work); }
     @Override public void runBehind(Runnable work) { loop.runBehind(work); }
     @Override public List<Frame> console(String sql) { return console.execute(sql); }
--- a/src/main/java/crankspar/pooling/Prepared.java
+++ b/src/main/java/crankspar/pooling/Prepared.java
@@ -2,8 +2,6 @@
 
 import java.lang.ref.WeakReference;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
@@ -21,6 +19,7 @@
   static final String NAME_PREFIX = "cp_";
 
   private static final int NAME_BYTES = 16;
+  private static final byte[] SEPARATOR = {0};
 
   /** Estimated bytes of one object besides its text. */
   private static final int OBJECT_BYTES = 64;
@@ -102,23 +101,17 @@
 
   /** Returns the bytes that count towards the memory limit of its client. */
   int memoryBytes() {
-    return sql.length() + types.length + options.memoryBytes() + OBJECT_BYTES;
+    long bytes =
+        (long) sql.length() + types.length + options.memoryBytes() + Sql.memoryBytes(statements());
+    return (int) Math.min(Integer.MAX_VALUE / 2, OBJECT_BYTES + bytes);
   }
 
   /** Returns its name on server connections. */
   String name() {
     if (name == null) {
-      try {
-        MessageDigest digest = MessageDigest.getInstance("SHA-256");
-        digest.update(sql.getBytes(StandardCharsets.UTF_8));
-        digest.update((byte) 0);
-        digest.update(types);
-        digest.update(options.key().getBytes(StandardCharsets.UTF_8));
-        byte[] all = digest.digest();
-        name = NAME_PREFIX + HexFormat.of().formatHex(all, 0, NAME_BYTES);
-      } catch (NoSuchAlgorithmException e) {
-        throw new IllegalStateException(e); // every Java runtime provides SHA-256
-      }
+      byte[] all =
+          Sha256.of(sql.getBytes(StandardCharsets.UTF_8), SEPARATOR, types, options.digest());
+      name = NAME_PREFIX + HexFormat.of().formatHex(all, 0, NAME_BYTES);
     }
     return name;
   }
--- a/src/main/java/crankspar/pooling/ReportedStatus.java
+++ b/src/main/java/crankspar/pooling/ReportedStatus.java
@@ -1,8 +1,11 @@
 package crankspar.pooling;
 
 import crankspar.Router.Role;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.regex.Pattern;
+import org.pcollections.PMap;
 
 /**
  * Role and replication position of a server, as it reports them in parameters meant for the pooler.
@@ -57,4 +60,19 @@
   double position() {
     return position;
   }
+
+  /** Returns a ParameterStatus for each parameter that differs from what a client was told. */
+  static List<Frame> changes(PMap<String, String> told, PMap<String, String> reported) {
+    if (told == reported) {
+      return List.of();
+    }
+    var changes = new ArrayList<Frame>(2);
+    reported.forEach(
+        (name, value) -> {
+          if (!PARAMETERS.contains(name) && !value.equals(told.get(name))) {
+            changes.add(Frame.parameter(name, value));
+          }
+        });
+    return changes;
+  }
 }
--- a/src/main/java/crankspar/pooling/Route.java
+++ b/src/main/java/crankspar/pooling/Route.java
@@ -2,12 +2,12 @@
 
 import crankspar.Router;
 import crankspar.Router.Freshness;
+import crankspar.pg.StatementComment;
 import crankspar.pooling.Sql.Kind;
 import crankspar.pooling.Sql.Statement;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
@@ -36,10 +36,6 @@
     }
   }
 
-  private static final Pattern LEADING_COMMENT =
-      Pattern.compile("\\s*/\\*(.*?)\\*/.*", Pattern.DOTALL);
-  private static final Pattern DIRECTIVE =
-      Pattern.compile("\\s*([a-z_]{1,16})=([!-~&&[^,*/'\"]]{1,64})\\s*");
   private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,6})?");
 
   private final Router.Settings settings;
@@ -134,9 +130,7 @@
     Statement first = statements.get(0);
     if (first.kind() == Kind.BEGIN) {
       boolean declaredReadOnly =
-          first.readOnly()
-              || state.readOnlyByDefault()
-                  && !first.text().toLowerCase(java.util.Locale.ROOT).contains("write");
+          first.readOnly() || state.readOnlyByDefault() && first.value() == null;
       return declaredReadOnly && allIdempotent(statements) ? database.readOnlyClass() : null;
     }
     return statements.size() == 1 && first.kind() == Kind.READ ? database.selectClass() : null;
@@ -158,18 +152,19 @@
 
   /** Parses the directives of a leading comment; a comment in any other form yields none. */
   static Map<String, String> directives(String text) {
-    Matcher m = LEADING_COMMENT.matcher(text);
-    if (!m.matches()) {
+    int start = 0;
+    while (start < text.length() && Character.isWhitespace(text.charAt(start))) {
+      start++;
+    }
+    int end = text.indexOf("*/", start + 2);
+    if (!text.startsWith("/*", start) || end < 0) {
       return Map.of();
     }
-    var directives = new HashMap<String, String>();
-    for (String part : m.group(1).split(",", -1)) {
-      Matcher pair = DIRECTIVE.matcher(part);
-      if (!pair.matches() || directives.put(pair.group(1), pair.group(2)) != null) {
-        return Map.of();
-      }
+    try {
+      return StatementComment.read(text, start + 2, end).names();
+    } catch (crankspar.pg.Statement.Malformed e) {
+      return Map.of();
     }
-    return directives;
   }
 
   private static double numericDirective(Map<String, String> directives, String name)
--- a/src/main/java/crankspar/pooling/Server.java
+++ b/src/main/java/crankspar/pooling/Server.java
@@ -298,9 +298,9 @@
   private void reset(boolean resetSession) {
     transitionTo(ConnectionState.TESTED);
     pool.count("pooling_cleaned", 1);
-    for (Sql.Statement query : connectionReset.begin(resetSession)) {
-      sendQuery(query.text());
-      sessionState.onCompleted(query, query.text(), StatementOptions.NONE);
+    for (ConnectionReset.Query query : connectionReset.begin(resetSession)) {
+      sendQuery(query.sql);
+      sessionState.onCompleted(query.effect, query.sql, StatementOptions.NONE);
     }
   }
 
--- a/src/main/java/crankspar/pooling/ServerReplies.java
+++ b/src/main/java/crankspar/pooling/ServerReplies.java
@@ -189,7 +189,9 @@
   private void applyToBothSides(Statement s, String tag) {
     Statement effect = client.effect(s);
     client.apply(effect, tag);
-    server.onCompleted(effect, tag, client.sessionOptions().statementOptions());
+    boolean prepares = effect.kind() == Sql.Kind.PREPARE;
+    server.onCompleted(
+        effect, tag, prepares ? client.sessionOptions().statementOptions() : StatementOptions.NONE);
   }
 
   private void failed(Frame f) throws Frame.Malformed {
--- a/src/main/java/crankspar/pooling/SessionOptions.java
+++ b/src/main/java/crankspar/pooling/SessionOptions.java
@@ -1,6 +1,7 @@
 package crankspar.pooling;
 
 import crankspar.pooling.Sql.Statement;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -55,6 +56,9 @@
     }
   }
 
+  /** What an option or a pin takes besides its name and value (bytes). */
+  private static final int ENTRY_BYTES = 160;
+
   private static final AtomicLong UNKNOWN_TOKENS = new AtomicLong();
 
   /** Startup options of the client, to which RESET returns. */
@@ -69,6 +73,12 @@
   /** Last result of {@link #statementOptions}. */
   private StatementOptions cached;
 
+  /** The values of which the lengths below are known. */
+  private Effective measured;
+
+  private long optionsLength;
+  private long pinsLength;
+
   SessionOptions(PMap<String, String> base) {
     this.base = base;
     effective =
@@ -100,6 +110,41 @@
     return effective.current().pins();
   }
 
+  /** Returns the number of options that are set for the session or the transaction. */
+  int optionCount() {
+    return session().size() + local().size();
+  }
+
+  /** Returns the length of the names and values of all options (characters). */
+  long optionsLength() {
+    measure();
+    return optionsLength;
+  }
+
+  /** Returns the estimated bytes of memory that options and pins take. */
+  long memoryBytes() {
+    measure();
+    return optionsLength + pinsLength + (long) ENTRY_BYTES * (optionCount() + pins().held().size());
+  }
+
+  /** Adds the lengths up anew if something has changed. */
+  private void measure() {
+    Effective now = effective.current();
+    if (now != measured) {
+      measured = now;
+      optionsLength = length(now.session()) + length(now.local());
+      pinsLength = now.pins().namesLength();
+    }
+  }
+
+  private static long length(PMap<String, String> options) {
+    long length = 0;
+    for (Map.Entry<String, String> e : options.entrySet()) {
+      length += e.getKey().length() + e.getValue().length();
+    }
+    return length;
+  }
+
   /** Returns the options that apply to the parsing of a statement prepared now. */
   StatementOptions statementOptions() {
     Effective now = effective.current();
--- a/src/main/java/crankspar/pooling/SessionState.java
+++ b/src/main/java/crankspar/pooling/SessionState.java
@@ -22,6 +22,9 @@
   private int preparedBytes;
   private Prepared unnamed;
 
+  /** The simple query that is being served, or null. */
+  private ParsedQuery query;
+
   /** Server parameters last reported to the client by ParameterStatus. */
   private PMap<String, String> reportedParameters = HashTreePMap.empty();
 
@@ -137,6 +140,27 @@
     return preparedBytes;
   }
 
+  /** Returns the estimated bytes of memory that the session's state takes. */
+  long memoryBytes() {
+    return options.memoryBytes()
+        + preparedBytes
+        + (unnamed == null ? 0 : unnamed.memoryBytes())
+        + (query == null ? 0 : query.memoryBytes());
+  }
+
+  /** Returns the statements of a simple query, which is parsed once until its request ends. */
+  ParsedQuery parsed(Frame frame) throws Frame.Malformed {
+    if (query == null || query.frame() != frame) {
+      query = ParsedQuery.of(frame);
+    }
+    return query;
+  }
+
+  /** Forgets the simple query parsed last. */
+  void queryEnded() {
+    query = null;
+  }
+
   Map<String, Prepared> preparedByName() {
     return prepared;
   }
@@ -150,7 +174,8 @@
       prepared = new LinkedHashMap<>(4);
     }
     Prepared before = prepared.put(name, statement);
-    preparedBytes += statement.memoryBytes() - (before == null ? 0 : before.memoryBytes());
+    preparedBytes += statement.memoryBytes();
+    preparedBytes += before == null ? name.length() : -before.memoryBytes();
   }
 
   /** Removes a statement and returns it, or null if there was none. */
@@ -161,7 +186,7 @@
       return was;
     }
     Prepared was = prepared.isEmpty() ? null : prepared.remove(name);
-    preparedBytes -= was == null ? 0 : was.memoryBytes();
+    preparedBytes -= was == null ? 0 : name.length() + was.memoryBytes();
     return was;
   }
 
@@ -222,6 +247,7 @@
   }
 
   void ready(char status) {
+    queryEnded();
     options.ready(status);
   }
 
--- a/src/main/java/crankspar/pooling/Sql.java
+++ b/src/main/java/crankspar/pooling/Sql.java
@@ -1,10 +1,9 @@
 package crankspar.pooling;
 
-import static crankspar.pooling.SqlToken.containsSequence;
-import static crankspar.pooling.SqlToken.wordAt;
-
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -67,10 +66,11 @@
   /**
    * One statement.
    *
-   * @param text the statement as received, without the semicolon
+   * @param text for PREPARE the statement as received, without the semicolon; else empty
    * @param name the name that it refers to: an option, savepoint, prepared statement, channel,
    *     cursor or table, or the arguments of an advisory lock
-   * @param value the value of an option as SQL text, or null
+   * @param value the value of an option as SQL text, or null; for BEGIN {@code write} if READ WRITE
+   *     was specified
    * @param readOnly for BEGIN: whether READ ONLY was specified; for others: whether nothing is left
    *     behind
    */
@@ -98,6 +98,35 @@
         default -> false;
       };
     }
+
+    /** Estimated bytes of memory, besides a reference to it. */
+    int memoryBytes() {
+      return shared()
+          ? 0
+          : OBJECT_BYTES + memoryBytes(text) + memoryBytes(name) + memoryBytes(value);
+    }
+
+    /** Whether all statements of its kind without details are one object. */
+    private boolean shared() {
+      return this == PLAIN.get(kind);
+    }
+
+    private static int memoryBytes(String s) {
+      return s == null || s.isEmpty() ? 0 : STRING_BYTES + s.length();
+    }
+  }
+
+  private static final int OBJECT_BYTES = 40;
+  private static final int STRING_BYTES = 48;
+  private static final int REFERENCE_BYTES = 8;
+
+  /** For each kind the statement without text, name or value. */
+  private static final Map<Kind, Statement> PLAIN = new EnumMap<>(Kind.class);
+
+  static {
+    for (Kind kind : Kind.values()) {
+      PLAIN.put(kind, new Statement(kind, "", null, null, false));
+    }
   }
 
   private static final Set<String> SESSION_LOCK_FUNCTIONS =
@@ -128,7 +157,15 @@
           "pg_terminate_backend",
           "pg_cancel_backend");
 
+  /** PostgreSQL cuts a name off after so many bytes. */
+  private static final int MAX_NAME_LENGTH = 63;
+
+  /** The length of the longest name and keyword in these sets. */
+  private static final int LONGEST_KNOWN_WORD = 32;
+
   private static final Set<String> ROW_LOCK_KEYWORDS = Set.of("update", "share", "no", "key");
+  private static final Set<String> CREATE_MODIFIERS =
+      Set.of("local", "global", "or", "replace", "temp", "temporary");
   private static final Set<String> MODIFYING_KEYWORDS =
       Set.of("into", "insert", "update", "delete", "merge");
 
@@ -137,33 +174,37 @@
   /** Splits a text into its statements; the result is empty if there are none. */
   static List<Statement> split(String sql) {
     var all = new ArrayList<Statement>(1);
-    List<SqlToken> tokens = SqlToken.tokenize(sql);
-    int first = 0;
-    for (int i = 0; i <= tokens.size(); i++) {
-      if (i == tokens.size() || tokens.get(i).kind() == ';') {
-        if (i > first) {
-          List<SqlToken> one = tokens.subList(first, i);
-          all.add(classify(one, sql.substring(one.get(0).from(), one.get(one.size() - 1).to())));
-        }
-        first = i + 1;
+    var tokens = new SqlTokens(sql);
+    while (tokens.nextStatement()) {
+      if (!tokens.isEmpty()) {
+        all.add(classify(tokens, 0));
       }
     }
     return all;
   }
 
+  /** Estimated bytes of memory that a list of statements takes. */
+  static long memoryBytes(List<Statement> statements) {
+    long bytes = (long) REFERENCE_BYTES * statements.size();
+    for (Statement s : statements) {
+      bytes += s.memoryBytes();
+    }
+    return bytes;
+  }
+
   /**
    * Returns the statement after {@code PREPARE name (types) AS}, or a {@link Kind#WRITE} if there
    * is none.
    */
   static Statement preparedBody(String prepare) {
-    List<SqlToken> tokens = SqlToken.tokenize(prepare);
+    var tokens = new SqlTokens(prepare);
+    tokens.nextStatement();
     for (int i = 0; i + 1 < tokens.size(); i++) {
-      if (tokens.get(i).is("as")) {
-        List<SqlToken> body = tokens.subList(i + 1, tokens.size());
-        return classify(body, prepare.substring(body.get(0).from()));
+      if (tokens.is(i, "as")) {
+        return classify(tokens, i + 1);
       }
     }
-    return of(Kind.WRITE, prepare);
+    return of(Kind.WRITE);
   }
 
   /** Returns a value as a string literal. */
@@ -180,138 +221,132 @@
   }
 
   // ---- Classification of statements.
-  static Statement of(Kind kind, String text) {
-    return new Statement(kind, text, null, null, false);
+  static Statement of(Kind kind) {
+    return PLAIN.get(kind);
   }
 
-  static Statement of(Kind kind, String text, String name) {
-    return new Statement(kind, text, name, null, false);
+  static Statement of(Kind kind, String name) {
+    return new Statement(kind, "", name, null, false);
   }
 
-  private static Statement classify(List<SqlToken> t, String text) {
-    String second = wordAt(t, 1);
-    return switch (wordAt(t, 0)) {
-      case "begin" ->
-          new Statement(Kind.BEGIN, text, null, null, containsSequence(t, "read", "only"));
-      case "start" ->
-          new Statement(Kind.BEGIN, text, null, null, containsSequence(t, "read", "only"));
-      case "commit" -> of(second.equals("prepared") ? Kind.WRITE : Kind.COMMIT, text);
-      case "end" -> of(Kind.COMMIT, text);
-      case "abort" -> of(Kind.ROLLBACK, text);
+  /** Classifies the statement that begins at a token and ends with the last one. */
+  private static Statement classify(SqlTokens t, int first) {
+    String second = t.wordAt(first + 1);
+    return switch (t.wordAt(first)) {
+      case "begin", "start" ->
+          new Statement(
+              Kind.BEGIN,
+              "",
+              null,
+              t.containsSequence("read", "write") ? "write" : null,
+              t.containsSequence("read", "only"));
+      case "commit" -> of(second.equals("prepared") ? Kind.WRITE : Kind.COMMIT);
+      case "end" -> of(Kind.COMMIT);
+      case "abort" -> of(Kind.ROLLBACK);
       case "rollback" ->
           second.equals("prepared")
-              ? of(Kind.WRITE, text)
-              : containsSequence(t, "to")
-                  ? of(Kind.ROLLBACK_TO, text, t.get(t.size() - 1).text())
-                  : of(Kind.ROLLBACK, text);
-      case "savepoint" -> of(Kind.SAVEPOINT, text, second);
-      case "release" -> of(Kind.RELEASE, text, t.get(t.size() - 1).text());
-      case "set" -> SqlSettings.set(t, text);
-      case "reset" -> SqlSettings.reset(t, text);
+              ? of(Kind.WRITE)
+              : t.containsSequence("to")
+                  ? of(Kind.ROLLBACK_TO, truncated(t.lastText()))
+                  : of(Kind.ROLLBACK);
+      case "savepoint" -> of(Kind.SAVEPOINT, truncated(second));
+      case "release" -> of(Kind.RELEASE, truncated(t.lastText()));
+      case "set" -> SqlSettings.set(t, first);
+      case "reset" -> SqlSettings.reset(t, first);
       case "discard" ->
           of(
               second.equals("all")
                   ? Kind.DISCARD_ALL
                   : second.equals("plans")
                       ? Kind.DISCARD_PLANS
-                      : second.startsWith("temp") ? Kind.DISCARD_TEMP : Kind.WRITE,
-              text);
+                      : second.startsWith("temp") ? Kind.DISCARD_TEMP : Kind.WRITE);
       case "prepare" ->
           second.equals("transaction")
-              ? of(Kind.PREPARE_TRANSACTION, text)
-              : of(Kind.PREPARE, text, second);
-      case "execute" -> of(Kind.EXECUTE, text, second);
+              ? of(Kind.PREPARE_TRANSACTION)
+              : new Statement(Kind.PREPARE, t.textFrom(first), second, null, false);
+      case "execute" -> of(Kind.EXECUTE, second);
       case "deallocate" -> {
-        int at = second.equals("prepare") && t.size() > 2 ? 2 : 1;
-        yield wordAt(t, at).equals("all") && text.charAt(t.get(at).from() - t.get(0).from()) != '"'
-            ? of(Kind.DEALLOCATE_ALL, text)
-            : of(Kind.DEALLOCATE, text, wordAt(t, at));
+        int at = second.equals("prepare") && t.size() > first + 2 ? first + 2 : first + 1;
+        yield t.is(at, "all") ? of(Kind.DEALLOCATE_ALL) : of(Kind.DEALLOCATE, t.wordAt(at));
       }
-      case "listen" -> of(Kind.LISTEN, text, second);
-      case "unlisten" ->
-          second.isEmpty() ? of(Kind.UNLISTEN_ALL, text) : of(Kind.UNLISTEN, text, second);
+      case "listen" -> of(Kind.LISTEN, second);
+      case "unlisten" -> second.isEmpty() ? of(Kind.UNLISTEN_ALL) : of(Kind.UNLISTEN, second);
       case "declare" ->
-          of(containsSequence(t, "with", "hold") ? Kind.DECLARE_HOLD : Kind.READ, text, second);
-      case "close" ->
-          second.equals("all") ? of(Kind.CLOSE_ALL, text) : of(Kind.CLOSE, text, second);
-      case "create" -> classifyCreate(t, text);
-      case "drop" ->
-          second.equals("table")
-              ? of(Kind.DROP_TABLE, text, t.get(t.size() - 1).text())
-              : of(Kind.WRITE, text);
-      case "load" -> of(Kind.LOAD, text);
-      case "fetch", "move" -> of(Kind.READ, text);
-      case "select", "values", "table", "show", "with" -> classifySelect(t, text);
-      case "explain" -> containsSequence(t, "analyze") ? of(Kind.WRITE, text) : of(Kind.READ, text);
-      default -> t.get(0).kind() == '(' ? classifySelect(t, text) : of(Kind.WRITE, text);
+          t.containsSequence("with", "hold") ? of(Kind.DECLARE_HOLD, second) : of(Kind.READ);
+      case "close" -> second.equals("all") ? of(Kind.CLOSE_ALL) : of(Kind.CLOSE, second);
+      case "create" -> classifyCreate(t, first);
+      case "drop" -> second.equals("table") ? of(Kind.DROP_TABLE, t.lastText()) : of(Kind.WRITE);
+      case "load" -> of(Kind.LOAD);
+      case "fetch", "move" -> of(Kind.READ);
+      case "select", "values", "table", "show", "with" -> classifySelect(t, first);
+      case "explain" -> of(t.containsSequence("analyze") ? Kind.WRITE : Kind.READ);
+      default -> t.isKind(first, '(') ? classifySelect(t, first) : of(Kind.WRITE);
     };
   }
 
-  private static Statement classifySelect(List<SqlToken> t, String text) {
+  /** Returns a savepoint's name as far as the server tells names apart. */
+  private static String truncated(String name) {
+    return name.length() > MAX_NAME_LENGTH ? name.substring(0, MAX_NAME_LENGTH) : name;
+  }
+
+  private static Statement classifySelect(SqlTokens t, int first) {
     boolean reads = true;
-    for (int i = 0; i < t.size(); i++) {
-      SqlToken token = t.get(i);
-      if (token.kind() != 'w') {
+    for (int i = first; i < t.size(); i++) {
+      if (t.kind(i) != 'w') {
         continue;
       }
-      boolean call = i + 1 < t.size() && t.get(i + 1).kind() == '(';
-      if (call && token.is("set_config")) {
-        return SqlSettings.setConfig(t, text);
+      boolean call = t.isKind(i + 1, '(');
+      if (call && t.is(i, "set_config")) {
+        return SqlSettings.setConfig(t, first);
       }
-      if (call && SESSION_LOCK_FUNCTIONS.contains(token.text())) {
-        return of(Kind.LOCK_SESSION, text, callArguments(t, i + 1, text));
+      if (call && t.isAnyOf(i, SESSION_LOCK_FUNCTIONS, LONGEST_KNOWN_WORD)) {
+        return of(Kind.LOCK_SESSION, callArguments(t, i + 1));
       }
-      if (call && SESSION_UNLOCK_FUNCTIONS.contains(token.text())) {
-        return of(Kind.UNLOCK_SESSION, text, callArguments(t, i + 1, text));
+      if (call && t.isAnyOf(i, SESSION_UNLOCK_FUNCTIONS, LONGEST_KNOWN_WORD)) {
+        return of(Kind.UNLOCK_SESSION, callArguments(t, i + 1));
       }
-      if (call && token.is("pg_advisory_unlock_all")) {
-        return of(Kind.UNLOCK_ALL, text);
+      if (call && t.is(i, "pg_advisory_unlock_all")) {
+        return of(Kind.UNLOCK_ALL);
       }
-      boolean temp =
-          token.is("into")
-              && i + 1 < t.size()
-              && (t.get(i + 1).is("temp") || t.get(i + 1).is("temporary"));
-      if (temp) {
-        return of(Kind.CREATE_TEMP, text, i + 2 < t.size() ? t.get(i + 2).text() : "");
+      if (t.is(i, "into") && (t.is(i + 1, "temp") || t.is(i + 1, "temporary"))) {
+        return of(Kind.CREATE_TEMP, i + 2 < t.size() ? t.text(i + 2) : "");
       }
-      boolean locks =
-          token.is("for") && i + 1 < t.size() && ROW_LOCK_KEYWORDS.contains(t.get(i + 1).text());
-      reads &=
-          !(locks
-              || call && WRITING_FUNCTIONS.contains(token.text())
-              || MODIFYING_KEYWORDS.contains(token.text()) && (i == 0 || !t.get(i - 1).is("for")));
+      reads &= !modifies(t, i, first, call);
     }
-    return of(reads ? Kind.READ : Kind.WRITE, text);
+    return of(reads ? Kind.READ : Kind.WRITE);
+  }
+
+  /** Whether a word makes its SELECT a write. */
+  private static boolean modifies(SqlTokens t, int i, int first, boolean call) {
+    boolean locksRows = t.is(i, "for") && t.isAnyOf(i + 1, ROW_LOCK_KEYWORDS, LONGEST_KNOWN_WORD);
+    return locksRows
+        || call && t.isAnyOf(i, WRITING_FUNCTIONS, LONGEST_KNOWN_WORD)
+        || t.isAnyOf(i, MODIFYING_KEYWORDS, LONGEST_KNOWN_WORD)
+            && (i == first || !t.is(i - 1, "for"));
   }
 
-  private static String callArguments(List<SqlToken> t, int open, String text) {
+  private static String callArguments(SqlTokens t, int open) {
     int depth = 0;
-    int base = t.get(0).from();
     for (int i = open; i < t.size(); i++) {
-      depth += t.get(i).kind() == '(' ? 1 : t.get(i).kind() == ')' ? -1 : 0;
+      depth += t.isKind(i, '(') ? 1 : t.isKind(i, ')') ? -1 : 0;
       if (depth == 0) {
-        return text.substring(t.get(open).to() - base, t.get(i).from() - base)
-            .replaceAll("\\s+", "");
+        return t.textBetween(open, i).replaceAll("\\s+", "");
       }
     }
     return "";
   }
 
-  private static Statement classifyCreate(List<SqlToken> t, String text) {
-    int i = 1;
+  private static Statement classifyCreate(SqlTokens t, int first) {
+    int i = first + 1;
     boolean temp = false;
-    while (i < t.size()
-        && Set.of("local", "global", "or", "replace", "temp", "temporary")
-            .contains(t.get(i).text())) {
-      temp |= t.get(i).text().startsWith("temp");
+    while (t.isAnyOf(i, CREATE_MODIFIERS, LONGEST_KNOWN_WORD)) {
+      temp |= t.text(i).startsWith("temp");
       i++;
     }
-    if (!temp) {
-      return of(Kind.WRITE, text);
+    if (!temp || t.containsSequence("on", "commit", "drop")) {
+      return of(Kind.WRITE);
     }
-    int name = i + 1 + (wordAt(t, i + 1).equals("if") ? 3 : 0);
-    return containsSequence(t, "on", "commit", "drop")
-        ? of(Kind.WRITE, text)
-        : of(Kind.CREATE_TEMP, text, wordAt(t, name));
+    int name = i + 1 + (t.is(i + 1, "if") ? 3 : 0);
+    return of(Kind.CREATE_TEMP, t.wordAt(name));
   }
 }
--- a/src/main/java/crankspar/pooling/SqlSettings.java
+++ b/src/main/java/crankspar/pooling/SqlSettings.java
@@ -1,12 +1,7 @@
 package crankspar.pooling;
 
-import static crankspar.pooling.SqlToken.containsSequence;
-import static crankspar.pooling.SqlToken.wordAt;
-
 import crankspar.pooling.Sql.Kind;
 import crankspar.pooling.Sql.Statement;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
 
 /** Parses statements that change settings: SET, RESET and {@code set_config}. */
@@ -24,153 +19,143 @@
    * SET or a SET LOCAL. Several calls that are all local are known to end with the transaction; the
    * effect of anything else is unknown.
    */
-  static Statement setConfig(List<SqlToken> t, String text) {
-    var calls = new ArrayList<Statement>(1);
-    for (int i = 0; i + 1 < t.size(); i++) {
-      if (t.get(i).is("set_config") && t.get(i + 1).kind() == '(') {
-        calls.add(setConfigCall(t, i, text));
+  static Statement setConfig(SqlTokens t, int first) {
+    Statement only = null;
+    int calls = 0;
+    boolean allLocal = true;
+    for (int i = first; i + 1 < t.size(); i++) {
+      if (t.is(i, "set_config") && t.isKind(i + 1, '(')) {
+        calls++;
+        only = setConfigCall(t, i);
+        allLocal &= only.kind() == Kind.SET_LOCAL || only.kind() == Kind.SET_LOCAL_UNKNOWN;
       }
     }
-    if (calls.size() == 1) {
-      return calls.get(0);
+    if (calls == 1) {
+      return only;
     }
-    boolean allLocal =
-        calls.stream()
-            .allMatch(c -> c.kind() == Kind.SET_LOCAL || c.kind() == Kind.SET_LOCAL_UNKNOWN);
-    return Sql.of(allLocal ? Kind.SET_LOCAL_UNKNOWN : Kind.SET_UNKNOWN, text);
+    return Sql.of(allLocal ? Kind.SET_LOCAL_UNKNOWN : Kind.SET_UNKNOWN);
   }
 
-  private static Statement setConfigCall(List<SqlToken> t, int at, String text) {
+  private static Statement setConfigCall(SqlTokens t, int at) {
     boolean literals =
-        t.size() >= at + 8
-            && t.get(at + 2).kind() == 's'
-            && t.get(at + 4).kind() == 's'
-            && t.get(at + 3).kind() == ','
-            && t.get(at + 5).kind() == ','
-            && t.get(at + 7).kind() == ')';
-    String local = wordAt(t, at + 6);
-    if (!literals || !local.equals("true") && !local.equals("false")) {
-      return Sql.of(Kind.SET_UNKNOWN, text);
+        t.isKind(at + 2, 's')
+            && t.isKind(at + 4, 's')
+            && t.isKind(at + 3, ',')
+            && t.isKind(at + 5, ',')
+            && t.isKind(at + 7, ')');
+    boolean local = t.is(at + 6, "true");
+    if (!literals || !local && !t.is(at + 6, "false")) {
+      return Sql.of(Kind.SET_UNKNOWN);
     }
-    String name = t.get(at + 2).text();
+    String name = t.text(at + 2);
     if (!name.matches(PLAIN_NAME)) {
-      return Sql.of(local.equals("true") ? Kind.SET_LOCAL_UNKNOWN : Kind.SET_UNKNOWN, text);
+      return Sql.of(local ? Kind.SET_LOCAL_UNKNOWN : Kind.SET_UNKNOWN);
     }
-    Kind kind = local.equals("true") ? Kind.SET_LOCAL : Kind.SET;
     String bare = name.substring(1, name.length() - 1).toLowerCase(Locale.ROOT);
-    return new Statement(kind, text, bare, t.get(at + 4).text(), false);
+    return new Statement(local ? Kind.SET_LOCAL : Kind.SET, "", bare, t.text(at + 4), false);
   }
 
-  static Statement reset(List<SqlToken> t, String text) {
-    String name = wordAt(t, 1);
+  static Statement reset(SqlTokens t, int first) {
+    int at = first + 1;
+    String name = t.wordAt(at);
     if (name.equals("all")) {
-      return Sql.of(Kind.RESET_ALL, text);
+      return Sql.of(Kind.RESET_ALL);
     }
     return Sql.of(
         Kind.RESET,
-        text,
         name.equals("time")
             ? "timezone"
-            : name.equals("session") ? "session_authorization" : qualifiedName(t, 1));
+            : name.equals("session") ? "session_authorization" : qualifiedName(t, at));
   }
 
   /** Returns a name with all its parts: a custom option has two. */
-  private static String qualifiedName(List<SqlToken> t, int at) {
-    String name = wordAt(t, at);
-    while (at + 2 < t.size() && t.get(at + 1).kind() == '.') {
-      name += "." + wordAt(t, at + 2);
-      at += 2;
+  private static String qualifiedName(SqlTokens t, int first) {
+    var name = new StringBuilder(t.wordAt(first));
+    for (int at = first; at + 2 < t.size() && t.isKind(at + 1, '.'); at += 2) {
+      name.append('.').append(t.wordAt(at + 2));
     }
-    return name;
+    return name.toString();
   }
 
-  static Statement set(List<SqlToken> t, String text) {
-    int at = 1;
-    if (wordAt(t, at).equals("local")) {
-      return toLocal(assignment(t, at + 1, text), text);
+  static Statement set(SqlTokens t, int first) {
+    int at = first + 1;
+    if (t.is(at, "local")) {
+      return toLocal(assignment(t, at + 1));
     }
-    if (wordAt(t, at).equals("session") && wordAt(t, at + 1).equals("characteristics")) {
-      return sessionCharacteristics(t, text);
+    if (t.is(at, "session") && t.is(at + 1, "characteristics")) {
+      return sessionCharacteristics(t);
     }
-    if (wordAt(t, at).equals("session") && !wordAt(t, at + 1).equals("authorization")) {
+    if (t.is(at, "session") && !t.is(at + 1, "authorization")) {
       at++;
     }
-    return assignment(t, at, text);
+    return assignment(t, at);
   }
 
   /** Converts a SET to its SET LOCAL form, in which DEFAULT is a value like any other. */
-  private static Statement toLocal(Statement set, String text) {
+  private static Statement toLocal(Statement set) {
     return switch (set.kind()) {
-      case SET -> new Statement(Kind.SET_LOCAL, text, set.name(), set.value(), false);
-      case RESET -> new Statement(Kind.SET_LOCAL, text, set.name(), DEFAULT, false);
+      case SET -> new Statement(Kind.SET_LOCAL, "", set.name(), set.value(), false);
+      case RESET -> new Statement(Kind.SET_LOCAL, "", set.name(), DEFAULT, false);
       case SET_LOCAL -> set;
-      default -> Sql.of(Kind.SET_LOCAL_UNKNOWN, text);
+      default -> Sql.of(Kind.SET_LOCAL_UNKNOWN);
     };
   }
 
   /** Parses the assignment after SET, SET SESSION or SET LOCAL. */
-  private static Statement assignment(List<SqlToken> t, int at, String text) {
-    String first = wordAt(t, at);
-    int base = t.get(0).from();
-    return switch (first) {
-      case "transaction", "constraints" -> Sql.of(Kind.SET_LOCAL, text);
-      case "session" -> option(text, "session_authorization", textFrom(t, at + 2, text, base));
-      case "time" -> option(text, "timezone", textFrom(t, at + 2, text, base));
-      case "names" -> option(text, "client_encoding", textFrom(t, at + 1, text, base));
-      case "schema" -> option(text, "search_path", textFrom(t, at + 1, text, base));
-      case "role" -> option(text, "role", textFrom(t, at + 1, text, base));
+  private static Statement assignment(SqlTokens t, int at) {
+    return switch (t.wordAt(at)) {
+      case "transaction", "constraints" -> Sql.of(Kind.SET_LOCAL);
+      case "session" -> option("session_authorization", t.textFrom(at + 2));
+      case "time" -> option("timezone", t.textFrom(at + 2));
+      case "names" -> option("client_encoding", t.textFrom(at + 1));
+      case "schema" -> option("search_path", t.textFrom(at + 1));
+      case "role" -> option("role", t.textFrom(at + 1));
       default -> {
-        String name = qualifiedName(t, at);
         int i = at + 1;
-        while (i < t.size() && t.get(i).kind() != '=' && !t.get(i).is("to")) {
+        while (i < t.size() && !t.isKind(i, '=') && !t.is(i, "to")) {
           i++;
         }
-        yield option(text, name, i + 1 < t.size() ? textFrom(t, i + 1, text, base) : "");
+        yield option(qualifiedName(t, at), t.textFrom(i + 1));
       }
     };
   }
 
-  private static String textFrom(List<SqlToken> t, int from, String text, int base) {
-    return from < t.size() ? text.substring(t.get(from).from() - base) : "";
-  }
-
-  private static Statement option(String text, String name, String value) {
+  private static Statement option(String name, String value) {
     String bare = value.strip().toLowerCase(Locale.ROOT);
     if (bare.equals("default")
         || bare.equals("local") && name.equals("timezone")
         || bare.equals("none") && name.equals("role")) {
-      return Sql.of(Kind.RESET, text, name);
+      return Sql.of(Kind.RESET, name);
     }
     return bare.isEmpty()
-        ? Sql.of(Kind.SET_UNKNOWN, text)
-        : new Statement(Kind.SET, text, name, value.strip(), false);
+        ? Sql.of(Kind.SET_UNKNOWN)
+        : new Statement(Kind.SET, "", name, value.strip(), false);
   }
 
   /**
    * {@code SET SESSION CHARACTERISTICS AS TRANSACTION ...}: defaults for subsequent transactions.
    */
-  private static Statement sessionCharacteristics(List<SqlToken> t, String text) {
-    boolean only = containsSequence(t, "read", "only");
-    boolean level = containsSequence(t, "isolation");
-    if ((only || containsSequence(t, "read", "write"))
-        && !level
-        && !containsSequence(t, "deferrable")) {
+  private static Statement sessionCharacteristics(SqlTokens t) {
+    boolean only = t.containsSequence("read", "only");
+    boolean level = t.containsSequence("isolation");
+    boolean deferrable = t.containsSequence("deferrable");
+    boolean write = t.containsSequence("read", "write");
+    if ((only || write) && !level && !deferrable) {
       return new Statement(
-          Kind.SET, text, "default_transaction_read_only", only ? "'on'" : "'off'", false);
+          Kind.SET, "", "default_transaction_read_only", only ? "'on'" : "'off'", false);
     }
-    if (level
-        && !only
-        && !containsSequence(t, "read", "write")
-        && !containsSequence(t, "deferrable")) {
-      String name =
-          containsSequence(t, "serializable")
-              ? "serializable"
-              : containsSequence(t, "repeatable", "read")
-                  ? "repeatable read"
-                  : containsSequence(t, "uncommitted") ? "read uncommitted" : "read committed";
+    if (level && !only && !write && !deferrable) {
       return new Statement(
-          Kind.SET, text, "default_transaction_isolation", Sql.literal(name), false);
+          Kind.SET, "", "default_transaction_isolation", Sql.literal(isolationLevel(t)), false);
     }
-    return Sql.of(Kind.SET_UNKNOWN, text);
+    return Sql.of(Kind.SET_UNKNOWN);
+  }
+
+  private static String isolationLevel(SqlTokens t) {
+    return t.containsSequence("serializable")
+        ? "serializable"
+        : t.containsSequence("repeatable", "read")
+            ? "repeatable read"
+            : t.containsSequence("uncommitted") ? "read uncommitted" : "read committed";
   }
 }
--- a/src/main/java/crankspar/pooling/StateDiff.java
+++ b/src/main/java/crankspar/pooling/StateDiff.java
@@ -99,9 +99,25 @@
   }
 
   private static String name(String option) {
-    return option.matches("[a-z_][a-z0-9_]*(\\.[a-z_][a-z0-9_]*)*")
-        ? option
-        : Sql.identifier(option);
+    return isPlainName(option) ? option : Sql.identifier(option);
+  }
+
+  /**
+   * Whether each part of a name is an identifier that needs no quotes. A loop: the depth of a
+   * regular expression's recursion grows with the number of parts, which a client chooses.
+   */
+  private static boolean isPlainName(String option) {
+    boolean atStart = true;
+    for (int i = 0; i < option.length(); i++) {
+      char c = option.charAt(i);
+      boolean letter = c >= 'a' && c <= 'z' || c == '_';
+      boolean digit = c >= '0' && c <= '9';
+      if (!letter && (atStart || !digit && c != '.')) {
+        return false;
+      }
+      atStart = c == '.';
+    }
+    return !atStart;
   }
 
   /**
--- a/src/main/java/crankspar/pooling/StatementOptions.java
+++ b/src/main/java/crankspar/pooling/StatementOptions.java
@@ -1,5 +1,6 @@
 package crankspar.pooling;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -43,6 +44,7 @@
 
   private final PMap<String, String> values;
   private final int hash;
+  private byte[] digest;
 
   private StatementOptions(PMap<String, String> values) {
     this.values = values;
@@ -81,10 +83,18 @@
     return bytes;
   }
 
+  /** Returns a digest that is distinct for distinct options, computed once. */
+  byte[] digest() {
+    if (digest == null) {
+      digest = Sha256.of(key().getBytes(StandardCharsets.UTF_8));
+    }
+    return digest;
+  }
+
   /**
    * Returns a text that is distinct for distinct options, from which statement names are hashed.
    */
-  String key() {
+  private String key() {
     var key = new StringBuilder();
     for (Map.Entry<String, String> e : new TreeMap<>(values).entrySet()) {
       key.append(e.getKey()).append('\0').append(e.getValue()).append('\0');
--- a/src/test/java/crankspar/lab/hostile/HostileClientsTest.java
+++ b/src/test/java/crankspar/lab/hostile/HostileClientsTest.java
@@ -69,6 +69,24 @@
     assertKept(Plan.of(HostileKind.POOLING_EMPTY, 8));
   }
 
+  /**
+   * Guards against one client's text that holds the loop for seconds or ends the process: names in
+   * a comment, statements, the parts of a name, at every front and at the console.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "TEXT_COMMENT_NAMES, 8",
+    "TEXT_SEMICOLONS, 2",
+    "TEXT_SETS, 1",
+    "TEXT_OPTION_NAME, 2",
+    "TEXT_STARTUP_NAME, 2",
+    "TEXT_STARTUP_OPTIONS, 2",
+    "TEXT_CONSOLE, 2"
+  })
+  void aCostlyTextKeepsNobodyWaiting(HostileKind kind, int clients) throws Exception {
+    assertKept(Plan.of(kind, clients));
+  }
+
   /** Guards against two processes of an upgrade that together hold more than one may. */
   @ParameterizedTest
   @CsvSource({"UNREAD_STATEMENTS, 200", "HALF_STATEMENT, 400", "NEW_IDS, 8"})
--- a/src/test/java/crankspar/pooling/SqlTest.java
+++ b/src/test/java/crankspar/pooling/SqlTest.java
@@ -4,6 +4,7 @@
 
 import crankspar.pooling.Sql.Kind;
 import crankspar.pooling.Sql.Statement;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.ForAll;
@@ -126,9 +127,8 @@
   @Test
   void statementsEndOutsideQuotesAndComments() {
     assertThat(
-            Sql.split(
+            texts(
                 "SELECT ';'; SELECT E'\\';'; SELECT $a$;$a$; SELECT \"a;b\"; /* ; /* ; */ */ SELECT 1; -- ;\n;"))
-        .extracting(Statement::text)
         .containsExactly(
             "SELECT ';'", "SELECT E'\\';'", "SELECT $a$;$a$", "SELECT \"a;b\"", "SELECT 1");
     assertThat(Sql.split(" ; /* only */ ;-- a comment")).isEmpty();
@@ -146,11 +146,24 @@
             '\\', '=', '1'
           })
           String sql) {
-    for (Statement s : Sql.split(sql)) {
-      assertThat(sql).contains(s.text());
+    assertThat(Sql.split(sql)).hasSize(texts(sql).size());
+    for (String text : texts(sql)) {
+      assertThat(sql).contains(text);
     }
   }
 
+  /** The text of each statement, as its tokens delimit it. */
+  private static List<String> texts(String sql) {
+    var texts = new ArrayList<String>();
+    var tokens = new SqlTokens(sql);
+    while (tokens.nextStatement()) {
+      if (!tokens.isEmpty()) {
+        texts.add(tokens.text());
+      }
+    }
+    return texts;
+  }
+
   @Test
   @Timeout(value = 5, unit = TimeUnit.SECONDS)
   void parsingTimeIsLinearInTextLength() {
