store: a drain holds until a call back that has seen it, as an observed-remove set

Cause: a mark is one value whose higher counter wins. A call that changed nothing here made no version at all (LocalStateFile.isDurable, EntryMerge, Store.put); and one that does make a version has a lower counter where its pooler has seen less, as after a start without state. A counter cannot tell "later" from "has seen more".

Change: DrainCalls adds an element for each call out, signed by this life of the process, and a call back removes those that its pooler has seen. EntryResolution decides for the store and the file alike; the mark drain/ID follows from the calls (drain-calls/ID) and stays what earlier releases and all readers look at. The entries' form is as it was; marks of earlier releases are read as calls.

--- a/src/main/java/crankspar/daemon/Directory.java
+++ b/src/main/java/crankspar/daemon/Directory.java
@@ -273,7 +273,7 @@
 
   /** Whether a key says that an operator has a member out, or when one was put back. */
   static boolean isDrainOverride(String key) {
-    return key.startsWith(DRAIN) || key.startsWith(RETURNED);
+    return key.startsWith(DRAIN) || key.startsWith(RETURNED) || Store.isDrainCall(key);
   }
 
   /** Who ends a drain with a call notes the return in the same step. */
--- a/src/main/java/crankspar/store/EntryMerge.java
+++ b/src/main/java/crankspar/store/EntryMerge.java
@@ -6,39 +6,70 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
+import java.util.logging.Logger;
 
-/** Merges versions of the same entries: of each key the newest version counts. */
+/** Merges versions of the same entries, as {@link EntryResolution} decides. */
 final class EntryMerge {
-  private EntryMerge() {}
+  private static final Logger LOG = Logger.getLogger(EntryMerge.class.getName());
+
+  private final Map<String, Store.Entry> newest = new LinkedHashMap<>();
+  private final String node;
+  private final String writer;
+  private long counter;
+
+  private EntryMerge(String node, String writer) {
+    this.node = node;
+    this.writer = writer;
+  }
+
+  /** Changes that are made on top of what is merged. */
+  record Changes(List<Change> changes, boolean restores) {
+    static final Changes NONE = new Changes(List.of(), false);
+  }
 
   /**
-   * What two processes hold, with changes on top that are newer than all of it; the oldest version
-   * first. A change to the value that a key has already makes no new version.
+   * What two processes hold, with changes on top that know of all of it; the oldest version first.
    */
   static List<Store.Entry> merge(
       Collection<Store.Entry> theirs,
       Collection<Store.Entry> ours,
-      List<Change> changes,
+      Changes changes,
+      String node,
       String writer) {
-    Map<String, Store.Entry> newest = new LinkedHashMap<>();
-    long counter = 0;
+    var merge = new EntryMerge(node, writer);
     for (Collection<Store.Entry> side : List.of(theirs, ours)) {
       for (Store.Entry e : side) {
-        newest.merge(e.key(), e, (a, b) -> b.newerThan(a) ? b : a);
-        counter = Math.max(counter, e.counter());
+        merge.hear(e);
       }
     }
-    for (Change change : changes) {
-      Store.Entry present = newest.get(change.key());
-      boolean same =
-          present == null
-              ? change.value() == null
-              : Objects.equals(present.value(), change.value());
-      if (!same) {
-        newest.put(change.key(), new Store.Entry(change.key(), change.value(), ++counter, writer));
-      }
+    for (Change change : changes.changes()) {
+      EntryResolution on = merge.resolution();
+      merge.replace(changes.restores() ? on.restored(change) : on.changed(change));
+    }
+    return merge.oldestFirst();
+  }
+
+  private void hear(Store.Entry e) {
+    counter = Math.max(counter, e.counter());
+    try {
+      replace(resolution().heard(e));
+    } catch (Store.Refused refused) {
+      LOG.warning("an entry of the local state is left out: " + e.key() + ", " + refused);
+    }
+  }
+
+  private EntryResolution resolution() {
+    return new EntryResolution(node, writer, newest::get, counter);
+  }
+
+  private void replace(List<Store.Entry> entries) {
+    for (Store.Entry e : entries) {
+      newest.put(e.key(), e);
+      counter = Math.max(counter, e.counter());
     }
+  }
+
+  private List<Store.Entry> oldestFirst() {
     var merged = new ArrayList<>(newest.values());
     merged.sort(Comparator.comparingLong(Store.Entry::counter));
     return merged;
--- a/src/main/java/crankspar/store/LocalStateFile.java
+++ b/src/main/java/crankspar/store/LocalStateFile.java
@@ -149,9 +149,15 @@
     driver.propose(id, waitMost, 0);
   }
 
+  /**
+   * Whether nothing has to be written. A call that takes a database out always has: a call back
+   * that is on its way knows of the calls before, and not of this one.
+   */
   private boolean isDurable(Change change) {
     Store.Entry kept = onDisk.get(change.key());
-    return proposals.isEmpty()
+    boolean takesOut = change.key().startsWith(DrainCalls.MARK) && change.value() != null;
+    return !takesOut
+        && proposals.isEmpty()
         && kept != null
         && Objects.equals(kept.value(), change.value())
         && Objects.equals(store.get(change.key()), change.value());
@@ -176,10 +182,12 @@
     @Override
     public CommitDriver.Write prepare(List<Long> batch) {
       List<Store.Entry> ours = store.all().stream().filter(e -> covers(e.key())).toList();
-      List<Change> changes = batch.isEmpty() ? List.of() : changes(proposals.get(batch.get(0)));
+      EntryMerge.Changes changes =
+          batch.isEmpty() ? EntryMerge.Changes.NONE : changes(proposals.get(batch.get(0)));
       return () -> {
         List<Store.Entry> written =
-            file.update(theirs -> EntryMerge.merge(theirs, ours, changes, store.writer()));
+            file.update(
+                theirs -> EntryMerge.merge(theirs, ours, changes, store.node(), store.writer()));
         return () -> written(batch, written);
       };
     }
@@ -199,10 +207,12 @@
     }
   }
 
-  private List<Change> changes(Proposal proposal) {
-    return proposal.restores()
-        ? proposal.changes().stream().map(c -> new Change(c.key(), store.get(c.key()))).toList()
-        : proposal.changes();
+  private EntryMerge.Changes changes(Proposal proposal) {
+    List<Change> changes =
+        proposal.restores()
+            ? proposal.changes().stream().map(c -> new Change(c.key(), store.get(c.key()))).toList()
+            : proposal.changes();
+    return new EntryMerge.Changes(changes, proposal.restores());
   }
 
   private void written(List<Long> batch, List<Store.Entry> written) {
--- a/src/main/java/crankspar/store/StateFile.java
+++ b/src/main/java/crankspar/store/StateFile.java
@@ -25,6 +25,9 @@
  * <p>Calls block on the disk and belong on a thread of their own. Not thread-safe.
  */
 final class StateFile {
+  /** Signs what follows from two copies that differ. */
+  private static final String COPIES = "state-file";
+
   private static final Logger LOG = Logger.getLogger(StateFile.class.getName());
   private static final String COPY = ".copy";
   private static final String LOCK = ".lock";
@@ -77,7 +80,9 @@
   private record Copies(List<List<Store.Entry>> whole, Map<String, Corrupt> corrupt) {
     List<Store.Entry> merged() {
       List<Store.Entry> first = whole.isEmpty() ? List.of() : whole.get(0);
-      return whole.size() < 2 ? first : EntryMerge.merge(whole.get(1), first, List.of(), "");
+      return whole.size() < 2 || whole.get(1).equals(first)
+          ? first
+          : EntryMerge.merge(whole.get(1), first, EntryMerge.Changes.NONE, COPIES, COPIES);
     }
 
     boolean degraded() {
--- a/src/main/java/crankspar/store/Store.java
+++ b/src/main/java/crankspar/store/Store.java
@@ -11,8 +11,8 @@
 /**
  * A small replicated map of versioned values: configuration, the last known members, the operator's
  * drain marks. The last writer wins, by (counter, node), so that all nodes come to hold the same
- * whatever the order in which they hear. It is eventually consistent and no rule rests on it. It
- * lives on the loop.
+ * whatever the order in which they hear; calls about databases are joined instead ({@link
+ * EntryResolution}). It is eventually consistent. It lives on the loop.
  */
 public final class Store {
   /** A value is removed by writing a null, which is kept so that the removal travels too. */
@@ -98,19 +98,28 @@
     return found;
   }
 
+  /** Whether operators' calls about a database are kept under this key. */
+  public static boolean isDrainCall(String key) {
+    return key.startsWith(DrainCalls.KEY);
+  }
+
   /** Called with each entry that is new here, whoever wrote it. */
   public void onChange(Consumer<Entry> listener) {
     listeners.add(listener);
   }
 
-  /** A write of this node's own; one that changes nothing makes no new version. */
+  /**
+   * A write of this node's own; one that changes nothing makes no new version. A write of a drain's
+   * mark is an operator's call.
+   */
   public void put(String key, String value) throws Refused {
-    Entry old = entries.get(key);
-    if (old == null && value == null
-        || old != null && java.util.Objects.equals(old.value(), value)) {
-      return;
+    for (Entry e : resolution().changed(new Change(key, value))) {
+      accept(e);
     }
-    take(new Entry(key, value, counter + 1, writer));
+  }
+
+  private EntryResolution resolution() {
+    return new EntryResolution(node, writer, entries::get, counter);
   }
 
   /** Whether a write of this node's own would be taken now. */
@@ -138,11 +147,25 @@
     return size;
   }
 
-  /** Takes an entry, from here or a peer, if it is newer than what is held. */
+  /**
+   * Takes an entry, from here or a peer, if it tells more than what is held.
+   *
+   * @return whether anything has changed
+   */
   public boolean take(Entry e) throws Refused {
-    if (!e.newerThan(entries.get(e.key()))) {
+    List<Entry> results = resolution().heard(e);
+    if (results.isEmpty()) {
       return false;
     }
+    added(e);
+    counter = Math.max(counter, e.counter());
+    for (Entry result : results) {
+      accept(result);
+    }
+    return true;
+  }
+
+  private void accept(Entry e) throws Refused {
     bytes += added(e);
     counter = Math.max(counter, e.counter());
     entries.put(e.key(), e);
@@ -152,7 +175,6 @@
     }
     order.put(place, e.key());
     listeners.forEach(l -> l.accept(e));
-    return true;
   }
 
   private static long size(Entry e) {
