pooling: a statement that takes several advisory locks pins until all are released

Cause: Sql looked at the first such call of a statement only, and took it for one lock. Change: only a statement that is nothing but one call, without another call in its arguments, counts as one lock; any other pins until pg_advisory_unlock_all or the end of the session.

--- a/src/main/java/crankspar/pooling/Sql.java
+++ b/src/main/java/crankspar/pooling/Sql.java
@@ -138,6 +138,10 @@
           "pg_advisory_lock_shared",
           "pg_try_advisory_lock",
           "pg_try_advisory_lock_shared");
+
+  /** Stands for the arguments where it is not known which locks are taken, or how often. */
+  private static final String MANY_LOCKS = "*";
+
   private static final Set<String> SESSION_UNLOCK_FUNCTIONS =
       Set.of("pg_advisory_unlock", "pg_advisory_unlock_shared");
 
@@ -303,7 +307,8 @@
         return SqlSettings.setConfig(t, first);
       }
       if (call && t.isAnyOf(i, SESSION_LOCK_FUNCTIONS, LONGEST_KNOWN_WORD)) {
-        return of(Kind.LOCK_SESSION, callArguments(t, i + 1));
+        return of(
+            Kind.LOCK_SESSION, lockedOnce(t, i, first) ? callArguments(t, i + 1) : MANY_LOCKS);
       }
       if (call && t.isAnyOf(i, SESSION_UNLOCK_FUNCTIONS, LONGEST_KNOWN_WORD)) {
         return of(Kind.UNLOCK_SESSION, callArguments(t, i + 1));
@@ -331,6 +336,24 @@
             && (i == first || !t.is(i - 1, "for"));
   }
 
+  /**
+   * Whether the statement is nothing but one call, so that it takes its lock once; any other may
+   * take several, or one several times, and only the release of all locks is known to end that.
+   */
+  private static boolean lockedOnce(SqlTokens t, int call, int first) {
+    if (call != first + 1 || !t.is(first, "select")) {
+      return false;
+    }
+    int depth = 0;
+    for (int i = call + 1; i < t.size(); i++) {
+      depth += t.isKind(i, '(') ? 1 : t.isKind(i, ')') ? -1 : 0;
+      if (depth == 0) {
+        return i == t.size() - 1 && !SqlFunctions.mayWrite(t, call + 1);
+      }
+    }
+    return false;
+  }
+
   private static String callArguments(SqlTokens t, int open) {
     int depth = 0;
     for (int i = open; i < t.size(); i++) {
