pooling: RESET ALL leaves the role and the session authorization

Cause: SessionOptions and ServerState took RESET ALL for the end of all options; PostgreSQL leaves these two as they are, and DISCARD ALL names them apart. Change: both keep them, so that the next client's state resets them.

--- a/src/main/java/crankspar/pooling/ServerState.java
+++ b/src/main/java/crankspar/pooling/ServerState.java
@@ -113,7 +113,7 @@
     switch (s.kind()) {
       case SET -> options.set(current.plus(s.name(), s.value()));
       case RESET -> options.set(current.minus(s.name()));
-      case RESET_ALL -> options.set(HashTreePMap.empty());
+      case RESET_ALL -> options.set(SessionOptions.afterResetAll(current, HashTreePMap.empty()));
       case DISCARD_ALL -> {
         options.replace(HashTreePMap.empty());
         clearStatements();
--- a/src/main/java/crankspar/pooling/SessionOptions.java
+++ b/src/main/java/crankspar/pooling/SessionOptions.java
@@ -2,6 +2,7 @@
 
 import crankspar.pooling.Sql.Statement;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -59,6 +60,9 @@
   /** What an option or a pin takes besides its name and value (bytes). */
   private static final int ENTRY_BYTES = 160;
 
+  /** What RESET ALL leaves as it is (PostgreSQL's GUC_NO_RESET_ALL, as far as clients set it). */
+  private static final Set<String> NOT_RESET = Set.of("role", "session_authorization");
+
   private static final AtomicLong UNKNOWN_TOKENS = new AtomicLong();
 
   /** Startup options of the client, to which RESET returns. */
@@ -198,7 +202,8 @@
           effective.set(now.withUnknownToken(nextUnknownToken()).withPins(now.pins().apply(s)));
       case RESET -> effective.set(reset(now, s.name()));
       case RESET_ALL -> {
-        Effective reset = Effective.start(base, now.pins()).withUnknownToken(now.unknownToken());
+        PMap<String, String> kept = afterResetAll(now.session(), base);
+        Effective reset = Effective.start(kept, now.pins()).withUnknownToken(now.unknownToken());
         effective.set(base.isEmpty() ? reset : unknownUntilTransactionEnd(reset));
       }
       case DISCARD_ALL -> effective.replace(Effective.start(base, now.pins().apply(s)));
@@ -216,6 +221,18 @@
     }
   }
 
+  /**
+   * Returns the options after RESET ALL, which leaves role and session authorization as they are.
+   */
+  static PMap<String, String> afterResetAll(
+      PMap<String, String> before, PMap<String, String> defaults) {
+    PMap<String, String> after = defaults;
+    for (String name : NOT_RESET) {
+      after = before.containsKey(name) ? after.plus(name, before.get(name)) : after.minus(name);
+    }
+    return after;
+  }
+
   /**
    * Marks the options as unknown until the transaction's end: statements prepared until then are
    * shared with no others.
