pooling: a reset counts as done only when each of its queries is known to be

Cause: ConnectionReset passed over 57014 whichever query it answered, and Server.reset noted the effect of DISCARD ALL when it was sent; the reset began while a cancel was still on its way.

Change: one query at a time, so that an answer belongs to one; ROLLBACK at once, the rest when no cancel is under way, behind an empty query that absorbs a signal; a stopped query is sent again, five times, then the connection is closed (pooling_resets_failed). Effects are noted when they are done. A cancel that has ended before the release is followed by the empty query too.

--- a/src/main/java/crankspar/pooling/ReleaseAction.java
+++ b/src/main/java/crankspar/pooling/ReleaseAction.java
@@ -29,7 +29,8 @@
    * @param libraryLoaded whether the client ran LOAD, which only closing the connection undoes
    * @param mustClose whether the connection has to end: its member drains, or a cancel request of
    *     unknown outcome may still hit it
-   * @param pendingCancels cancel requests that were sent for the client and are not finished
+   * @param pendingCancels cancel requests that were sent for the client and may still hit a
+   *     statement
    */
   record Condition(
       boolean answersPending,
--- a/src/main/java/crankspar/pooling/Server.java
+++ b/src/main/java/crankspar/pooling/Server.java
@@ -22,7 +22,8 @@
   private final ServerState sessionState = new ServerState();
   private final ServerLogin login = new ServerLogin();
   private final ReportedStatus reportedStatus = new ReportedStatus();
-  private final ConnectionReset connectionReset = new ConnectionReset();
+  private final ResetDriver resetDriver = new ResetDriver(sessionState, this::sendQuery);
+  private final ConnectionReset connectionReset = resetDriver.reset();
   private final FrameDecoder decoder = new FrameDecoder(false);
   private final Backpressure clientBacklog;
   private SocketConnection socket;
@@ -262,7 +263,7 @@
   void finish(AttemptEnd<Answer> how) {
     Lease ended = lease;
     ReleaseAction.Condition condition =
-        ended.condition(false, mustClose(), connectionReset.pendingCancels());
+        ended.condition(false, mustClose(), connectionReset.unsettledCancels());
     endLease();
     release(condition);
     ended.reportEnd(how);
@@ -278,7 +279,7 @@
   }
 
   private void releaseClean() {
-    release(ReleaseAction.Condition.clean(mustClose(), connectionReset.pendingCancels()));
+    release(ReleaseAction.Condition.clean(mustClose(), connectionReset.unsettledCancels()));
   }
 
   /** The only way for a connection to become idle after use, also after a reset. */
@@ -287,7 +288,10 @@
       case CLOSE -> close("not reusable: " + condition);
       case RESET_SESSION -> reset(true);
       case ROLL_BACK -> reset(false);
-      case AWAIT_CANCEL -> transitionTo(ConnectionState.TESTED);
+      case AWAIT_CANCEL -> {
+        transitionTo(ConnectionState.TESTED);
+        resetDriver.await();
+      }
       case REUSE -> {
         transitionTo(ConnectionState.IDLE);
         pool.idle(this);
@@ -298,17 +302,17 @@
   private void reset(boolean resetSession) {
     transitionTo(ConnectionState.TESTED);
     pool.count("pooling_cleaned", 1);
-    for (ConnectionReset.Query query : connectionReset.begin(resetSession)) {
-      sendQuery(query.sql);
-      sessionState.onCompleted(query.effect, query.sql, StatementOptions.NONE);
-    }
+    resetDriver.begin(resetSession);
   }
 
   private void onResetMessage(Frame f) throws Frame.Malformed {
-    switch (connectionReset.onMessage(f)) {
+    switch (resetDriver.onMessage(f)) {
       case CLEAN -> releaseClean();
-      case FAILED -> close("connection reset failed");
-      case IN_PROGRESS -> {}
+      case FAILED -> {
+        pool.count("pooling_resets_failed", 1);
+        close("connection reset failed");
+      }
+      case CONTINUE, IN_PROGRESS -> {}
     }
   }
 
@@ -320,13 +324,9 @@
 
   /** A cancel request is finished; {@code confirmed} if the server closed its connection. */
   void cancelFinished(boolean confirmed) {
-    connectionReset.cancelFinished(confirmed);
-    if (state == ConnectionState.TESTED && connectionReset.tryBeginEmptyQuery()) {
-      if (connectionReset.cancelInDoubt()) {
-        close("a cancel request of unknown outcome may still arrive");
-      } else {
-        sendQuery("");
-      }
+    boolean resetting = state == ConnectionState.TESTED;
+    if (!resetDriver.cancelFinished(confirmed, resetting) && resetting) {
+      close("a cancel request of unknown outcome may still arrive");
     }
   }
 
@@ -360,7 +360,7 @@
     lease.abandon();
     if (state == ConnectionState.ACTIVE && lease.bound()) {
       ReleaseAction.Condition condition =
-          lease.condition(true, mustClose(), connectionReset.pendingCancels());
+          lease.condition(true, mustClose(), connectionReset.unsettledCancels());
       if (ReleaseAction.forCondition(condition) != ReleaseAction.CLOSE) {
         endLease();
         release(condition);
