policy: all groups are walked over a copy, and a tick that fails is not the last

Change: dispatchAll and the walk over members go over a copy; ticking is cleared before anything is called, and set when the next tick is scheduled.

--- a/src/main/java/crankspar/policy/Reads.java
+++ b/src/main/java/crankspar/policy/Reads.java
@@ -146,7 +146,12 @@
         db.peerInFlight = Math.max(0, h.inFlight());
       }
     }
-    groups.values().forEach(this::dispatch);
+    dispatchAll();
+  }
+
+  /** Over a copy: a request that ends may remove its group. */
+  void dispatchAll() {
+    List.copyOf(groups.values()).forEach(this::dispatch);
   }
 
   MemberState chooseReplica(RoutedRequest w) {
--- a/src/main/java/crankspar/policy/RequestRouter.java
+++ b/src/main/java/crankspar/policy/RequestRouter.java
@@ -97,7 +97,7 @@
     }
     hasFullList |= kind == ListKind.FULL;
     new ArrayList<>(memberStates.values()).forEach(this::removeIfGone);
-    groups.values().forEach(this::dispatch);
+    dispatchAll();
   }
 
   @Override
@@ -116,10 +116,7 @@
             || UNSENT_READ_SHARE * r.ttl() >= w.requestClass.targetLatency())) {
       w.ownTimers.add(schedule(UNSENT_READ_SHARE * r.ttl(), () -> giveUpUnsent(w)));
     }
-    if (!ticking) {
-      ticking = true;
-      schedule(TICK_MS, this::tick);
-    }
+    startTicking();
     dispatch(w.group);
   }
 
@@ -277,6 +274,13 @@
   }
 
   /** Closes a request: cancels its attempts in flight, whose outcomes still count for members. */
+  private void startTicking() {
+    if (!ticking && !requests.isEmpty()) {
+      ticking = true;
+      schedule(TICK_MS, this::tick);
+    }
+  }
+
   void finish(RoutedRequest w) {
     if (!w.done) {
       w.done = true;
@@ -314,16 +318,14 @@
   }
 
   void tick() {
-    for (MemberState db : memberStates.values()) {
+    ticking = false; // first: what throws below ends this tick alone
+    for (MemberState db : List.copyOf(memberStates.values())) {
       if (!db.attempts.isEmpty()) {
         checkSilence(db);
       }
     }
-    groups.values().forEach(this::dispatch);
-    ticking = !requests.isEmpty();
-    if (ticking) {
-      schedule(TICK_MS, this::tick);
-    }
+    dispatchAll();
+    startTicking();
   }
 
   @Override
