store: a return by an earlier release is compared with the version of the calls

By reading, after a play of old and new processes on one state: whether an earlier release that shares the file knew what it put back was told by the version of the mark, which it replaces itself; at a start the comparison held only because the mark is derived anew from the calls first.

Change: it is compared with the version of the calls, which the earlier release leaves as they are and counts beyond. The safe side is as before: out, where it is not known what the call had seen.

--- a/src/main/java/crankspar/store/EntryResolution.java
+++ b/src/main/java/crankspar/store/EntryResolution.java
@@ -97,7 +97,7 @@
     String id = e.key().substring(DrainCalls.MARK.length());
     DrainCalls known = calls(id);
     Store.Entry mark = held.apply(e.key());
-    DrainCalls calls = e.node().startsWith(DERIVED) ? known : afterEarlierRelease(e, mark, known);
+    DrainCalls calls = e.node().startsWith(DERIVED) ? known : afterEarlierRelease(e, id, known);
     if (!calls.equals(known)) {
       results.add(new Store.Entry(DrainCalls.KEY + id, calls.text(), ++counter, writer));
     }
@@ -111,11 +111,12 @@
 
   /**
    * A process of this pooler of an earlier release, which shares the state's file, has seen the
-   * mark that it puts back; of another pooler's that is not known.
+   * calls there, as its version is the higher one; of another pooler's that is not known.
    */
-  private DrainCalls afterEarlierRelease(Store.Entry e, Store.Entry mark, DrainCalls known) {
+  private DrainCalls afterEarlierRelease(Store.Entry e, String id, DrainCalls known) {
     boolean sharesFile = e.node().startsWith(node + "#");
-    boolean knowing = mark != null && e.counter() > mark.counter();
+    Store.Entry calls = held.apply(DrainCalls.KEY + id);
+    boolean knowing = calls != null && e.counter() > calls.counter();
     return e.value() == null && sharesFile && knowing
         ? known.putBack()
         : known.afterEarlierRelease(e);
--- a/src/test/java/crankspar/store/DrainCallsModelTest.java
+++ b/src/test/java/crankspar/store/DrainCallsModelTest.java
@@ -223,6 +223,26 @@
     assertThat(node.store.get(MARK)).as("an earlier release's call is a call").isNotNull();
   }
 
+  /**
+   * An earlier release put it back on this one's state, alone, and this one starts anew on that.
+   */
+  @Test
+  void aReturnByAnEarlierReleaseOnTheSameFileIsRead() throws Exception {
+    var node = new Node("n");
+    node.call(true);
+    var onDisk = new ArrayList<>(node.store.all());
+    long version = markOf(node).counter() + 1;
+    onDisk.replaceAll(
+        e -> e.key().equals(MARK) ? new Store.Entry(MARK, null, version, "n#old") : e);
+    node.start(false);
+    onDisk.forEach(node::take);
+    assertThat(node.store.get(MARK)).isNull();
+    for (Store.Entry e :
+        EntryMerge.merge(onDisk, node.store.all(), EntryMerge.Changes.NONE, "n", "n#new")) {
+      assertThat(e.key().equals(MARK) && e.value() != null).isFalse();
+    }
+  }
+
   private static Store.Entry markOf(Node node) {
     var marks = new HashMap<String, Store.Entry>();
     node.store.all().forEach(e -> marks.put(e.key(), e));
