--- a/src/main/java/crankspar/pooling/ConnectionReset.java
+++ b/src/main/java/crankspar/pooling/ConnectionReset.java
@@ -31,12 +31,17 @@
 
     final String sql;
 
-    /** The effect on the state of the connection, or null. */
-    final Sql.Statement effect;
+    /** The kind of its effect on the state of the connection, or null. */
+    private final Sql.Kind kind;
 
-    Query(String sql, Sql.Kind effect) {
+    Query(String sql, Sql.Kind kind) {
       this.sql = sql;
-      this.effect = effect == null ? null : Sql.of(effect);
+      this.kind = kind;
+    }
+
+    /** Its effect on the state of the connection, or null. */
+    Sql.Statement effect() {
+      return kind == null ? null : Sql.of(kind);
     }
   }
 
--- a/src/main/java/crankspar/pooling/ResetDriver.java
+++ b/src/main/java/crankspar/pooling/ResetDriver.java
@@ -56,8 +56,8 @@
   ConnectionReset.Outcome onMessage(Frame f) throws Frame.Malformed {
     ConnectionReset.Outcome outcome = reset.onMessage(f);
     ConnectionReset.Query done = reset.completed();
-    if (done != null && done.effect != null) {
-      state.onCompleted(done.effect, done.sql, StatementOptions.NONE);
+    if (done != null && done.effect() != null) {
+      state.onCompleted(done.effect(), done.sql, StatementOptions.NONE);
     }
     if (outcome == ConnectionReset.Outcome.CONTINUE) {
       sendNext();
--- a/src/main/java/crankspar/store/DrainCalls.java
+++ b/src/main/java/crankspar/store/DrainCalls.java
@@ -25,8 +25,6 @@
    */
   static final int WRITERS_MOST = 32;
 
-  static final DrainCalls NONE = new DrainCalls(new TreeMap<>());
-
   /** Marks calls of releases that had no such set; their versions are their elements. */
   private static final String EARLIER = "~";
 
@@ -45,10 +43,10 @@
     }
   }
 
-  private final TreeMap<String, Count> counts;
+  private final Map<String, Count> counts;
 
-  private DrainCalls(TreeMap<String, Count> counts) {
-    this.counts = counts;
+  private DrainCalls(Map<String, Count> known) {
+    counts = new TreeMap<>(known);
     while (counts.size() > WRITERS_MOST) {
       counts.remove(oldest());
     }
@@ -71,7 +69,7 @@
 
   /** After a call by this writer that takes the database out. */
   DrainCalls takeOut(String writer) {
-    TreeMap<String, Count> after = allRemoved();
+    Map<String, Count> after = allRemoved();
     Count own = after.getOrDefault(writer, new Count(0, 0));
     after.put(writer, new Count(Math.max(own.added, own.removed) + 1, own.removed));
     return new DrainCalls(after);
@@ -82,7 +80,7 @@
     return new DrainCalls(allRemoved());
   }
 
-  private TreeMap<String, Count> allRemoved() {
+  private Map<String, Count> allRemoved() {
     var after = new TreeMap<String, Count>();
     counts.forEach((writer, count) -> after.put(writer, count.seen()));
     return after;
