store: calls are not written by hand, and one that is refused leaves nothing

By reading the change again: PUT /v1/store with the key drain-calls/ID took any text, and the next call about that database failed on the loop as it read it; and a call for whose mark there was no room had its other entry accepted already.

Change: such a key is refused before anything is changed, by put and by check; the entries that follow from one are counted together, and all taken or none.

--- a/src/main/java/crankspar/store/Store.java
+++ b/src/main/java/crankspar/store/Store.java
@@ -113,8 +113,16 @@
    * mark is an operator's call.
    */
   public void put(String key, String value) throws Refused {
-    for (Entry e : resolution().changed(new Change(key, value))) {
-      accept(e);
+    checkWritable(key);
+    acceptAll(resolution().changed(new Change(key, value)));
+  }
+
+  /**
+   * Calls about a database are made by writing its mark: what is kept of them follows from that.
+   */
+  private static void checkWritable(String key) throws Refused {
+    if (isDrainCall(key)) {
+      throw new Refused("follows from calls, write " + DrainCalls.MARK + "ID: " + key);
     }
   }
 
@@ -124,6 +132,7 @@
 
   /** Whether a write of this node's own would be taken now. */
   void check(Change change) throws Refused {
+    checkWritable(change.key());
     added(new Entry(change.key(), change.value(), counter + 1, writer));
   }
 
@@ -158,15 +167,27 @@
       return false;
     }
     added(e);
-    counter = Math.max(counter, e.counter());
-    for (Entry result : results) {
-      accept(result);
-    }
+    acceptAll(results);
     return true;
   }
 
-  private void accept(Entry e) throws Refused {
-    bytes += added(e);
+  /** All of them or, where there is no room for one, none. */
+  private void acceptAll(List<Entry> results) throws Refused {
+    long more = 0;
+    long newKeys = results.stream().filter(e -> !entries.containsKey(e.key())).count();
+    for (Entry e : results) {
+      more += added(e);
+    }
+    if (bytes + more > BYTES_MOST || entries.size() + newKeys > ENTRIES_MOST) {
+      throw new Refused("no room for " + results.get(0).key());
+    }
+    for (Entry e : results) {
+      accept(e, added(e));
+    }
+  }
+
+  private void accept(Entry e, long growth) {
+    bytes += growth;
     counter = Math.max(counter, e.counter());
     entries.put(e.key(), e);
     Long before = places.put(e.key(), ++place);
--- a/src/test/java/crankspar/store/DrainCallsModelTest.java
+++ b/src/test/java/crankspar/store/DrainCallsModelTest.java
@@ -1,6 +1,7 @@
 package crankspar.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -249,6 +250,35 @@
     return marks.get(MARK);
   }
 
+  /** Guards against an entry that is written by hand, cannot be read, and fails the loop. */
+  @Test
+  void whatFollowsFromCallsIsNotWritten() throws Exception {
+    var node = new Node("n");
+    for (String value : new String[] {"junk", "1 0 n#0\n", null}) {
+      assertThatThrownBy(() -> node.store.put("drain-calls/db", value))
+          .isInstanceOf(Store.Refused.class);
+      assertThatThrownBy(() -> node.store.check(new Change("drain-calls/db", value)))
+          .isInstanceOf(Store.Refused.class);
+    }
+    assertThatThrownBy(
+            () -> node.store.take(new Store.Entry("drain-calls/db", "junk", 3, "other#1")))
+        .isInstanceOf(Store.Refused.class);
+    node.call(true);
+    assertThat(node.store.get(MARK)).isNotNull();
+  }
+
+  /** Guards against a call that is refused for want of room, and is half in force. */
+  @Test
+  void aCallWithoutRoomLeavesNothing() throws Exception {
+    var node = new Node("n");
+    for (int i = 0; i < Store.ENTRIES_MOST - 1; i++) {
+      node.store.put("k" + i, "v");
+    }
+    assertThatThrownBy(() -> node.call(true)).isInstanceOf(Store.Refused.class);
+    assertThat(node.store.get(MARK)).isNull();
+    assertThat(node.store.get("drain-calls/db")).isNull();
+  }
+
   /** Guards against an entry that grows with each restart. */
   @Test
   void theCallsOfManyLivesStayBounded() throws Exception {
