store: an entry that is refused keeps no other of its page out

By reading: Replication gave the whole page up at the first entry that the store refused, and asked for the same page again, so that a peer's one bad entry kept all drains behind it out, with a counter of failed pulls as the only trace.

Change: each entry is taken by itself; a refused one is counted (store_refused) and logged with its peer, and the page goes on.

--- a/src/main/java/crankspar/store/Replication.java
+++ b/src/main/java/crankspar/store/Replication.java
@@ -125,16 +125,24 @@
       }
       try {
         StoreJson.Read page = StoreJson.read(body.toByteArray());
-        for (Store.Entry e : page.entries()) {
-          counters.add(store.take(e) ? "store_pulled" : "store_known");
-        }
+        page.entries().forEach(this::take);
         finish();
         pull.over(page.next() == null ? "" : page.next(), page.more());
-      } catch (IOException | Store.Refused e) {
+      } catch (IOException e) {
         fail(e.getMessage());
       }
     }
 
+    /** Guards against one entry that is refused and keeps out all that stand behind it. */
+    private void take(Store.Entry e) {
+      try {
+        counters.add(store.take(e) ? "store_pulled" : "store_known");
+      } catch (Store.Refused refused) {
+        counters.add("store_refused");
+        LOG.warning("an entry of " + pull.peer + " is left out: " + refused.getMessage());
+      }
+    }
+
     @Override
     public void ended(String why) {
       fail(why);
