pooling: a stop of the process is no reason to refuse long texts after it

By reading: the pause behind a long text was three times the time since it was begun, and a stop in it counted: after 5 s of SIGSTOP all long texts would have been refused for 15 s.

Change: the pause is 500 ms at most, three times the longest pass and some.

--- a/src/main/java/crankspar/pooling/LongTexts.java
+++ b/src/main/java/crankspar/pooling/LongTexts.java
@@ -14,7 +14,10 @@
   static final double WAIT_MOST_MS = 500;
 
   /** Long texts wait for so many times the time that the last one took. */
-  private static final double OTHERS_SHARE = 3;
+  private static final double PAUSE_FACTOR = 3;
+
+  /** ... and no longer than this (ms): a stop of the process may be in that time. */
+  private static final double PAUSE_MOST_MS = 500;
 
   private double openAt = Double.NEGATIVE_INFINITY;
 
@@ -35,6 +38,6 @@
 
   /** A long text was read from {@code began} to {@code now} (ms). */
   void read(double began, double now) {
-    openAt = now + OTHERS_SHARE * Math.max(0, now - began);
+    openAt = now + Math.min(PAUSE_MOST_MS, PAUSE_FACTOR * Math.max(0, now - began));
   }
 }
