pooling: what server connections keep of clients' texts is bounded and accounted

By reading, then in a trial: one client that prepares statements of 1 MB and closes each leaves up to 200 of them on its server connection, in no account: 60 of them took 130 MiB of heap, more than the process has.

Cause: ServerState evicted by the number of statements alone, a bound for each connection with none for all; stale marks held whole statements.

Change: a connection keeps 1 MiB of statements beside the one prepared last; ServerMemory accounts for what idle connections hold, a shared statement by its part, and closes one for which there is no room (pooling_servers_shed). Stale marks are names.

--- a/src/main/java/crankspar/lab/hostile/HostileKind.java
+++ b/src/main/java/crankspar/lab/hostile/HostileKind.java
@@ -67,7 +67,13 @@
   TEXT_STARTUP_NAME(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
   TEXT_STARTUP_OPTIONS(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
   /** Semicolons and a letter at the admin console. */
-  TEXT_CONSOLE(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED);
+  TEXT_CONSOLE(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
+  /** Ever new prepared statements of a megabyte, each closed at once. */
+  TEXT_PREPARED(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
+  /** An option with a value of a megabyte, on a connection of its own each. */
+  TEXT_OPTION_VALUE(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED),
+  /** A simple query of a megabyte that reads a value. */
+  TEXT_QUERY(Front.POOLING, true, HostileClients.UNLIMITED, HostileClients.UNLIMITED);
 
   /** The front that a kind speaks to. */
   public enum Front {
@@ -91,7 +97,11 @@
               NEW_USERS,
               REST_UNREAD,
               REST_NEW_KEYS,
-              POOLING_UNREAD ->
+              POOLING_UNREAD,
+              TEXT_SETS,
+              TEXT_PREPARED,
+              TEXT_OPTION_VALUE,
+              TEXT_QUERY ->
           true;
       default -> false;
     };
@@ -152,6 +162,7 @@
   boolean reconnects() {
     return this == TEXT_STARTUP_NAME
         || this == TEXT_STARTUP_OPTIONS
+        || this == TEXT_OPTION_VALUE
         || this == NEW_USERS
         || this == CANCELS
         || this == REST_UNSOUND
@@ -228,6 +239,9 @@
       case TEXT_OPTION_NAME -> query(HostileText.longOptionName());
       case TEXT_STARTUP_NAME, TEXT_STARTUP_OPTIONS -> query("SELECT 1");
       case TEXT_CONSOLE -> query(HostileText.semicolons() + "x");
+      case TEXT_PREPARED -> preparedAndClosed("s" + number, "SELECT 1 -- " + large(number));
+      case TEXT_OPTION_VALUE -> query("SET a.b" + number + " = '" + large(number) + "'");
+      case TEXT_QUERY -> query("SELECT 1 -- " + large(number));
       case POOLING_UNSOUND -> new byte[] {'?', 0, 0, 0, 9, 1, 2, 3, 4, 5};
       default -> rest(number);
     };
@@ -303,6 +317,23 @@
     return all.toByteArray();
   }
 
+  private static byte[] preparedAndClosed(String name, String sql) {
+    byte[] parsed = parse(name, sql);
+    byte[] close = ascii("S" + name + "\0");
+    return ByteBuffer.allocate(parsed.length + close.length + 10)
+        .put(parsed)
+        .put((byte) 'C')
+        .putInt(close.length + 4)
+        .put(close)
+        .put((byte) 'S')
+        .putInt(4)
+        .array();
+  }
+
+  private static String large(long number) {
+    return number + "x".repeat(LARGE_BYTES);
+  }
+
   private static String large(long number, int bytes) {
     return "/* id=h%x,c=check,d=2000,cluster=2 */ SELECT '%s'".formatted(number, "x".repeat(bytes));
   }
--- a/src/main/java/crankspar/pooling/Prepared.java
+++ b/src/main/java/crankspar/pooling/Prepared.java
@@ -42,6 +42,10 @@
 
   private final int hash;
   private String name;
+
+  /** Computed on first use. */
+  private int memoryBytes;
+
   private List<Sql.Statement> statements;
 
   private Prepared(String sql, byte[] types) {
@@ -101,9 +105,15 @@
 
   /** Returns the bytes that count towards the memory limit of its client. */
   int memoryBytes() {
-    long bytes =
-        (long) sql.length() + types.length + options.memoryBytes() + Sql.memoryBytes(statements());
-    return (int) Math.min(Integer.MAX_VALUE / 2, OBJECT_BYTES + bytes);
+    if (memoryBytes == 0) {
+      long bytes =
+          (long) sql.length()
+              + types.length
+              + options.memoryBytes()
+              + Sql.memoryBytes(statements());
+      memoryBytes = (int) Math.min(Integer.MAX_VALUE / 2, OBJECT_BYTES + bytes);
+    }
+    return memoryBytes;
   }
 
   /** Returns its name on server connections. */
--- a/src/main/java/crankspar/pooling/ServerConnections.java
+++ b/src/main/java/crankspar/pooling/ServerConnections.java
@@ -60,6 +60,7 @@
   /** Parameters that a server reported at the last login, by key, for clients that log in next. */
   private final Map<ServerKey, PMap<String, String>> reportedParameters = new LinkedHashMap<>();
 
+  private final ServerMemory memory;
   private Setup setup;
   private int total;
 
@@ -78,6 +79,7 @@
     this.dialTimeout = dialTimeout;
     this.maxConnections = maxConnections;
     this.random = random;
+    memory = new ServerMemory(loop.memory(), this::closeForMemory);
     loop.after(SWEEP_INTERVAL_MS, this::sweep);
   }
 
@@ -272,11 +274,21 @@
     Setup.Database database = setup.databases().get(server.key().pool());
     if (database != null && IdleList.pastLifetime(server, database.poolLimits(), loop.now())) {
       server.close("maximum lifetime exceeded");
+    } else if (!memory.idle(server)) {
+      closeForMemory(server);
+    }
+  }
+
+  private void closeForMemory(Server server) {
+    if (server.state() == ConnectionState.IDLE && server.opening() == null) {
+      counters.add("pooling_servers_shed");
+      server.close("there is no memory for what its sessions have left on it");
     }
   }
 
   @Override
   public void closed(Server server) {
+    memory.closed(server);
     Member m = members.get(server.member());
     if (m != null && m.connections.remove(server)) {
       total--;
--- a/src/main/java/crankspar/pooling/ServerState.java
+++ b/src/main/java/crankspar/pooling/ServerState.java
@@ -18,17 +18,23 @@
   private final TransactionalValue<PMap<String, String>> options =
       new TransactionalValue<>(HashTreePMap.empty());
 
+  /** Bytes of the statements that one connection keeps; the one prepared last always fits. */
+  static final int MAX_STATEMENT_BYTES = FrameDecoder.MAX_BUFFERED_LENGTH;
+
   /** Prepared statements by name, the least recently used first. */
   private final LinkedHashMap<String, Prepared> statements = new LinkedHashMap<>(16, 0.75f, true);
 
   private PMap<String, SqlPrepared> sqlPrepared = HashTreePMap.empty();
   private Prepared unnamed;
 
+  private long statementBytes;
+  private long revision;
+
   /**
-   * Statements that must be closed before they are prepared again, as the server may still hold
-   * them.
+   * Names of statements that must be closed before they are prepared again, as the server may still
+   * hold them.
    */
-  private final Set<Prepared> stale = new HashSet<>();
+  private final Set<String> stale = new HashSet<>();
 
   private PMap<String, String> reported = HashTreePMap.empty();
 
@@ -68,12 +74,30 @@
     return statements.get(statement.name()) != null;
   }
 
+  /** Changes with each change of the prepared statements. */
+  long revision() {
+    return revision;
+  }
+
   void add(Prepared statement) {
+    remove(statement.name());
     statements.put(statement.name(), statement);
+    statementBytes += statement.memoryBytes();
+    revision++;
   }
 
   void remove(Prepared statement) {
-    statements.remove(statement.name());
+    remove(statement.name());
+  }
+
+  /** Returns whether there was one. */
+  private boolean remove(String name) {
+    Prepared removed = statements.remove(name);
+    if (removed != null) {
+      statementBytes -= removed.memoryBytes();
+      revision++;
+    }
+    return removed != null;
   }
 
   /**
@@ -84,22 +108,27 @@
     if (statement.equals(unnamed)) {
       unnamed = null;
     }
-    if (statements.remove(statement.name()) != null || stale.size() < MAX_STALE) {
-      stale.add(statement);
+    if (remove(statement.name()) || stale.size() < MAX_STALE) {
+      stale.add(statement.name());
     }
   }
 
   /** Returns whether the statement was marked stale, and clears the mark. */
   boolean takeStale(Prepared statement) {
-    return stale.remove(statement);
+    return stale.remove(statement.name());
   }
 
-  /** The least recently used statements in excess of a limit. */
-  List<Prepared> leastRecentlyUsed(int limit) {
+  /** The least recently used statements that are too many, or too large, beside so many bytes. */
+  List<Prepared> leastRecentlyUsed(int limit, long moreBytes) {
     var excess = new ArrayList<Prepared>();
+    long bytes = statementBytes + moreBytes;
     var eldest = statements.values().iterator();
-    for (int n = statements.size(); n > limit && eldest.hasNext(); n--) {
-      excess.add(eldest.next());
+    for (int n = statements.size();
+        eldest.hasNext() && (n > limit || bytes > MAX_STATEMENT_BYTES);
+        n--) {
+      Prepared next = eldest.next();
+      bytes -= next.memoryBytes();
+      excess.add(next);
     }
     return excess;
   }
@@ -121,7 +150,7 @@
       case PREPARE -> sqlPrepared = sqlPrepared.plus(s.name(), SqlPrepared.of(s, under));
       case DEALLOCATE -> {
         sqlPrepared = sqlPrepared.minus(s.name());
-        statements.remove(s.name());
+        remove(s.name());
       }
       case DEALLOCATE_ALL -> clearStatements();
       case COMMIT, ROLLBACK -> {
@@ -140,6 +169,8 @@
 
   private void clearStatements() {
     statements.clear();
+    statementBytes = 0;
+    revision++;
     stale.clear();
     sqlPrepared = HashTreePMap.empty();
     unnamed = null;
--- a/src/main/java/crankspar/pooling/StateDiff.java
+++ b/src/main/java/crankspar/pooling/StateDiff.java
@@ -139,6 +139,7 @@
   static PrepareSteps prepareSteps(ServerState server, Prepared statement, int most) {
     return server.has(statement)
         ? PrepareSteps.NONE
-        : new PrepareSteps(new ArrayList<>(server.leastRecentlyUsed(Math.max(0, most - 1))), true);
+        : new PrepareSteps(
+            server.leastRecentlyUsed(Math.max(0, most - 1), statement.memoryBytes()), true);
   }
 }
--- a/src/test/java/crankspar/lab/hostile/HostileClientsTest.java
+++ b/src/test/java/crankspar/lab/hostile/HostileClientsTest.java
@@ -81,7 +81,10 @@
     "TEXT_OPTION_NAME, 2",
     "TEXT_STARTUP_NAME, 2",
     "TEXT_STARTUP_OPTIONS, 2",
-    "TEXT_CONSOLE, 2"
+    "TEXT_CONSOLE, 2",
+    "TEXT_PREPARED, 2",
+    "TEXT_OPTION_VALUE, 4",
+    "TEXT_QUERY, 2"
   })
   void aCostlyTextKeepsNobodyWaiting(HostileKind kind, int clients) throws Exception {
     assertKept(Plan.of(kind, clients));
