--- a/src/main/java/crankspar/lab/hostile/PacedRestServer.java
+++ b/src/main/java/crankspar/lab/hostile/PacedRestServer.java
@@ -13,22 +13,32 @@
 import java.util.Map;
 
 /** A stand-in for a server that speaks REST and answers each call after a fixed time. */
-final class PacedRestServer {
+public final class PacedRestServer {
   private static final int BODY_MOST = 1 << 20;
+  private static final String LOAD_PATH = "/v1/load";
 
   private final EventLoop loop;
   private final String role;
   private final double workMs;
+  private final Runnable asked;
   private final InetSocketAddress address;
 
   PacedRestServer(EventLoop loop, boolean primary, double workMs) throws IOException {
+    this(loop, primary, workMs, () -> {});
+  }
+
+  /** Runs {@code asked} for each request that is not a question for its load. */
+  public PacedRestServer(EventLoop loop, boolean primary, double workMs, Runnable asked)
+      throws IOException {
     this.loop = loop;
+    this.asked = asked;
     this.role = primary ? "primary" : "replica";
     this.workMs = workMs;
     address = loop.listen(new InetSocketAddress("127.0.0.1", 0), Session::new).address();
   }
 
-  InetSocketAddress address() {
+  /** Where it listens. */
+  public InetSocketAddress address() {
     return address;
   }
 
@@ -54,10 +64,13 @@
     @Override
     public void head(HttpHead head) {
       var request = (HttpHead.Request) head;
+      if (!request.target().startsWith(LOAD_PATH)) {
+        asked.run();
+      }
       body =
           request.method().equals("POST")
               ? "{\"claim\":1}"
-              : request.target().startsWith("/v1/load")
+              : request.target().startsWith(LOAD_PATH)
                   ? "{\"role\":\"" + role + "\",\"position\":" + System.currentTimeMillis() + "}"
                   : "{\"items\":[1]}";
     }
