--- a/src/main/java/crankspar/pooling/Progress.java
+++ b/src/main/java/crankspar/pooling/Progress.java
@@ -1,5 +1,6 @@
 package crankspar.pooling;
 
+import crankspar.pooling.Sql.Calls;
 import crankspar.pooling.Sql.Kind;
 import crankspar.pooling.Sql.Statement;
 import java.util.List;
@@ -62,7 +63,7 @@
    */
   void beforeSend(List<Statement> statements, boolean singleMessage) {
     for (Statement s : statements) {
-      boolean calls = s.kind() == Kind.READ && !s.readOnly();
+      boolean calls = s.calls() == Calls.UNKNOWN;
       functionCalled |= calls;
       queried |= s.kind() == Kind.READ;
       boolean changes = !s.idempotent() || calls && writeClass;
--- a/src/main/java/crankspar/pooling/Sql.java
+++ b/src/main/java/crankspar/pooling/Sql.java
@@ -63,6 +63,16 @@
     SET_LOCAL_UNKNOWN
   }
 
+  /** What may be changed by the functions that a query calls, and by its other parts. */
+  enum Calls {
+    /** Nothing. */
+    NONE,
+    /** A function is called whose effects its text does not show. */
+    UNKNOWN,
+    /** Something is written. */
+    WRITING
+  }
+
   /**
    * One statement.
    *
@@ -71,10 +81,20 @@
    *     cursor or table, or the arguments of an advisory lock
    * @param value the value of an option as SQL text, or null; for BEGIN {@code write} if READ WRITE
    *     was specified
-   * @param readOnly for BEGIN: whether READ ONLY was specified; for READ: whether it calls no
-   *     function that may write
+   * @param readOnly for BEGIN: whether READ ONLY was specified
+   * @param calls what a query does besides what its kind says
    */
-  record Statement(Kind kind, String text, String name, String value, boolean readOnly) {
+  record Statement(
+      Kind kind, String text, String name, String value, boolean readOnly, Calls calls) {
+    Statement(Kind kind, String text, String name, String value, boolean readOnly) {
+      this(kind, text, name, value, readOnly, kind == Kind.READ ? Calls.UNKNOWN : Calls.NONE);
+    }
+
+    /** The same with other calls. */
+    Statement calling(Calls other) {
+      return other == calls ? this : new Statement(kind, text, name, value, readOnly, other);
+    }
+
     boolean transactionControl() {
       return switch (kind) {
         case BEGIN, COMMIT, ROLLBACK, SAVEPOINT, RELEASE, ROLLBACK_TO -> true;
@@ -84,6 +104,10 @@
 
     /** Whether executing it twice has the same effect as once, as far as its text shows. */
     boolean idempotent() {
+      return calls != Calls.WRITING && repeatable(kind);
+    }
+
+    private static boolean repeatable(Kind kind) {
       return switch (kind) {
         case READ,
                 BEGIN,
@@ -121,7 +145,8 @@
   private static final int REFERENCE_BYTES = 8;
 
   /** A read that calls no function of unknown effects. */
-  static final Statement READ_WITHOUT_CALL = new Statement(Kind.READ, "", null, null, true);
+  static final Statement READ_WITHOUT_CALL =
+      new Statement(Kind.READ, "", null, null, false, Calls.NONE);
 
   /** For each kind the statement without text, name or value. */
   private static final Map<Kind, Statement> PLAIN = new EnumMap<>(Kind.class);
@@ -132,49 +157,14 @@
     }
   }
 
-  private static final Set<String> SESSION_LOCK_FUNCTIONS =
-      Set.of(
-          "pg_advisory_lock",
-          "pg_advisory_lock_shared",
-          "pg_try_advisory_lock",
-          "pg_try_advisory_lock_shared");
-
-  /** Stands for the arguments where it is not known which locks are taken, or how often. */
-  private static final String MANY_LOCKS = "*";
-
-  private static final Set<String> SESSION_UNLOCK_FUNCTIONS =
-      Set.of("pg_advisory_unlock", "pg_advisory_unlock_shared");
-
-  /** Functions that make a SELECT a write. */
-  private static final Set<String> WRITING_FUNCTIONS =
-      Set.of(
-          "nextval",
-          "setval",
-          "pg_advisory_xact_lock",
-          "pg_advisory_xact_lock_shared",
-          "pg_try_advisory_xact_lock",
-          "lo_create",
-          "lo_unlink",
-          "lo_import",
-          "lo_put",
-          "txid_current",
-          "pg_current_xact_id",
-          "pg_notify",
-          "dblink_exec",
-          "pg_terminate_backend",
-          "pg_cancel_backend");
-
   /** PostgreSQL cuts a name off after so many bytes. */
   private static final int MAX_NAME_LENGTH = 63;
 
   /** The length of the longest name and keyword in these sets. */
   private static final int LONGEST_KNOWN_WORD = 32;
 
-  private static final Set<String> ROW_LOCK_KEYWORDS = Set.of("update", "share", "no", "key");
   private static final Set<String> CREATE_MODIFIERS =
       Set.of("local", "global", "or", "replace", "temp", "temporary");
-  private static final Set<String> MODIFYING_KEYWORDS =
-      Set.of("into", "insert", "update", "delete", "merge");
 
   private Sql() {}
 
@@ -285,9 +275,12 @@
       case "drop" -> second.equals("table") ? of(Kind.DROP_TABLE, t.lastText()) : of(Kind.WRITE);
       case "load" -> of(Kind.LOAD);
       case "fetch", "move" -> of(Kind.READ);
-      case "select", "values", "table", "show", "with" -> classifySelect(t, first);
-      case "explain" -> t.containsSequence("analyze") ? of(Kind.WRITE) : READ_WITHOUT_CALL;
-      default -> t.isKind(first, '(') ? classifySelect(t, first) : of(Kind.WRITE);
+      case "select", "values", "table", "show", "with" -> SqlQueries.classify(t, first);
+      case "explain" ->
+          t.containsSequence("analyze") || t.containsSequence("analyse")
+              ? of(Kind.WRITE)
+              : READ_WITHOUT_CALL;
+      default -> t.isKind(first, '(') ? SqlQueries.classify(t, first) : of(Kind.WRITE);
     };
   }
 
@@ -296,75 +289,6 @@
     return name.length() > MAX_NAME_LENGTH ? name.substring(0, MAX_NAME_LENGTH) : name;
   }
 
-  private static Statement classifySelect(SqlTokens t, int first) {
-    boolean reads = true;
-    for (int i = first; i < t.size(); i++) {
-      if (t.kind(i) != 'w') {
-        continue;
-      }
-      boolean call = t.isKind(i + 1, '(');
-      if (call && t.is(i, "set_config")) {
-        return SqlSettings.setConfig(t, first);
-      }
-      if (call && t.isAnyOf(i, SESSION_LOCK_FUNCTIONS, LONGEST_KNOWN_WORD)) {
-        return of(
-            Kind.LOCK_SESSION, lockedOnce(t, i, first) ? callArguments(t, i + 1) : MANY_LOCKS);
-      }
-      if (call && t.isAnyOf(i, SESSION_UNLOCK_FUNCTIONS, LONGEST_KNOWN_WORD)) {
-        return of(Kind.UNLOCK_SESSION, callArguments(t, i + 1));
-      }
-      if (call && t.is(i, "pg_advisory_unlock_all")) {
-        return of(Kind.UNLOCK_ALL);
-      }
-      if (t.is(i, "into") && (t.is(i + 1, "temp") || t.is(i + 1, "temporary"))) {
-        return of(Kind.CREATE_TEMP, i + 2 < t.size() ? t.text(i + 2) : "");
-      }
-      reads &= !modifies(t, i, first, call);
-    }
-    if (!reads) {
-      return of(Kind.WRITE);
-    }
-    return SqlFunctions.mayWrite(t, first) ? of(Kind.READ) : READ_WITHOUT_CALL;
-  }
-
-  /** Whether a word makes its SELECT a write. */
-  private static boolean modifies(SqlTokens t, int i, int first, boolean call) {
-    boolean locksRows = t.is(i, "for") && t.isAnyOf(i + 1, ROW_LOCK_KEYWORDS, LONGEST_KNOWN_WORD);
-    return locksRows
-        || call && t.isAnyOf(i, WRITING_FUNCTIONS, LONGEST_KNOWN_WORD)
-        || t.isAnyOf(i, MODIFYING_KEYWORDS, LONGEST_KNOWN_WORD)
-            && (i == first || !t.is(i - 1, "for"));
-  }
-
-  /**
-   * Whether the statement is nothing but one call, so that it takes its lock once; any other may
-   * take several, or one several times, and only the release of all locks is known to end that.
-   */
-  private static boolean lockedOnce(SqlTokens t, int call, int first) {
-    if (call != first + 1 || !t.is(first, "select")) {
-      return false;
-    }
-    int depth = 0;
-    for (int i = call + 1; i < t.size(); i++) {
-      depth += t.isKind(i, '(') ? 1 : t.isKind(i, ')') ? -1 : 0;
-      if (depth == 0) {
-        return i == t.size() - 1 && !SqlFunctions.mayWrite(t, call + 1);
-      }
-    }
-    return false;
-  }
-
-  private static String callArguments(SqlTokens t, int open) {
-    int depth = 0;
-    for (int i = open; i < t.size(); i++) {
-      depth += t.isKind(i, '(') ? 1 : t.isKind(i, ')') ? -1 : 0;
-      if (depth == 0) {
-        return t.textBetween(open, i).replaceAll("\\s+", "");
-      }
-    }
-    return "";
-  }
-
   private static Statement classifyCreate(SqlTokens t, int first) {
     int i = first + 1;
     boolean temp = false;
--- a/src/main/java/crankspar/pooling/SqlFunctions.java
+++ b/src/main/java/crankspar/pooling/SqlFunctions.java
@@ -71,7 +71,7 @@
           "with",
           "within");
 
-  /** Functions that read at the most. */
+  /** Functions that read at the most, and the one whose effect a statement's kind shows. */
   private static final Set<String> READING =
       Set.of(
           "abs",
@@ -124,6 +124,7 @@
           "row_number",
           "row_to_json",
           "rtrim",
+          "set_config",
           "split_part",
           "sqrt",
           "string_agg",
@@ -161,7 +162,8 @@
     if (!tokens.isKind(i, 'w') || tokens.isAnyOf(i, KEYWORDS, LONGEST)) {
       return false;
     }
-    boolean qualified = i > first && tokens.isKind(i - 1, '.');
-    return qualified || !tokens.isAnyOf(i, READING, LONGEST);
+    boolean foreign =
+        i > first && tokens.isKind(i - 1, '.') && (i < 2 || !tokens.is(i - 2, "pg_catalog"));
+    return foreign || !tokens.isAnyOf(i, READING, LONGEST);
   }
 }
--- a/src/test/java/crankspar/pooling/WriteByFunctionTest.java
+++ b/src/test/java/crankspar/pooling/WriteByFunctionTest.java
@@ -38,6 +38,7 @@
         "SELECT claim_trade('a', 'b'); SELECT 1",
         "/* c=trade-claim */ SELECT \"claim_trade\"('a', 'b')",
         "/* c=trade-claim */ SELECT ours.lower('a')",
+        "/* c=trade-claim */ SELECT set_config('application_name', 'a', true), claim_trade('a')",
         "BEGIN; SELECT claim_trade('a', 'b'); COMMIT"
       })
   void aSimpleQueryThatCallsAFunctionLeavesAMark(String write) throws Exception {
