--- a/src/main/java/crankspar/pooling/Pins.java
+++ b/src/main/java/crankspar/pooling/Pins.java
@@ -25,7 +25,7 @@
     TEMPORARY,
     /** A session-level advisory lock, until it is unlocked as often as it was acquired. */
     LOCK,
-    /** LOAD: until the connection ends. */
+    /** LOAD, or state of several kinds from one statement: until the connection ends. */
     LOAD,
     /** A setting changed to a value that its statement does not show, until DISCARD ALL. */
     SETTING
--- a/src/main/java/crankspar/pooling/Sql.java
+++ b/src/main/java/crankspar/pooling/Sql.java
@@ -53,6 +53,7 @@
     LOCK_SESSION,
     UNLOCK_SESSION,
     UNLOCK_ALL,
+    /** LOAD, and whatever leaves state that no statement is known to release. */
     LOAD,
     /**
      * A setting changed to a value that the text does not show: {@code set_config} with anything
--- a/src/main/java/crankspar/pooling/SqlQueries.java
+++ b/src/main/java/crankspar/pooling/SqlQueries.java
@@ -20,6 +20,12 @@
   private static final Set<String> SESSION_UNLOCK_FUNCTIONS =
       Set.of("pg_advisory_unlock", "pg_advisory_unlock_shared");
 
+  private static final Set<String> UNLOCK_ALL_FUNCTIONS = Set.of("pg_advisory_unlock_all");
+  private static final Set<String> SETTING_FUNCTIONS = Set.of("set_config");
+
+  /** Stands for a token that there is not. */
+  private static final int NONE = -1;
+
   /** Functions that make a SELECT a write. */
   private static final Set<String> WRITING_FUNCTIONS =
       Set.of(
@@ -50,27 +56,28 @@
 
   /** Classifies the query that begins at a token and ends with the last one. */
   static Statement classify(SqlTokens t, int first) {
-    for (int i = first; i < t.size(); i++) {
-      if (t.kind(i) != 'w') {
-        continue;
-      }
-      boolean call = t.isKind(i + 1, '(');
-      if (call && t.is(i, "set_config")) {
-        return SqlSettings.setConfig(t, first).calling(callsBesides(t, first));
-      }
-      if (call && t.isAnyOf(i, SESSION_LOCK_FUNCTIONS, LONGEST_KNOWN_WORD)) {
-        return Sql.of(
-            Kind.LOCK_SESSION, lockedOnce(t, i, first) ? callArguments(t, i + 1) : MANY_LOCKS);
-      }
-      if (call && t.isAnyOf(i, SESSION_UNLOCK_FUNCTIONS, LONGEST_KNOWN_WORD)) {
-        return Sql.of(Kind.UNLOCK_SESSION, callArguments(t, i + 1));
-      }
-      if (call && t.is(i, "pg_advisory_unlock_all")) {
-        return Sql.of(Kind.UNLOCK_ALL);
-      }
-      if (t.is(i, "into") && (t.is(i + 1, "temp") || t.is(i + 1, "temporary"))) {
-        return Sql.of(Kind.CREATE_TEMP, i + 2 < t.size() ? t.text(i + 2) : "");
-      }
+    int lock = callOf(SESSION_LOCK_FUNCTIONS, t, first);
+    int unlock = callOf(SESSION_UNLOCK_FUNCTIONS, t, first);
+    int into = intoTemporary(t, first);
+    boolean sets = callOf(SETTING_FUNCTIONS, t, first) != NONE;
+    if (lock != NONE && (sets || into != NONE) || sets && into != NONE) {
+      return Sql.of(Kind.LOAD); // no statement is known to release all of it
+    }
+    if (sets) {
+      return SqlSettings.setConfig(t, first).calling(callsBesides(t, first));
+    }
+    if (lock != NONE) {
+      boolean once = lockedOnce(t, lock, first);
+      return Sql.of(Kind.LOCK_SESSION, once ? callArguments(t, lock + 1) : MANY_LOCKS);
+    }
+    if (into != NONE) {
+      return Sql.of(Kind.CREATE_TEMP, into + 2 < t.size() ? t.text(into + 2) : "");
+    }
+    if (unlock != NONE) {
+      return Sql.of(Kind.UNLOCK_SESSION, callArguments(t, unlock + 1));
+    }
+    if (callOf(UNLOCK_ALL_FUNCTIONS, t, first) != NONE) {
+      return Sql.of(Kind.UNLOCK_ALL);
     }
     return switch (calls(t, first)) {
       case WRITING -> Sql.of(Kind.WRITE);
@@ -79,6 +86,26 @@
     };
   }
 
+  /** Returns where the first call of one of these functions is, or {@link #NONE}. */
+  private static int callOf(Set<String> functions, SqlTokens t, int first) {
+    for (int i = first; i + 1 < t.size(); i++) {
+      if (t.isKind(i + 1, '(') && t.isKind(i, 'w') && t.isAnyOf(i, functions, LONGEST_KNOWN_WORD)) {
+        return i;
+      }
+    }
+    return NONE;
+  }
+
+  /** Returns where INTO TEMP is, or {@link #NONE}. */
+  private static int intoTemporary(SqlTokens t, int first) {
+    for (int i = first; i + 1 < t.size(); i++) {
+      if (t.is(i, "into") && (t.is(i + 1, "temp") || t.is(i + 1, "temporary"))) {
+        return i;
+      }
+    }
+    return NONE;
+  }
+
   /**
    * What a query does besides changing settings; what it selects from may be a view that writes.
    */
