pooling: a write of a class with keys is not sent again once it may have run

Cause: a class with keys may be repeated, since the database knows a key again. A pooled statement is passed on as its client wrote it and has none, but the pooling front's core was given the class as the settings have it.

Change: CoreSettings, which takes the copy of the settings from PoolingFront, makes such a class for writes one that is not repeated. The outcome is told as unknown (08007), as for side_effect. The other fronts are as they were.

--- a/src/main/java/crankspar/pooling/PoolingFront.java
+++ b/src/main/java/crankspar/pooling/PoolingFront.java
@@ -83,10 +83,7 @@
      */
     public static Parts build(EventLoop loop, Router.Settings settings, Counters counters, Ports.Discovery discovery,
                               BiFunction<Router.Settings, Router.Actions, Router> routerFactory, Setup setup, int servers) {
-        var coreSettings = new Router.Settings(settings.seed(), settings.zone(), settings.zones(), settings.instanceIndex(), settings.instanceCount(),
-                settings.batchInterval(), settings.watchDiscovery(), settings.classes(), settings.laggingRead(), settings.patience(),
-                settings.roleInList(), Router.SessionMarks.CARRIED, settings.reportsPosition(), settings.commitWaits(),
-                settings.positionEpoch(), settings.reports(), settings.guarantees(), settings.limits(), settings.prices());
+        Router.Settings coreSettings = CoreSettings.of(settings);
         var probes = new Pool<>(loop, counters, () -> PgFront.dial(counters, loop.memory()), PgFront.probe(), settings.limits().connectTimeout(),
                 settings.limits().connectionIdleTimeout(), Math.max(16, servers / 10));
         var connections = new ServerConnections(loop, counters, probes, setup, settings.limits().connectTimeout(), servers,
--- a/src/test/java/crankspar/lab/Stand.java
+++ b/src/test/java/crankspar/lab/Stand.java
@@ -25,6 +25,7 @@
   public final Recording recording;
   public final Daemon daemon;
   private final Path file;
+  private final String settings;
   private String pooling;
 
   /** {@code pooling} is what stands inside {@code pooling { ... }} beside listener and members. */
@@ -34,6 +35,14 @@
 
   public Stand(int replicas, String pooling, java.util.function.Consumer<PgServer> each)
       throws IOException, Config.Bad, InterruptedException {
+    this(replicas, pooling, each, TestSettings.JSON);
+  }
+
+  /** {@code settings} stand in place of the tests' own. */
+  public Stand(
+      int replicas, String pooling, java.util.function.Consumer<PgServer> each, String settings)
+      throws IOException, Config.Bad, InterruptedException {
+    this.settings = settings;
     primary = new PgServer("primary");
     recording = primary.recording();
     each.accept(primary);
@@ -58,7 +67,7 @@
     Files.writeString(
         file,
         "name = stand\nmgmt = \"127.0.0.1:0\"\nsettings = "
-            + TestSettings.JSON
+            + settings
             + "\npooling {\n  listen = \""
             + listen
             + "\"\n  members { revision = 1, complete = true, members = [\n"
--- a/src/test/java/crankspar/pooling/UnknownOutcomeTest.java
+++ b/src/test/java/crankspar/pooling/UnknownOutcomeTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import crankspar.TestSettings;
 import crankspar.lab.Fault;
 import crankspar.lab.PgWire;
 import crankspar.lab.Stand;
@@ -62,4 +63,19 @@
       assertThat(claims(stand)).isEqualTo(1);
     }
   }
+
+  /**
+   * Guards against a write that runs twice where its class is for requests with keys, which a
+   * pooled statement has none of.
+   */
+  @Test
+  void aWriteThatMayHaveTakenEffectIsNotSentAgainThoughItsClassHasKeys() throws Exception {
+    String keyed = TestSettings.JSON.replace("side_effect", "token");
+    try (var stand = new Stand(0, places(1), s -> {}, keyed);
+        PgWire client = stand.wire()) {
+      stand.primary.fault(cutBefore('Z', "I"));
+      assertThat(client.ask(CLAIM)).startsWith("E:08007");
+      assertThat(claims(stand)).isEqualTo(1);
+    }
+  }
 }
