pooling: one pass finds what a query leaves behind; a qualified name is always a call

Cause: two things in the classification of queries of today. And a function of a user's own whose name is also a keyword (ours.left) was taken for the keyword: no mark for what it wrote.

Change: SessionEffects notes in one pass where a query locks, unlocks, sets and makes a temporary table; known names are one set; keywords are compared up to their length. A qualified name that is followed by a parenthesis is a call, unless it is pg_catalog's.

What is left over is that the rest of a query with set_config is looked at.

--- a/src/main/java/crankspar/pooling/SqlFunctions.java
+++ b/src/main/java/crankspar/pooling/SqlFunctions.java
@@ -1,6 +1,8 @@
 package crankspar.pooling;
 
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Tells whether a statement may call a function whose effects its text does not show. Only
@@ -143,6 +145,9 @@
           "upper",
           "version");
 
+  private static final Set<String> KNOWN =
+      Stream.concat(KEYWORDS.stream(), READING.stream()).collect(Collectors.toUnmodifiableSet());
+
   private SqlFunctions() {}
 
   /** Whether one of the tokens from {@code first} on may be a call that writes. */
@@ -159,11 +164,11 @@
     if (tokens.isKind(i, 'i')) {
       return true;
     }
-    if (!tokens.isKind(i, 'w') || tokens.isAnyOf(i, KEYWORDS, LONGEST)) {
+    if (!tokens.isKind(i, 'w')) {
       return false;
     }
     boolean foreign =
         i > first && tokens.isKind(i - 1, '.') && (i < 2 || !tokens.is(i - 2, "pg_catalog"));
-    return foreign || !tokens.isAnyOf(i, READING, LONGEST);
+    return foreign || !tokens.isAnyOf(i, KNOWN, LONGEST);
   }
 }
--- a/src/main/java/crankspar/pooling/SqlQueries.java
+++ b/src/main/java/crankspar/pooling/SqlQueries.java
@@ -20,9 +20,6 @@
   private static final Set<String> SESSION_UNLOCK_FUNCTIONS =
       Set.of("pg_advisory_unlock", "pg_advisory_unlock_shared");
 
-  private static final Set<String> UNLOCK_ALL_FUNCTIONS = Set.of("pg_advisory_unlock_all");
-  private static final Set<String> SETTING_FUNCTIONS = Set.of("set_config");
-
   /** Stands for a token that there is not. */
   private static final int NONE = -1;
 
@@ -45,8 +42,11 @@
           "pg_terminate_backend",
           "pg_cancel_backend");
 
-  /** The length of the longest name and keyword in these sets. */
-  private static final int LONGEST_KNOWN_WORD = 32;
+  /** The length of the longest name in these sets (characters). */
+  private static final int LONGEST_FUNCTION = 32;
+
+  /** The length of the longest keyword in these sets (characters). */
+  private static final int LONGEST_KEYWORD = 6;
 
   private static final Set<String> ROW_LOCK_KEYWORDS = Set.of("update", "share", "no", "key");
   private static final Set<String> MODIFYING_KEYWORDS =
@@ -54,29 +54,68 @@
 
   private SqlQueries() {}
 
+  /** Where a query has what leaves state behind; {@link #NONE} where it has not. */
+  private static final class SessionEffects {
+    int lock = NONE;
+    int unlock = NONE;
+    int unlockAll = NONE;
+    int setting = NONE;
+    int temporary = NONE;
+
+    SessionEffects(SqlTokens t, int first) {
+      for (int i = first; i + 1 < t.size(); i++) {
+        if (t.isKind(i + 1, '(') && t.isKind(i, 'w')) {
+          noteCall(t, i);
+        } else if (t.is(i, "into") && (t.is(i + 1, "temp") || t.is(i + 1, "temporary"))) {
+          temporary = firstOf(temporary, i);
+        }
+      }
+    }
+
+    private void noteCall(SqlTokens t, int i) {
+      if (t.is(i, "set_config")) {
+        setting = firstOf(setting, i);
+      } else if (t.isAnyOf(i, SESSION_LOCK_FUNCTIONS, LONGEST_FUNCTION)) {
+        lock = firstOf(lock, i);
+      } else if (t.isAnyOf(i, SESSION_UNLOCK_FUNCTIONS, LONGEST_FUNCTION)) {
+        unlock = firstOf(unlock, i);
+      } else if (t.is(i, "pg_advisory_unlock_all")) {
+        unlockAll = firstOf(unlockAll, i);
+      }
+    }
+
+    private static int firstOf(int before, int at) {
+      return before == NONE ? at : before;
+    }
+
+    /** Whether it leaves state of more than one kind. */
+    boolean ofSeveralKinds() {
+      int kinds = (lock == NONE ? 0 : 1) + (setting == NONE ? 0 : 1) + (temporary == NONE ? 0 : 1);
+      return kinds > 1;
+    }
+  }
+
   /** Classifies the query that begins at a token and ends with the last one. */
   static Statement classify(SqlTokens t, int first) {
-    int lock = callOf(SESSION_LOCK_FUNCTIONS, t, first);
-    int unlock = callOf(SESSION_UNLOCK_FUNCTIONS, t, first);
-    int into = intoTemporary(t, first);
-    boolean sets = callOf(SETTING_FUNCTIONS, t, first) != NONE;
-    if (lock != NONE && (sets || into != NONE) || sets && into != NONE) {
+    var effects = new SessionEffects(t, first);
+    if (effects.ofSeveralKinds()) {
       return Sql.of(Kind.LOAD); // no statement is known to release all of it
     }
-    if (sets) {
+    if (effects.setting != NONE) {
       return SqlSettings.setConfig(t, first).calling(callsBesides(t, first));
     }
-    if (lock != NONE) {
-      boolean once = lockedOnce(t, lock, first);
-      return Sql.of(Kind.LOCK_SESSION, once ? callArguments(t, lock + 1) : MANY_LOCKS);
+    if (effects.lock != NONE) {
+      boolean once = lockedOnce(t, effects.lock, first);
+      return Sql.of(Kind.LOCK_SESSION, once ? callArguments(t, effects.lock + 1) : MANY_LOCKS);
     }
-    if (into != NONE) {
-      return Sql.of(Kind.CREATE_TEMP, into + 2 < t.size() ? t.text(into + 2) : "");
+    if (effects.temporary != NONE) {
+      int name = effects.temporary + 2;
+      return Sql.of(Kind.CREATE_TEMP, name < t.size() ? t.text(name) : "");
     }
-    if (unlock != NONE) {
-      return Sql.of(Kind.UNLOCK_SESSION, callArguments(t, unlock + 1));
+    if (effects.unlock != NONE) {
+      return Sql.of(Kind.UNLOCK_SESSION, callArguments(t, effects.unlock + 1));
     }
-    if (callOf(UNLOCK_ALL_FUNCTIONS, t, first) != NONE) {
+    if (effects.unlockAll != NONE) {
       return Sql.of(Kind.UNLOCK_ALL);
     }
     return switch (calls(t, first)) {
@@ -86,26 +125,6 @@
     };
   }
 
-  /** Returns where the first call of one of these functions is, or {@link #NONE}. */
-  private static int callOf(Set<String> functions, SqlTokens t, int first) {
-    for (int i = first; i + 1 < t.size(); i++) {
-      if (t.isKind(i + 1, '(') && t.isKind(i, 'w') && t.isAnyOf(i, functions, LONGEST_KNOWN_WORD)) {
-        return i;
-      }
-    }
-    return NONE;
-  }
-
-  /** Returns where INTO TEMP is, or {@link #NONE}. */
-  private static int intoTemporary(SqlTokens t, int first) {
-    for (int i = first; i + 1 < t.size(); i++) {
-      if (t.is(i, "into") && (t.is(i + 1, "temp") || t.is(i + 1, "temporary"))) {
-        return i;
-      }
-    }
-    return NONE;
-  }
-
   /**
    * What a query does besides changing settings; what it selects from may be a view that writes.
    */
@@ -125,11 +144,10 @@
 
   /** Whether a word makes its SELECT a write. */
   private static boolean modifies(SqlTokens t, int i, int first, boolean call) {
-    boolean locksRows = t.is(i, "for") && t.isAnyOf(i + 1, ROW_LOCK_KEYWORDS, LONGEST_KNOWN_WORD);
+    boolean locksRows = t.is(i, "for") && t.isAnyOf(i + 1, ROW_LOCK_KEYWORDS, LONGEST_KEYWORD);
     return locksRows
-        || call && t.isAnyOf(i, WRITING_FUNCTIONS, LONGEST_KNOWN_WORD)
-        || t.isAnyOf(i, MODIFYING_KEYWORDS, LONGEST_KNOWN_WORD)
-            && (i == first || !t.is(i - 1, "for"));
+        || call && t.isAnyOf(i, WRITING_FUNCTIONS, LONGEST_FUNCTION)
+        || t.isAnyOf(i, MODIFYING_KEYWORDS, LONGEST_KEYWORD) && (i == first || !t.is(i - 1, "for"));
   }
 
   /**
--- a/src/test/java/crankspar/pooling/DrawnFunctionCallTest.java
+++ b/src/test/java/crankspar/pooling/DrawnFunctionCallTest.java
@@ -14,7 +14,14 @@
  */
 class DrawnFunctionCallTest {
   private static final List<String> WRITING =
-      List.of("claim_trade", "ours.lower", "\"claim_trade\"", "ours.\"lower\"", "nextval", "a1$b");
+      List.of(
+          "claim_trade",
+          "ours.lower",
+          "\"claim_trade\"",
+          "ours.\"lower\"",
+          "nextval",
+          "a1$b",
+          "ours.left");
   private static final List<String> READING = List.of("lower", "COUNT", "md5", "coalesce");
   private static final List<String> GAPS = List.of("", " ", "/* ) */", "\n", " -- ;\n", "/*/**/*/");
   private static final List<String> ARGUMENTS =
