lab: the check of operators' calls waits until each pooler has heard the other

By its list of calls the check was wrong, not the pooler: a disable at pooler 0 in the last cut, a member that was out at both already, an enable at pooler 1 three ms after the cut. The check took equal marks for poolers that had heard each other; the enable did not know of that disable, and docs/ calls.md keeps the member out then.

Change: after a cut the run waits until both stores hold the same entries about drains, calls included, and then asks for what it asked before. Nothing else of the check has changed; it is stricter on what the poolers have to come to.

--- a/src/main/java/crankspar/lab/calls/CallRun.java
+++ b/src/main/java/crankspar/lab/calls/CallRun.java
@@ -164,9 +164,13 @@
     }
   }
 
+  /**
+   * Whether each has heard all that the other knows, not only that they come to the same: who is
+   * called before that does not know of the other's last calls.
+   */
   private boolean agreeAsTheyMust() throws Exception {
     Set<String> out = poolers.get(0).out();
-    return out.equals(poolers.get(1).out())
+    return poolers.get(0).drains().equals(poolers.get(1).drains())
         && MEMBERS.stream().allMatch(m -> !history.mustBeOut(m) || out.contains(m))
         && MEMBERS.stream().allMatch(m -> !history.mustBeBack(m) || !out.contains(m));
   }
--- a/src/main/java/crankspar/lab/calls/CalledPooler.java
+++ b/src/main/java/crankspar/lab/calls/CalledPooler.java
@@ -18,10 +18,10 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
@@ -36,6 +36,7 @@
   private static final double WORK_MS = 2;
   private static final long READ_EVERY_MS = 10;
   private static final int PERIOD_MS = 500;
+  private static final String MARK = "drain/";
   private static final Duration CALL_MOST = Duration.ofSeconds(3);
   private static final Duration READ_MOST = Duration.ofSeconds(1);
 
@@ -178,20 +179,28 @@
     return http.send(request, HttpResponse.BodyHandlers.ofString());
   }
 
-  /** The members that its store says are out. */
-  Set<String> out() throws IOException, InterruptedException {
+  /** What its store holds about drains: marks, and the calls that they follow from. */
+  Map<String, String> drains() throws IOException, InterruptedException {
     var request =
         HttpRequest.newBuilder(uri(at.rest(), "/v1/store?limit=500")).timeout(CALL_MOST).build();
-    var out = new HashSet<String>();
+    var drains = new TreeMap<String, String>();
     for (Object entry : (List<?>) Json.object(send(request).body()).get("items")) {
       var fields = (Map<?, ?>) entry;
       if (fields.get("key") instanceof String key
-          && key.startsWith("drain/")
-          && fields.get("value") != null) {
-        out.add(key.substring("drain/".length()));
+          && key.startsWith("drain")
+          && fields.get("value") instanceof String value) {
+        drains.put(key, value);
       }
     }
-    return out;
+    return drains;
+  }
+
+  /** The members that its store says are out. */
+  Set<String> out() throws IOException, InterruptedException {
+    return drains().keySet().stream()
+        .filter(key -> key.startsWith(MARK))
+        .map(key -> key.substring(MARK.length()))
+        .collect(Collectors.toSet());
   }
 
   private void read() {
